--- /dev/null
+++ b/src/app/config.hpp
@@ -0,0 +1,38 @@
+// What the platform or an operator tells the program at its start, as plain values.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/exchange.hpp"
+
+namespace winchhall::app {
+
+struct FlightConfig {  // the second front; off unless an operator's file sets it up
+  bool enabled = false;
+  std::string listen{};  // where Flight clients connect
+  bool nodes = false;    // ledger nodes are called over Flight too
+};
+
+struct Config {
+  std::string name{}, listen{}, discovery{};
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  std::vector<core::Member> known{};
+  long long known_revision = 0;
+  pewterrill::Settings settings{};
+  int shards = 0;                // 0: not stated
+  int batch = 1;                 // parts in one call
+  int streams_per_conn = 1;      // parts on one connection
+  double conn_idle = 30000;      // ms
+  double connect_timeout = 250;  // ms
+  FlightConfig flight{};
+};
+
+// Throws std::runtime_error with a plain message. Environment variables LB_* win over the file.
+Config load_config();
+Config parse_config(const std::string& text);
+void parse_flight_config(const std::string& text, FlightConfig& flight);
+
+}  // namespace winchhall::app
--- /dev/null
+++ b/src/core/exchange.cpp
@@ -0,0 +1,300 @@
+#include "core/exchange.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace winchhall::core {
+
+using namespace pewterrill;
+
+Exchange::Exchange(Settings settings, std::uint64_t seed, std::function<Millis()> clock,
+                   std::function<void(const std::string&)> log)
+    : settings_(std::move(settings)),
+      clock_(std::move(clock)),
+      log_(std::move(log)),
+      coordinator_(settings_, seed, clock_()),
+      figures_(settings_.classes.size()) {}
+
+void Exchange::attach(Carrier& carrier, MembershipSource& members) {
+  carrier_ = &carrier;
+  members_ = &members;
+}
+
+void Exchange::start(const std::vector<Member>& known) {
+  inbox_.push_back([this] {
+    for (const Action& a : coordinator_.start()) act(a);
+  });
+  list(ServerList::Kind::cached, known);
+  run();
+}
+
+// ---- Client side
+
+QueryNumber Exchange::submit(QuerySpec spec, Sink sink) {
+  QueryNumber number = next_query_++;
+  QueryState& q = queries_[number];
+  q.arrived = clock_();
+  q.sink = std::move(sink);
+  q.text = std::make_shared<const std::string>(std::move(spec.text));
+  for (const QueryPart& p : spec.parts) q.parts.push_back({p, false, {}, {}});
+  q.spec = std::move(spec);
+  Figures& f = figures_[q.spec.query_class];
+  ++f.taken;
+  f.worth_asked += settings_.classes[q.spec.query_class].worth;
+  ++open_;
+  // The site's limit on what is held: one more is turned away before the module sees it.
+  bool full = settings_.max_open > 0 && held_ >= static_cast<std::size_t>(settings_.max_open);
+  held_ += 1 + q.parts.size();
+  if (full) {
+    inbox_.push_back([this, number] {
+      finish(number, {.kind = Verdict::Kind::refused,
+                      .retry_after = settings_.retry_after_heard ? settings_.max_retry_after : 0});
+    });
+    return number;
+  }
+  query_ends_.insert({q.spec.give_up_at, number});
+  inbox_.push_back([this, number] {
+    auto it = queries_.find(number);
+    if (it == queries_.end() || !it->second.sink) return;
+    const QueryState& state = it->second;
+    QueryArrived e;
+    e.query = std::to_string(number);
+    e.query_class = state.spec.query_class;
+    e.tenant = state.spec.tenant;
+    e.give_up_at = state.spec.give_up_at;
+    e.repeat = state.spec.repeat;
+    e.key = state.spec.key;
+    for (std::size_t i = 0; i < state.parts.size(); ++i) {
+      const QueryPart& p = state.parts[i].spec;
+      e.parts.push_back({part_id(number, i), p.shard, p.weight, p.hint});
+    }
+    handle(e);
+  });
+  return number;
+}
+
+void Exchange::withdraw(QueryNumber number) {
+  inbox_.push_back([this, number] {
+    auto it = queries_.find(number);
+    if (it == queries_.end() || !it->second.sink) return;
+    ++figures_[it->second.spec.query_class].withdrawn;
+    it->second.sink = nullptr;
+    --open_;
+    held_ -= 1 + it->second.parts.size();
+    query_ends_.erase({it->second.spec.give_up_at, number});
+    handle(QueryWithdrawn{std::to_string(number)});
+    settle(number);
+  });
+}
+
+// ---- Server side
+
+void Exchange::attempt_ended(AttemptNumber attempt, Result result) {
+  inbox_.push_back([this, attempt, r = std::move(result)] { finish_attempt(attempt, r); });
+}
+
+void Exchange::probe_ended(const std::string& server, Outcome outcome, Millis elapsed, const Load& load) {
+  inbox_.push_back([this, e = ProbeEnded{server, outcome, elapsed, report(load)}] { handle(e); });
+}
+
+void Exchange::list(ServerList::Kind kind, const std::vector<Member>& members) {
+  inbox_.push_back([this, kind, members] {
+    ServerList e{kind, {}};
+    for (const Member& m : members) {
+      auto [it, fresh] = servers_.try_emplace(m.entry.server);
+      bool later = m.entry.started && (!it->second.started || *m.entry.started > *it->second.started);
+      // Guards against writing to connections of a process that died without a sign: they stay open, silent.
+      if (!fresh && later) carrier_->retire(m.entry.server);
+      it->second.endpoint = m.endpoint;
+      if (later) it->second.started = m.entry.started;
+      e.servers.push_back(m.entry);
+    }
+    handle(e);
+  });
+}
+
+// ---- The driver
+
+void Exchange::run() {
+  if (running_) return;
+  running_ = true;
+  for (bool again = true; again;) {
+    Millis now = clock_();
+    // First what has come in, then what is due: an answer that is here is not timed out.
+    while (!inbox_.empty())
+      for (auto& event : std::exchange(inbox_, {})) event();
+    while (!attempt_ends_.empty() && attempt_ends_.begin()->first <= now) {
+      AttemptNumber attempt = attempt_ends_.begin()->second;
+      carrier_->abandon(attempt);
+      finish_attempt(attempt, {.outcome = Outcome::timeout});
+    }
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+      std::int64_t tag = timers_.begin()->second;
+      timers_.erase(timers_.begin());
+      handle(TimerFired{tag});
+    }
+    // One final answer, always: the module ends its queries earlier than this.
+    while (!query_ends_.empty() && query_ends_.begin()->first <= now) {
+      QueryNumber number = query_ends_.begin()->second;
+      log_("query overdue, failed by the exchange");
+      finish(number, {});
+      handle(QueryWithdrawn{std::to_string(number)});
+    }
+    again = !inbox_.empty();
+  }
+  carrier_->flush();
+  running_ = false;
+}
+
+Millis Exchange::next_due() const {
+  Millis due = inbox_.empty() ? std::numeric_limits<double>::infinity() : 0;
+  if (!timers_.empty()) due = std::min(due, timers_.begin()->first);
+  if (!attempt_ends_.empty()) due = std::min(due, attempt_ends_.begin()->first);
+  if (!query_ends_.empty()) due = std::min(due, query_ends_.begin()->first);
+  return due;
+}
+
+void Exchange::handle(const Event& event) {
+  for (const Action& a : coordinator_.handle(clock_(), event)) act(a);
+}
+
+void Exchange::act(const Action& action) {
+  struct {
+    Exchange& x;
+    static QueryNumber number(const std::string& id) { return std::stoull(id); }
+    void operator()(const SendPart& a) { x.send(a); }
+    void operator()(const CancelAttempt& a) {
+      auto [query, part] = x.part_of(a.part);
+      auto it = x.queries_.find(query);
+      if (it == x.queries_.end()) return;
+      AttemptNumber attempt = it->second.parts.at(part).attempts.at(static_cast<std::size_t>(a.attempt));
+      if (!x.attempts_.count(attempt)) return;
+      x.carrier_->abandon(attempt);
+      x.attempt_ended(attempt, {.outcome = Outcome::cancelled});
+    }
+    void operator()(const AnswerQuery& a) {
+      auto it = x.queries_.find(number(a.query));
+      if (it != x.queries_.end()) x.finish(it->first, x.answer(it->second, a.whole));
+    }
+    void operator()(const RefuseQuery& a) {
+      x.finish(number(a.query), {.kind = Verdict::Kind::refused, .retry_after = a.retry_after});
+    }
+    void operator()(const FailQuery& a) { x.finish(number(a.query), {}); }
+    void operator()(const SendProbe& a) {
+      auto it = x.servers_.find(a.server);
+      if (it != x.servers_.end()) x.carrier_->probe(a.server, it->second.endpoint);
+    }
+    void operator()(const WatchList& a) { x.members_->watch(a.on); }
+    void operator()(const FetchList&) { x.members_->fetch(); }
+    void operator()(const CloseIdle& a) { x.carrier_->close_idle(a.server); }
+    void operator()(const TellPeers&) {}  // no wire here carries words between instances
+    void operator()(const SetTimer& a) { x.timers_.emplace(a.at, a.tag); }
+    void operator()(const LogLine& a) { x.log_(a.text); }
+  } visitor{*this};
+  std::visit(visitor, action);
+}
+
+void Exchange::send(const SendPart& a) {
+  auto [number, index] = part_of(a.part);
+  QueryState& q = queries_.at(number);
+  PartState& p = q.parts.at(index);
+  AttemptNumber attempt = next_attempt_++;
+  Millis now = clock_();
+  AttemptState state{number, index, static_cast<int>(p.attempts.size()), a.server, now, now + a.timeout};
+  p.attempts.push_back(attempt);
+  ++q.out;
+  ++figures_[q.spec.query_class].attempts;
+  attempt_ends_.insert({state.until, attempt});
+  attempts_[attempt] = state;
+  carrier_->launch({attempt, a.server, servers_[a.server].endpoint,
+                    q.spec.id + "." + std::to_string(p.spec.shard), p.spec.shard, state.until, q.text});
+}
+
+void Exchange::finish_attempt(AttemptNumber attempt, Result r) {
+  auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;  // given up before; what came after does not count
+  AttemptState a = it->second;
+  attempts_.erase(it);
+  attempt_ends_.erase({a.until, attempt});
+  QueryState& q = queries_.at(a.query);
+  --q.out;
+  bool open = static_cast<bool>(q.sink), ok = r.outcome == Outcome::ok;
+  if (ok && open) {
+    q.parts[a.part].in = true;
+    q.parts[a.part].values = std::move(r.values);
+  }
+  handle(AttemptEnded{part_id(a.query, a.part), a.count, a.server, r.outcome, clock_() - a.sent, ok || !open,
+                      report(r.load)});
+  settle(a.query);
+}
+
+Verdict Exchange::answer(const QueryState& q, bool whole) const {
+  Verdict v{.kind = Verdict::Kind::answered, .whole = whole};
+  for (const PartState& p : q.parts)
+    if (p.in) {
+      v.share += p.spec.weight;
+      v.rows.push_back({p.spec.shard, p.values});
+    }
+  return v;
+}
+
+void Exchange::finish(QueryNumber number, Verdict v) {
+  auto it = queries_.find(number);
+  if (it == queries_.end() || !it->second.sink) return;
+  QueryState& q = it->second;
+  const ClassSettings& c = settings_.classes[q.spec.query_class];
+  Figures& f = figures_[q.spec.query_class];
+  if (v.kind == Verdict::Kind::refused) ++f.refused;
+  if (v.kind == Verdict::Kind::failed) ++f.failed;
+  if (v.kind == Verdict::Kind::answered) {
+    ++(v.whole ? f.whole : f.partial);
+    double worth = c.worth * (v.whole ? 1 : c.partial_worth * v.share / c.need);
+    f.worth_earned += worth * (clock_() - q.arrived <= c.aim ? 1 : c.late_worth);
+  }
+  --open_;
+  held_ -= 1 + q.parts.size();
+  query_ends_.erase({q.spec.give_up_at, number});
+  Sink sink = std::exchange(q.sink, nullptr);
+  sink(std::move(v));
+  settle(number);
+}
+
+// Forgets a query once its verdict is out and no attempt of it is owed an outcome any more. Not at once: the
+// module may name its parts until the end of the actions that closed it.
+void Exchange::settle(QueryNumber number) {
+  auto it = queries_.find(number);
+  if (it == queries_.end() || it->second.sink || it->second.out > 0) return;
+  inbox_.push_back([this, number] {
+    auto late = queries_.find(number);
+    if (late != queries_.end() && !late->second.sink && late->second.out == 0) queries_.erase(late);
+  });
+}
+
+std::vector<double> Exchange::report(const Load& load) const {
+  std::vector<double> values;
+  for (ReportField field : settings_.report_fields) {
+    std::optional<double> v = field == ReportField::queued       ? load.queued
+                              : field == ReportField::in_flight  ? load.in_flight
+                              : field == ReportField::service_ms ? load.service_ms
+                                                                 : std::nullopt;
+    values.push_back(v.value_or(-1));  // -1: not a figure
+  }
+  return values;
+}
+
+std::string Exchange::part_id(QueryNumber number, std::size_t part) {
+  return std::to_string(number) + "." + std::to_string(part);
+}
+
+std::pair<QueryNumber, std::size_t> Exchange::part_of(const std::string& id) const {
+  QueryNumber number = 0;
+  std::size_t part = 0;
+  const char* end = id.data() + id.size();
+  auto dot = std::from_chars(id.data(), end, number);
+  if (dot.ptr != end) std::from_chars(dot.ptr + 1, end, part);
+  return {number, part};
+}
+
+}  // namespace winchhall::core
--- /dev/null
+++ b/src/core/exchange.hpp
@@ -0,0 +1,201 @@
+// Where the client side and the server side meet, and the driver of the decision module. Fronts submit
+// queries and get verdicts; carriers get orders and tell how attempts ended; a membership source tells which
+// servers there are. The core knows no wire: no descriptor, no address but an opaque word, no protocol.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "pewterrill/coordinator.hpp"
+
+namespace winchhall::core {
+
+using pewterrill::Millis;
+using pewterrill::Outcome;
+
+// ---- Client side
+
+struct QueryPart {
+  int shard = 0;
+  double weight = 0;
+  std::optional<Millis> hint{};  // expected work
+};
+
+struct QuerySpec {
+  std::string id{};  // as the client named it
+  int query_class = 0;
+  int tenant = -1;
+  Millis give_up_at = 0;
+  bool repeat = false;
+  std::optional<std::uint64_t> key{};
+  std::string text{};  // what every part carries, unchanged
+  std::vector<QueryPart> parts{};
+};
+
+struct Row {
+  int shard = 0;
+  std::vector<std::string> values{};  // as the server gave them
+};
+
+struct Verdict {
+  enum class Kind { answered, refused, failed } kind = Kind::failed;
+  bool whole = false;
+  double share = 0;        // of the parts' weight that is in
+  Millis retry_after = 0;  // refused: 0 is no advice
+  std::vector<Row> rows{};
+};
+
+using QueryNumber = std::uint64_t;
+using Sink = std::function<void(Verdict)>;  // called once, or never after withdraw()
+
+// ---- Server side
+
+using AttemptNumber = std::uint64_t;
+
+struct Load {  // as a server reported it; what is absent was not told
+  std::optional<double> queued{}, in_flight{}, service_ms{};
+};
+
+struct Order {
+  AttemptNumber attempt = 0;
+  std::string server{}, endpoint{};
+  std::string part{};  // the query's name, a dot and the shard
+  int shard = 0;
+  Millis until = 0;  // the attempt is abandoned then
+  std::shared_ptr<const std::string> text{};
+};
+
+struct Result {
+  Outcome outcome = Outcome::ok;
+  std::vector<std::string> values{};
+  Load load{};
+};
+
+class Carrier {
+ public:
+  virtual void launch(const Order& order) = 0;  // reports by attempt_ended(), never before it returns
+  virtual void flush() = 0;                     // no more orders in this round
+  virtual void abandon(AttemptNumber attempt) = 0;
+  virtual void probe(const std::string& server, const std::string& endpoint) = 0;
+  virtual void close_idle(const std::string& server) = 0;
+  virtual void retire(const std::string& server) = 0;  // the process behind older connections is gone
+
+ protected:
+  ~Carrier() = default;
+};
+
+struct Member {
+  pewterrill::ServerEntry entry{};
+  std::string endpoint{};
+};
+
+class MembershipSource {
+ public:
+  virtual void watch(bool on) = 0;  // each call is answered by one list at least
+  virtual void fetch() = 0;
+
+ protected:
+  ~MembershipSource() = default;
+};
+
+// ---- Service figures, per class
+
+struct Figures {
+  std::uint64_t taken = 0, whole = 0, partial = 0, refused = 0, failed = 0, withdrawn = 0, attempts = 0;
+  double worth_asked = 0, worth_earned = 0;
+  bool operator==(const Figures&) const = default;
+};
+
+class Exchange {
+ public:
+  Exchange(pewterrill::Settings settings, std::uint64_t seed, std::function<Millis()> clock,
+           std::function<void(const std::string&)> log);
+
+  void attach(Carrier& carrier, MembershipSource& members);
+  void start(const std::vector<Member>& known);
+
+  // Client side.
+  QueryNumber submit(QuerySpec spec, Sink sink);
+  void withdraw(QueryNumber number);
+
+  // Server side.
+  void attempt_ended(AttemptNumber attempt, Result result);
+  void probe_ended(const std::string& server, Outcome outcome, Millis elapsed, const Load& load);
+  void list(pewterrill::ServerList::Kind kind, const std::vector<Member>& members);
+
+  // Carries events to the module and its actions out, until nothing is due. Call whenever the above were.
+  void run();
+  Millis next_due() const;
+
+  const pewterrill::Settings& settings() const { return settings_; }
+  const std::vector<Figures>& figures() const { return figures_; }
+  std::size_t open_queries() const { return open_; }
+  std::size_t attempts_out() const { return attempts_.size(); }
+  std::size_t known_servers() const { return servers_.size(); }
+
+ private:
+  struct PartState {
+    QueryPart spec;
+    bool in = false;
+    std::vector<std::string> values;
+    std::vector<AttemptNumber> attempts;
+  };
+  struct QueryState {
+    QuerySpec spec;
+    Sink sink;  // empty once the verdict is out
+    Millis arrived = 0;
+    std::shared_ptr<const std::string> text;
+    std::vector<PartState> parts;
+    int out = 0;
+  };
+  struct AttemptState {
+    QueryNumber query = 0;
+    std::size_t part = 0;
+    int count = 0;  // which attempt of its part
+    std::string server;
+    Millis sent = 0, until = 0;
+  };
+  struct Known {
+    std::string endpoint;
+    std::optional<Millis> started;
+  };
+
+  void handle(const pewterrill::Event& event);
+  void act(const pewterrill::Action& action);
+  void send(const pewterrill::SendPart& action);
+  void finish_attempt(AttemptNumber attempt, Result result);
+  void finish(QueryNumber number, Verdict verdict);
+  void settle(QueryNumber number);
+  Verdict answer(const QueryState& query, bool whole) const;
+  std::vector<double> report(const Load& load) const;
+  static std::string part_id(QueryNumber number, std::size_t part);
+  std::pair<QueryNumber, std::size_t> part_of(const std::string& id) const;
+
+  pewterrill::Settings settings_;
+  std::function<Millis()> clock_;
+  std::function<void(const std::string&)> log_;
+  pewterrill::Coordinator coordinator_;
+  Carrier* carrier_ = nullptr;
+  MembershipSource* members_ = nullptr;
+  std::vector<std::function<void()>> inbox_;
+  bool running_ = false;
+  QueryNumber next_query_ = 1;
+  AttemptNumber next_attempt_ = 1;
+  std::map<QueryNumber, QueryState> queries_;
+  std::map<AttemptNumber, AttemptState> attempts_;
+  std::map<std::string, Known> servers_;
+  std::multimap<Millis, std::int64_t> timers_;
+  std::set<std::pair<Millis, AttemptNumber>> attempt_ends_;
+  std::set<std::pair<Millis, QueryNumber>> query_ends_;
+  std::size_t open_ = 0, held_ = 0;
+  std::vector<Figures> figures_;
+};
+
+}  // namespace winchhall::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,116 @@
+// Wiring, signals and the exit code.
+#include <signal.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <exception>
+#include <stdexcept>
+
+#include "app/config.hpp"
+#include "app/lifecycle.hpp"
+#include "core/exchange.hpp"
+#include "net/loop.hpp"
+#include "platform/client_front.hpp"
+#include "platform/discovery.hpp"
+#include "platform/leaf_pool.hpp"
+
+namespace {
+
+using namespace winchhall;
+
+sockaddr_in address(const std::string& text, const char* what) {
+  auto a = net::parse_address(text);
+  if (!a) throw std::runtime_error(std::string("no address to ") + what + ": '" + text + "'");
+  return *a;
+}
+
+void serve() {
+  app::Config config = app::load_config();
+  app::Lifecycle life;
+  net::Loop loop;
+
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  net::UniqueFd signal_fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+  loop.add(signal_fd.get(), POLLIN, [&](short) {
+    signalfd_siginfo info;
+    while (read(signal_fd.get(), &info, sizeof info) == sizeof info) {
+      life.terminate(loop.now());
+      spdlog::info("phase {}", life.name());
+    }
+  });
+
+  core::Exchange exchange(
+      config.settings, config.seed, [&] { return loop.now(); },
+      [](const std::string& line) { spdlog::info("policy: {}", line); });
+  platform::LeafLimits limits;
+  limits.batch = static_cast<std::size_t>(config.batch);
+  limits.streams = static_cast<std::size_t>(config.streams_per_conn);
+  limits.connect_timeout = config.connect_timeout;
+  limits.idle = config.conn_idle;
+  limits.connections = config.sockets * 2 / 5;
+  platform::LeafPool pool(loop, exchange, limits);
+  platform::Discovery discovery(loop, exchange, config.discovery, config.known_revision,
+                                config.connect_timeout);
+  exchange.attach(pool, discovery);
+  exchange.start(config.known);
+  platform::ClientFront front(loop, exchange, address(config.listen, "listen on"),
+                              {exchange.settings(), config.shards}, config.sockets / 2,
+                              [&] { return life.admits(); });
+  spdlog::info("{} listens on {}, {} servers known", config.name, config.listen, config.known.size());
+
+  constexpr net::Millis kFiguresEvery = 10000;
+  net::Millis figures_at = loop.now() + kFiguresEvery;
+  bool winding = false;
+  while (life.phase() != app::Phase::Stopped) {
+    net::Millis now = loop.now();
+    loop.turn(std::clamp(exchange.next_due() - now, 0.0, 500.0));
+    exchange.run();
+    now = loop.now();
+    if (life.phase() == app::Phase::Starting && exchange.known_servers() > 0) {
+      life.serving();
+      spdlog::info("phase {}", life.name());
+    }
+    if (!winding && life.closing(now)) {
+      front.wind_down();
+      winding = true;
+    }
+    if (winding && exchange.open_queries() == 0 && !front.busy()) {
+      front.stop_listening();
+      life.idle(now);
+    }
+    if (now >= figures_at) {
+      figures_at = now + kFiguresEvery;
+      for (std::size_t i = 0; i < exchange.figures().size(); ++i) {
+        const core::Figures& f = exchange.figures()[i];
+        spdlog::info("figures {}: taken {} whole {} partial {} refused {} failed {} withdrawn {} attempts {}",
+                     exchange.settings().classes[i].name, f.taken, f.whole, f.partial, f.refused, f.failed,
+                     f.withdrawn, f.attempts);
+      }
+      spdlog::info("open: queries {} attempts {} clients {} leafs {}", exchange.open_queries(),
+                   exchange.attempts_out(), front.connections(), pool.connections());
+    }
+  }
+  spdlog::info("phase {}", life.name());
+}
+
+}  // namespace
+
+int main() {
+  spdlog::set_default_logger(spdlog::stderr_logger_st("winchhall"));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  if (const char* level = std::getenv("WINCHHALL_LOG")) spdlog::set_level(spdlog::level::from_str(level));
+  try {
+    serve();
+  } catch (const std::exception& error) {
+    spdlog::critical("{}", error.what());
+    return EXIT_FAILURE;
+  }
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,209 @@
+#include "net/stream.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+
+namespace winchhall::net {
+namespace {
+constexpr std::size_t kInMost = 256 * 1024;  // bytes read ahead of an owner that does not take them
+constexpr Millis kAcceptPause = 50;          // ms without accepting once descriptors have run out
+
+void no_delay(int fd) {
+  int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+}  // namespace
+
+std::optional<sockaddr_in> parse_address(std::string_view text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  std::uint16_t port = 0;
+  auto digits = text.substr(colon + 1);
+  auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
+  a.sin_port = htons(port);
+  if (::inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &a.sin_addr) != 1) return std::nullopt;
+  return a;
+}
+
+Stream::Stream(Loop& loop, UniqueFd fd, Owner& owner, bool connecting)
+    : loop_(loop), fd_(std::move(fd)), owner_(owner), connecting_(connecting) {}
+
+std::shared_ptr<Stream> Stream::adopt(Loop& loop, UniqueFd fd, Owner& owner) {
+  no_delay(fd.get());
+  auto stream = std::make_shared<Stream>(loop, std::move(fd), owner, false);
+  stream->start();
+  return stream;
+}
+
+std::shared_ptr<Stream> Stream::connect(Loop& loop, const sockaddr_in& to, Owner& owner, int& error) {
+  UniqueFd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) {
+    error = errno;
+    return nullptr;
+  }
+  no_delay(fd.get());
+  int done = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
+  bool refused = done < 0 && errno != EINPROGRESS;
+  auto stream = std::make_shared<Stream>(loop, std::move(fd), owner, true);
+  stream->start();
+  if (refused) stream->fail();
+  return stream;
+}
+
+void Stream::start() {
+  loop_.add(fd_.get(), 0, [weak = weak_from_this()](short events) {
+    if (auto self = weak.lock()) self->ready(events);
+  });
+  update();
+}
+
+void Stream::update() {
+  if (!open() || broken_) return;
+  short events = 0;
+  if (connecting_ || unsent() > 0) events |= POLLOUT;
+  if (!connecting_ && in_.size() < kInMost) events |= POLLIN;
+  loop_.set_events(fd_.get(), events);
+}
+
+void Stream::ready(short events) {
+  if (connecting_) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0 || (events & (POLLERR | POLLNVAL))) return fail();
+    connecting_ = false;
+    owner_.connected();
+  }
+  if (open() && (events & (POLLIN | POLLHUP | POLLERR))) read();
+  if (open() && (events & POLLOUT)) flush();
+  update();
+}
+
+void Stream::read() {
+  char buffer[16384];
+  bool over = false;
+  while (in_.size() < kInMost) {
+    ssize_t n = ::recv(fd_.get(), buffer, sizeof buffer, 0);
+    if (n > 0) {
+      in_.append(buffer, static_cast<std::size_t>(n));
+      continue;
+    }
+    if (n < 0 && errno == EINTR) continue;
+    over = n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    break;
+  }
+  // What came before the end counts, even where both are found at once.
+  if (!in_.empty()) owner_.received(in_);
+  if (over && open()) fail();
+}
+
+void Stream::show_again() {
+  loop_.defer([weak = weak_from_this()] {
+    auto self = weak.lock();
+    if (!self || !self->open() || self->in_.empty()) return;
+    self->owner_.received(self->in_);
+    self->update();
+  });
+}
+
+void Stream::write(std::string_view bytes) {
+  if (!open()) return;
+  out_.append(bytes);
+  if (!connecting_) flush();
+  update();
+}
+
+void Stream::flush() {
+  bool had = unsent() > 0;
+  while (open() && !broken_ && unsent() > 0) {
+    ssize_t n = ::send(fd_.get(), out_.data() + out_at_, unsent(), MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+    if (n < 0) return fail();
+    out_at_ += static_cast<std::size_t>(n);
+    flushed_ += static_cast<std::uint64_t>(n);
+  }
+  if (out_at_ == out_.size() || out_at_ > 65536) {
+    out_.erase(0, out_at_);
+    out_at_ = 0;
+  }
+  if (had && unsent() == 0 && open()) {
+    loop_.defer([weak = weak_from_this()] {
+      auto self = weak.lock();
+      if (self && self->open() && self->unsent() == 0) self->owner_.drained();
+    });
+  }
+}
+
+// The owner hears of it at the end of the turn: it may be in the middle of a write.
+void Stream::fail() {
+  if (broken_ || !open()) return;
+  broken_ = true;
+  loop_.set_events(fd_.get(), 0);
+  loop_.remove(fd_.get());
+  loop_.defer([weak = weak_from_this()] {
+    auto self = weak.lock();
+    if (!self || !self->open()) return;
+    self->close();
+    self->owner_.ended();
+  });
+}
+
+void Stream::close() {
+  if (!open()) return;
+  if (!broken_) loop_.remove(fd_.get());
+  fd_.reset();
+}
+
+Listener::Listener(Loop& loop, const sockaddr_in& address, std::function<void(UniqueFd)> accepted)
+    : loop_(loop),
+      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      accepted_(std::move(accepted)) {
+  int on = 1;
+  sockaddr_in bound = address;
+  socklen_t size = sizeof bound;
+  if (!fd_ || ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0 ||
+      ::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) < 0 ||
+      ::listen(fd_.get(), 512) < 0 ||
+      ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&bound), &size) < 0)
+    throw std::system_error(errno, std::generic_category(), "listen");
+  port_ = ntohs(bound.sin_port);
+  loop_.add(fd_.get(), POLLIN, [this](short) { accept_all(); });
+}
+
+void Listener::accept_all() {
+  for (int i = 0; i < 64 && fd_; ++i) {
+    UniqueFd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (fd) {
+      accepted_(std::move(fd));
+      continue;
+    }
+    // Guards against a busy loop when descriptors run out: the queue stays readable all the while.
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) return pause(kAcceptPause);
+    if (errno != EINTR && errno != ECONNABORTED) return;
+  }
+}
+
+void Listener::pause(Millis time) {
+  if (!fd_) return;
+  loop_.set_events(fd_.get(), 0);
+  loop_.cancel(resume_);
+  resume_ = loop_.at(loop_.now() + time, [this] { loop_.set_events(fd_.get(), POLLIN); });
+}
+
+void Listener::close() {
+  loop_.cancel(resume_);
+  if (fd_) loop_.remove(fd_.get());
+  fd_.reset();
+}
+
+}  // namespace winchhall::net
--- /dev/null
+++ b/src/net/stream.hpp
@@ -0,0 +1,86 @@
+// TCP sockets: addresses, a listener, and a stream with bounded buffers that reports to its owner.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/fd.hpp"
+#include "net/loop.hpp"
+
+namespace winchhall::net {
+
+std::optional<sockaddr_in> parse_address(std::string_view host_port);
+
+class Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  class Owner {
+   public:
+    virtual void connected() {}
+    // Takes what it can use from the front of `in`; the rest stays and is shown again with more.
+    virtual void received(std::string& in) = 0;
+    virtual void drained() {}
+    // The peer ended or broke the connection. Not called after close().
+    virtual void ended() = 0;
+
+   protected:
+    ~Owner() = default;
+  };
+
+  static std::shared_ptr<Stream> adopt(Loop& loop, UniqueFd fd, Owner& owner);
+  // Null if no socket could be had (`error` tells errno); a refusal shows as ended().
+  static std::shared_ptr<Stream> connect(Loop& loop, const sockaddr_in& to, Owner& owner, int& error);
+
+  Stream(Loop& loop, UniqueFd fd, Owner& owner, bool connecting);
+  ~Stream() { close(); }
+
+  void write(std::string_view bytes);
+  void close();
+  void show_again();  // has received() called on what is left in the buffer
+  bool open() const { return static_cast<bool>(fd_); }
+  bool connecting() const { return connecting_; }
+  std::size_t unsent() const { return out_.size() - out_at_; }
+  std::uint64_t flushed() const { return flushed_; }  // bytes the kernel has taken so far
+  std::uint64_t queued() const { return flushed_ + unsent(); }
+
+ private:
+  void start();
+  void ready(short events);
+  void read();
+  void flush();
+  void update();
+  void fail();
+
+  Loop& loop_;
+  UniqueFd fd_;
+  Owner& owner_;
+  bool connecting_, broken_ = false;
+  std::string in_, out_;
+  std::size_t out_at_ = 0;
+  std::uint64_t flushed_ = 0;
+};
+
+class Listener {
+ public:
+  // Throws std::system_error if the address cannot be had.
+  Listener(Loop& loop, const sockaddr_in& address, std::function<void(UniqueFd)> accepted);
+  ~Listener() { close(); }
+  void close();
+  void pause(Millis time);  // takes nothing from the queue for so long
+  int port() const { return port_; }
+
+ private:
+  void accept_all();
+
+  Loop& loop_;
+  UniqueFd fd_;
+  std::function<void(UniqueFd)> accepted_;
+  TimerId resume_{};
+  int port_ = 0;
+};
+
+}  // namespace winchhall::net
--- /dev/null
+++ b/src/platform/client_front.hpp
@@ -0,0 +1,46 @@
+// The platform's front: HTTP/1.1 for clients.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "core/exchange.hpp"
+#include "net/stream.hpp"
+#include "platform/request.hpp"
+
+namespace winchhall::platform {
+
+class ClientFront {
+ public:
+  ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, ClientNames names,
+              std::size_t connections, std::function<bool()> ready);
+  ~ClientFront();
+
+  // From now on an answer is the last one on its connection, and what stands idle is closed.
+  void wind_down();
+  void stop_listening() { listener_.close(); }
+  bool busy() const;  // a request is unanswered, or bytes of an answer wait
+  int port() const { return listener_.port(); }
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  void accept(net::UniqueFd fd);
+  void drop(Connection& connection);
+  bool shed_idle();
+  void sweep();
+
+  net::Loop& loop_;
+  core::Exchange& exchange_;
+  ClientNames names_;
+  std::size_t most_;
+  std::function<bool()> ready_;
+  bool winding_down_ = false;
+  std::set<std::shared_ptr<Connection>> connections_;
+  std::set<std::string> live_ids_;
+  net::TimerId sweep_{};
+  net::Listener listener_;
+};
+
+}  // namespace winchhall::platform
--- /dev/null
+++ b/src/platform/discovery.cpp
@@ -0,0 +1,139 @@
+#include "platform/discovery.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "platform/members.hpp"
+
+namespace winchhall::platform {
+namespace {
+using Kind = pewterrill::ServerList::Kind;
+constexpr net::Millis kFirstAnswer =
+    3000;                               // ms until a call's first line: discovery gives up after 1 s itself
+constexpr net::Millis kSilence = 4500;  // ms: an empty line comes every 2 s, so two are missing
+constexpr std::size_t kLineMost = 4 * 1024 * 1024;
+}  // namespace
+
+class Discovery::Call : public net::Stream::Owner, public std::enable_shared_from_this<Call> {
+ public:
+  Call(Discovery& owner, bool watch) : owner_(owner), watch_(watch), parser_(HttpParser::Mode::streamed) {}
+
+  bool begin() {
+    auto to = net::parse_address(owner_.address_);
+    int error = 0;
+    if (to) stream_ = net::Stream::connect(owner_.loop_, *to, *this, error);
+    expect(owner_.connect_timeout_);
+    return static_cast<bool>(stream_);
+  }
+  void connected() override {
+    std::string target = "/v1/endpoints";
+    if (watch_) target += "?watch=1&after=" + std::to_string(owner_.revision_);
+    stream_->write("GET " + target + " HTTP/1.1\r\nHost: " + owner_.address_ + "\r\n\r\n");
+    expect(kFirstAnswer);
+  }
+  void received(std::string& in) override {
+    parser_.feed(in);
+    HttpMessage& m = parser_.message();
+    if (parser_.failed() || (parser_.head_done() && m.status != 200)) return owner_.over(*this, true);
+    if (!parser_.head_done()) return;
+    if (watch_) expect(kSilence);
+    std::size_t end;
+    while (stream_->open() && (end = m.body.find('\n')) != std::string::npos) {
+      std::string line = m.body.substr(0, end);
+      m.body.erase(0, end + 1);
+      if (watch_ && (!trim(line).empty() || !answered_)) owner_.told(*this, line);
+      if (!watch_) whole_ += line;
+    }
+    if (m.body.size() + whole_.size() > kLineMost) return owner_.over(*this, true);
+    if (stream_->open() && parser_.done()) finish();
+  }
+  void ended() override {
+    parser_.ended();
+    finish();
+  }
+
+  bool watch_call() const { return watch_; }
+  bool answered_ = false;
+
+ private:
+  void finish() {
+    if (!watch_ && parser_.done()) owner_.told(*this, whole_ + parser_.message().body);
+    owner_.over(*this, watch_ || !answered_);
+  }
+  void expect(net::Millis within) {
+    owner_.loop_.cancel(timer_);
+    timer_ = owner_.loop_.at(owner_.loop_.now() + within, [this] {
+      spdlog::warn("discovery silent for {} ms", timed_);
+      owner_.over(*this, true);
+    });
+    timed_ = within;
+  }
+
+  Discovery& owner_;
+  bool watch_;
+  HttpParser parser_;
+  std::shared_ptr<net::Stream> stream_;
+  std::string whole_;
+  net::TimerId timer_{};
+  net::Millis timed_ = 0;
+
+  friend class Discovery;
+};
+
+Discovery::Discovery(net::Loop& loop, core::Exchange& exchange, std::string address, long long revision,
+                     net::Millis connect_timeout)
+    : loop_(loop),
+      exchange_(exchange),
+      address_(std::move(address)),
+      revision_(revision),
+      connect_timeout_(4 * connect_timeout) {}
+
+Discovery::~Discovery() {
+  stop(watching_);
+  stop(fetching_);
+}
+
+void Discovery::stop(std::shared_ptr<Call>& slot) {
+  if (!slot) return;
+  if (slot->stream_) slot->stream_->close();
+  loop_.cancel(slot->timer_);
+  loop_.bury(std::exchange(slot, nullptr));
+}
+
+void Discovery::start(std::shared_ptr<Call>& slot, bool watch) {
+  stop(slot);
+  slot = std::make_shared<Call>(*this, watch);
+  if (!slot->begin()) over(*slot, true);
+}
+
+void Discovery::watch(bool on) {
+  if (on) return start(watching_, true);
+  stop(watching_);
+}
+
+void Discovery::fetch() { start(fetching_, false); }
+
+// The list that is held stays; the module asks again, each time a little later.
+void Discovery::over(Call& call, bool failed) {
+  auto& slot = call.watch_call() ? watching_ : fetching_;
+  if (slot.get() != &call) return;
+  stop(slot);
+  if (!failed) return;
+  spdlog::warn("discovery call failed");
+  exchange_.list(Kind::failed, {});
+}
+
+void Discovery::told(Call& call, const std::string& text) {
+  MemberList list;
+  if (!trim(text).empty()) {
+    auto read = read_members(text);
+    if (!read) return over(call, true);
+    list = std::move(*read);
+    revision_ = list.revision;
+    spdlog::info("discovery revision {}: {} {}", list.revision, list.members.size(),
+                 list.complete ? "servers, whole list" : "changes");
+  }
+  call.answered_ = true;
+  exchange_.list(list.complete ? Kind::complete : Kind::changes, list.members);
+}
+
+}  // namespace winchhall::platform
--- /dev/null
+++ b/src/platform/discovery.hpp
@@ -0,0 +1,37 @@
+// The membership source of the platform: one watch, or one fetch of the whole list, at a time.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/exchange.hpp"
+#include "net/stream.hpp"
+#include "platform/http.hpp"
+
+namespace winchhall::platform {
+
+class Discovery final : public core::MembershipSource {
+ public:
+  Discovery(net::Loop& loop, core::Exchange& exchange, std::string address, long long revision,
+            net::Millis connect_timeout);
+  ~Discovery();
+
+  void watch(bool on) override;
+  void fetch() override;
+
+ private:
+  class Call;
+  void start(std::shared_ptr<Call>& slot, bool watch);
+  void stop(std::shared_ptr<Call>& slot);
+  void over(Call& call, bool failed);
+  void told(Call& call, const std::string& text);
+
+  net::Loop& loop_;
+  core::Exchange& exchange_;
+  std::string address_;
+  long long revision_;
+  net::Millis connect_timeout_;
+  std::shared_ptr<Call> watching_, fetching_;
+};
+
+}  // namespace winchhall::platform
--- /dev/null
+++ b/src/platform/frames.hpp
@@ -0,0 +1,34 @@
+// The frames that aggregators and leafs exchange.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/exchange.hpp"
+
+namespace winchhall::platform {
+
+constexpr std::size_t kFrameMost = 1024 * 1024;
+
+struct Frame {
+  char letter = 0;
+  std::string rest{};
+};
+
+struct PartAnswer {  // the rest of an `O` frame
+  std::string part{};
+  int end = 0;
+  core::Load load{};
+  std::string value{};
+};
+
+std::string make_frame(char letter, std::string_view rest);
+// Takes one frame from the front of `in` where it is whole. Sets `bad` for a length no frame has.
+std::optional<Frame> take_frame(std::string& in, bool& bad);
+std::string part_lines(std::string_view part, int shard, long long wait_ms, std::string_view text);
+std::optional<PartAnswer> read_answer(const std::string& rest);
+core::Load read_load(std::string_view report);
+
+}  // namespace winchhall::platform
