--- /dev/null
+++ b/src/core/check.cpp
@@ -0,0 +1,34 @@
+#include "core/check.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace winchhall::core {
+namespace {
+constexpr std::size_t kPartsMost = 4096;
+}
+
+std::string unsound(const QuerySpec& q, int shards) {
+  if (q.parts.empty() || q.parts.size() > kPartsMost) return "parts";
+  std::set<int> seen;
+  double sum = 0;
+  for (const QueryPart& p : q.parts) {
+    if (p.shard < 0 || (shards > 0 && p.shard >= shards)) return "a part's id";
+    if (!seen.insert(p.shard).second) return "the same part twice";
+    if (!std::isfinite(p.weight) || p.weight < 0 || p.weight > 1.001) return "a part's share";
+    if (p.hint && (!std::isfinite(*p.hint) || *p.hint < 0)) return "a part's hint";
+    sum += p.weight;
+  }
+  // Rounding of each share is allowed for; a sum that is off would make 'whole' mean something else.
+  return std::abs(sum - 1) > 0.01 ? "shares that do not make a whole" : "";
+}
+
+bool fit_name(const std::string& id) {
+  return !id.empty() && id.size() <= 128 &&
+         std::all_of(id.begin(), id.end(), [](unsigned char c) { return c > 32 && c < 127; });
+}
+
+Millis due(Millis arrived, Millis timeout) { return arrived + timeout - std::min(kWayBack, timeout / 4); }
+
+}  // namespace winchhall::core
--- /dev/null
+++ b/src/flight/flight_server.cpp
@@ -0,0 +1,277 @@
+#include "flight/flight_server.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <map>
+#include <optional>
+
+#include "command.pb.h"
+#include "core/check.hpp"
+#include "flight.pb.h"
+#include "flight/arrow.hpp"
+#include "flight/grpc.hpp"
+
+namespace winchhall::flight {
+namespace {
+
+namespace wire = arrow::flight::protocol;
+constexpr char kService[] = "/arrow.flight.protocol.FlightService/";
+constexpr std::size_t kRequestMost = 96 * 1024;  // a command's text is held to 64 KiB like a body elsewhere
+constexpr std::size_t kTextMost = 64 * 1024;
+constexpr net::Millis kDueSlack = 50;  // ms before its end from which a failed query counts as out of time
+
+template <class T>
+int index_of(const std::vector<T>& list, const std::string& name) {
+  for (std::size_t i = 0; i < list.size(); ++i)
+    if (list[i].name == name) return static_cast<int>(i);
+  return -1;
+}
+
+struct Refusal {
+  Status status = Status::ok;
+  std::string message{};
+};
+
+Refusal read_command(const std::string& bytes, const pewterrill::Settings& settings, int shards,
+                     core::QuerySpec& q) {
+  QueryCommand command;
+  if (!command.ParseFromString(bytes)) return {Status::invalid_argument, "the command cannot be read"};
+  q.query_class = index_of(settings.classes, command.query_class());
+  if (q.query_class < 0) return {Status::not_found, "no such class"};
+  if (command.text().size() > kTextMost) return {Status::invalid_argument, "the text is too long"};
+  q.tenant = index_of(settings.tenants, command.tenant());
+  q.repeat = command.repeat();
+  if (command.has_key()) q.key = command.key();
+  q.text = command.text();
+  for (const auto& part : command.parts()) {
+    core::QueryPart p{part.shard(), part.weight(), {}};
+    if (part.has_hint_us()) p.hint = part.hint_us() / 1000;
+    q.parts.push_back(p);
+  }
+  std::string what = core::unsound(q, shards);
+  if (!what.empty()) return {Status::invalid_argument, what};
+  return {};
+}
+
+std::string flight_data(const ArrowMessage& m, const std::string& metadata) {
+  wire::FlightData data;
+  data.set_data_header(m.header);
+  data.set_data_body(m.body);
+  data.set_app_metadata(metadata);
+  return frame_message(data.SerializeAsString());
+}
+
+}  // namespace
+
+class FlightServer::Connection : public Http2::Handler, public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(FlightServer& server) : server_(server), http2_(server.loop_, *this, true) {}
+  void begin(net::UniqueFd fd) { http2_.adopt(std::move(fd)); }
+  void wind_down() { http2_.shut_down(); }
+  bool busy() const { return !calls_.empty() || http2_.unsent() > 0; }
+  void close() {
+    while (!calls_.empty()) forget(calls_.begin());
+    http2_.close();
+  }
+
+  void head(std::int32_t id, const Headers& headers) override {
+    if (calls_.count(id)) return;  // trailers of a request mean nothing here
+    Call& call = calls_[id];
+    call.arrived = server_.loop_.now();
+    call.headers = headers;
+  }
+
+  void data(std::int32_t id, std::string_view bytes) override {
+    auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.answered) return;
+    it->second.in.append(bytes);
+    if (it->second.in.size() > kRequestMost) {
+      it->second.in.clear();
+      refuse(id, it->second, {Status::resource_exhausted, "the request is too large"});
+    }
+  }
+
+  void peer_done(std::int32_t id) override {
+    auto it = calls_.find(id);
+    if (it != calls_.end() && !it->second.answered) serve(id, it->second);
+  }
+
+  // The answer is out, or the client has cancelled: then the query's parts are given up.
+  void closed(std::int32_t id, std::uint32_t) override {
+    auto it = calls_.find(id);
+    if (it != calls_.end()) forget(it);
+  }
+
+  void down() override {
+    close();
+    server_.drop(*this);
+  }
+
+ private:
+  struct Call {
+    Headers headers;
+    std::string in, id;
+    net::Millis arrived = 0, due = 0;
+    core::QueryNumber query = 0;
+    bool answered = false;
+    net::TimerId timer{};
+  };
+
+  void forget(std::map<std::int32_t, Call>::iterator it) {
+    if (it->second.query != 0) server_.exchange_.withdraw(it->second.query);
+    server_.loop_.cancel(it->second.timer);
+    server_.live_ids_.erase(it->second.id);
+    calls_.erase(it);
+  }
+
+  void serve(std::int32_t id, Call& call) {
+    const std::string* type = find_header(call.headers, "content-type");
+    const std::string* path = find_header(call.headers, ":path");
+    if (!type || type->rfind("application/grpc", 0) != 0 || !path) {
+      call.answered = true;
+      http2_.respond(id, {{":status", "415"}}, "", {});
+      return;
+    }
+    std::string method = path->rfind(kService, 0) == 0 ? path->substr(sizeof kService - 1) : "";
+    if (method != "GetFlightInfo" && method != "GetSchema" && method != "DoGet")
+      return refuse(id, call, {Status::unimplemented, "not offered here"});
+    bool bad = false;
+    auto message = take_message(call.in, kRequestMost, bad);
+    if (!message || !call.in.empty())
+      return refuse(id, call, {Status::invalid_argument, "one message is wanted"});
+    if (method == "DoGet") return run(id, call, *message);
+    describe(id, call, method, *message);
+  }
+
+  void describe(std::int32_t id, Call& call, const std::string& method, const std::string& message) {
+    wire::FlightDescriptor descriptor;
+    if (!descriptor.ParseFromString(message) || descriptor.type() != wire::FlightDescriptor::CMD)
+      return refuse(id, call, {Status::invalid_argument, "a descriptor with a command is wanted"});
+    core::QuerySpec spec;
+    Refusal r = read_command(descriptor.cmd(), server_.exchange_.settings(), server_.shards_, spec);
+    if (r.status != Status::ok) return refuse(id, call, r);
+    if (method == "GetSchema") {
+      wire::SchemaResult result;
+      result.set_schema(encapsulated_schema());
+      return respond(id, call, frame_message(result.SerializeAsString()), status_trailers(Status::ok, ""));
+    }
+    wire::FlightInfo info;
+    info.set_schema(encapsulated_schema());
+    *info.mutable_flight_descriptor() = descriptor;
+    // No location: the ticket is redeemed where it was given.
+    info.add_endpoint()->mutable_ticket()->set_ticket(descriptor.cmd());
+    info.set_total_records(-1);
+    info.set_total_bytes(-1);
+    respond(id, call, frame_message(info.SerializeAsString()), status_trailers(Status::ok, ""));
+  }
+
+  void run(std::int32_t id, Call& call, const std::string& message) {
+    wire::Ticket ticket;
+    core::QuerySpec spec;
+    if (!ticket.ParseFromString(message)) return refuse(id, call, {Status::invalid_argument, "no ticket"});
+    Refusal r = read_command(ticket.ticket(), server_.exchange_.settings(), server_.shards_, spec);
+    if (r.status != Status::ok) return refuse(id, call, r);
+    double timeout =
+        server_.exchange_.settings().classes[static_cast<std::size_t>(spec.query_class)].deadline;
+    if (const std::string* text = find_header(call.headers, "grpc-timeout")) {
+      auto read = read_timeout(*text);
+      if (!read) return refuse(id, call, {Status::invalid_argument, "grpc-timeout"});
+      if (*read <= 0) return refuse(id, call, {Status::deadline_exceeded, "no time is left"});
+      timeout = *read;
+    }
+    const std::string* named = find_header(call.headers, "x-request-id");
+    spec.id = named ? *named : server_.fresh_id();
+    if (!core::fit_name(spec.id)) return refuse(id, call, {Status::invalid_argument, "x-request-id"});
+    if (!server_.live_ids_.insert(spec.id).second)
+      return refuse(id, call, {Status::already_exists, "a query of that name is running"});
+    call.id = spec.id;
+    spec.give_up_at = call.due = core::due(call.arrived, timeout);
+    // A client that does not take its answer is let go when its time is up.
+    call.timer = server_.loop_.at(call.arrived + timeout, [this, id] {
+      http2_.reset(id, NGHTTP2_CANCEL);
+      http2_.pump();
+    });
+    call.query = server_.exchange_.submit(std::move(spec), [this, id](core::Verdict v) {
+      auto it = calls_.find(id);
+      if (it != calls_.end()) answer(id, it->second, v);
+    });
+  }
+
+  void answer(std::int32_t id, Call& call, const core::Verdict& v) {
+    call.query = 0;
+    if (v.kind == core::Verdict::Kind::refused)
+      return respond(id, call, "", status_trailers(Status::unavailable, "refused, try again", v.retry_after));
+    if (v.kind == core::Verdict::Kind::failed) {
+      bool late = server_.loop_.now() >= call.due - kDueSlack;
+      return respond(id, call, "",
+                     late ? status_trailers(Status::deadline_exceeded, "out of time")
+                          : status_trailers(Status::internal, "the query failed"));
+    }
+    std::string exact = v.whole ? "true" : "false", share = std::to_string(v.share);
+    std::vector<ArrowRow> rows;
+    for (const core::Row& row : v.rows)
+      for (const std::string& value : row.values) rows.push_back({row.shard, value});
+    std::string body = flight_data(schema_message(), "") +
+                       flight_data(batch_message(rows), "{\"exact\":" + exact + ",\"share\":" + share + "}");
+    Headers trailers = status_trailers(Status::ok, "");
+    trailers.emplace_back("answer-exact", exact);
+    trailers.emplace_back("answer-share", share);
+    respond(id, call, std::move(body), trailers);
+  }
+
+  void refuse(std::int32_t id, Call& call, const Refusal& r) {
+    spdlog::warn("Flight call answered with status {}: {}", static_cast<int>(r.status), r.message);
+    respond(id, call, "", status_trailers(r.status, r.message));
+  }
+
+  void respond(std::int32_t id, Call& call, std::string body, const Headers& trailers) {
+    call.answered = true;
+    http2_.respond(id, {{":status", "200"}, {"content-type", "application/grpc"}}, std::move(body), trailers);
+    http2_.pump();
+  }
+
+  FlightServer& server_;
+  Http2 http2_;
+  std::map<std::int32_t, Call> calls_;
+};
+
+FlightServer::FlightServer(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, int shards,
+                           std::uint64_t seed, std::size_t connections)
+    : loop_(loop),
+      exchange_(exchange),
+      shards_(shards),
+      seed_(seed),
+      most_(connections),
+      listener_(loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }) {}
+
+FlightServer::~FlightServer() {
+  for (auto& c : connections_) c->close();
+}
+
+void FlightServer::accept(net::UniqueFd fd) {
+  if (connections_.size() >= most_ || winding_down_) return;  // closed again: within our descriptors
+  auto c = std::make_shared<Connection>(*this);
+  connections_.insert(c);
+  c->begin(std::move(fd));
+}
+
+void FlightServer::drop(Connection& connection) {
+  auto c = connection.shared_from_this();
+  if (connections_.erase(c) > 0) loop_.bury(std::move(c));
+}
+
+std::string FlightServer::fresh_id() { return "f" + std::to_string(seed_) + "-" + std::to_string(++count_); }
+
+void FlightServer::wind_down() {
+  winding_down_ = true;
+  auto copy = connections_;
+  for (const auto& c : copy) c->wind_down();
+}
+
+bool FlightServer::busy() const {
+  for (const auto& c : connections_)
+    if (c->busy()) return true;
+  return false;
+}
+
+}  // namespace winchhall::flight
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,11 +7,14 @@
 #include <algorithm>
 #include <cstdlib>
 #include <exception>
+#include <memory>
 #include <stdexcept>
 
 #include "app/config.hpp"
 #include "app/lifecycle.hpp"
 #include "core/exchange.hpp"
+#include "flight/flight_pool.hpp"
+#include "flight/flight_server.hpp"
 #include "net/loop.hpp"
 #include "platform/client_front.hpp"
 #include "platform/discovery.hpp"
@@ -49,20 +52,36 @@
   core::Exchange exchange(
       config.settings, config.seed, [&] { return loop.now(); },
       [](const std::string& line) { spdlog::info("policy: {}", line); });
+  // One set of decisions, whatever wire the nodes speak: an operator's file says which.
+  std::unique_ptr<platform::LeafPool> leafs;
+  std::unique_ptr<flight::FlightPool> nodes;
   platform::LeafLimits limits;
   limits.batch = static_cast<std::size_t>(config.batch);
   limits.streams = static_cast<std::size_t>(config.streams_per_conn);
   limits.connect_timeout = config.connect_timeout;
   limits.idle = config.conn_idle;
   limits.connections = config.sockets * 2 / 5;
-  platform::LeafPool pool(loop, exchange, limits);
+  if (config.flight.enabled && config.flight.nodes)
+    nodes = std::make_unique<flight::FlightPool>(
+        loop, exchange,
+        flight::NodeLimits{limits.streams, limits.connect_timeout, limits.idle, limits.connections});
+  else
+    leafs = std::make_unique<platform::LeafPool>(loop, exchange, limits);
+  core::Carrier& carrier = nodes ? static_cast<core::Carrier&>(*nodes) : *leafs;
   platform::Discovery discovery(loop, exchange, config.discovery, config.known_revision,
                                 config.connect_timeout);
-  exchange.attach(pool, discovery);
+  exchange.attach(carrier, discovery);
   exchange.start(config.known);
   platform::ClientFront front(loop, exchange, address(config.listen, "listen on"),
-                              {exchange.settings(), config.shards}, config.sockets / 2,
+                              {exchange.settings(), config.shards}, config.sockets * 4 / 10,
                               [&] { return life.admits(); });
+  std::unique_ptr<flight::FlightServer> analysts;
+  if (config.flight.enabled) {
+    analysts =
+        std::make_unique<flight::FlightServer>(loop, exchange, address(config.flight.listen, "listen on"),
+                                               config.shards, config.seed, config.sockets / 10);
+    spdlog::info("Flight on {}, nodes over {}", config.flight.listen, nodes ? "Flight" : "frames");
+  }
   spdlog::info("{} listens on {}, {} servers known", config.name, config.listen, config.known.size());
 
   constexpr net::Millis kFiguresEvery = 10000;
@@ -79,9 +98,10 @@
     }
     if (!winding && life.closing(now)) {
       front.wind_down();
+      if (analysts) analysts->wind_down();
       winding = true;
     }
-    if (winding && exchange.open_queries() == 0 && !front.busy()) {
+    if (winding && exchange.open_queries() == 0 && !front.busy() && !(analysts && analysts->busy())) {
       front.stop_listening();
       life.idle(now);
     }
@@ -94,7 +114,8 @@
                      f.withdrawn, f.attempts);
       }
       spdlog::info("open: queries {} attempts {} clients {} leafs {}", exchange.open_queries(),
-                   exchange.attempts_out(), front.connections(), pool.connections());
+                   exchange.attempts_out(), front.connections(),
+                   leafs ? leafs->connections() : nodes->connections());
     }
   }
   spdlog::info("phase {}", life.name());
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -4,7 +4,8 @@
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <set>
+
+#include "core/check.hpp"
 
 namespace winchhall::platform {
 namespace {
@@ -12,9 +13,6 @@
 using core::Millis;
 using nlohmann::json;
 
-constexpr Millis kWayBack = 15;  // ms of X-Timeout spent on the way here and left for the way back
-constexpr std::size_t kPartsMost = 4096;
-
 template <class T>
 int index_of(const std::vector<T>& list, const std::string& name) {
   for (std::size_t i = 0; i < list.size(); ++i)
@@ -64,27 +62,6 @@
 
 }  // namespace
 
-bool fit_name(const std::string& id) {
-  return !id.empty() && id.size() <= 128 &&
-         std::all_of(id.begin(), id.end(), [](unsigned char c) { return c > 32 && c < 127; });
-}
-
-std::string unsound(const core::QuerySpec& q, int shards) {
-  if (q.parts.empty() || q.parts.size() > kPartsMost) return "parts";
-  std::set<int> seen;
-  double sum = 0;
-  for (const core::QueryPart& p : q.parts) {
-    if (p.shard < 0 || (shards > 0 && p.shard >= shards)) return "a part's id";
-    if (!seen.insert(p.shard).second) return "the same part twice";
-    if (!std::isfinite(p.weight) || p.weight < 0 || p.weight > 1.001) return "a part's share";
-    if (p.hint && (!std::isfinite(*p.hint) || *p.hint < 0)) return "a part's hint";
-    sum += p.weight;
-  }
-  // Rounding of each share is allowed for; a sum that is off would make 'whole' mean something else.
-  if (std::abs(sum - 1) > 0.01) return "shares that do not make a whole";
-  return {};
-}
-
 Decoded decode_query(const HttpMessage& m, const ClientNames& names, Millis arrived) {
   std::string_view path = m.target;
   std::string_view query = path.substr(std::min(path.find('?'), path.size()));
@@ -98,7 +75,7 @@
   if (q.query_class < 0) return wrong(404, "no such class");
   if (m.method != "POST") return wrong(405, "method");
   const std::string* id = m.header("x-request-id");
-  if (!id || !fit_name(*id)) return wrong(400, "X-Request-ID");
+  if (!id || !core::fit_name(*id)) return wrong(400, "X-Request-ID");
   q.id = *id;
   if (const std::string* tenant = m.header("x-tenant-id"))
     q.tenant = index_of(names.settings.tenants, *tenant);
@@ -109,7 +86,7 @@
     timeout = *read;
   }
   // The client counts from its sending: what the way took and takes is not ours to use.
-  q.give_up_at = arrived + timeout - std::min(kWayBack, timeout / 4);
+  q.give_up_at = core::due(arrived, timeout);
   const std::string* retried = m.header("x-retried");
   q.repeat = retried && *retried == "1";
   while (!query.empty()) {
@@ -119,7 +96,7 @@
     query.remove_prefix(item.size());
   }
   if (!read_body(m.body, q)) return wrong(400, "body");
-  if (std::string what = unsound(q, names.shards); !what.empty()) return wrong(400, what);
+  if (std::string what = core::unsound(q, names.shards); !what.empty()) return wrong(400, what);
   return d;
 }
 
--- a/src/platform/request.hpp
+++ b/src/platform/request.hpp
@@ -13,11 +13,6 @@
   int shards = 0;  // 0: not stated
 };
 
-// What every front holds a query against, whatever wire it came on: shards that exist and come once, weights
-// that are a share each and sum to 1, hints that are figures. Empty if it is sound, else what is wrong.
-std::string unsound(const core::QuerySpec& query, int shards);
-bool fit_name(const std::string& id);  // an id that can go in a line of a leaf's frame
-
 struct Decoded {
   int status = 200;  // else what the request is answered with
   std::string wrong{};
