Test the core, both fronts and the program over loopback sockets

Stories in doctest against scripted leafs, a scripted discovery and a Flight stand-in, all on one loop with ports from the kernel.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -80,9 +80,11 @@
     analysts =
         std::make_unique<flight::FlightServer>(loop, exchange, address(config.flight.listen, "listen on"),
                                                config.shards, config.seed, config.sockets / 10);
-    spdlog::info("Flight on {}, nodes over {}", config.flight.listen, nodes ? "Flight" : "frames");
+    spdlog::info("Flight on port {} of {}, nodes over {}", analysts->port(), config.flight.listen,
+                 nodes ? "Flight" : "frames");
   }
-  spdlog::info("{} listens on {}, {} servers known", config.name, config.listen, config.known.size());
+  spdlog::info("{} listens on port {} of {}, {} servers known", config.name, front.port(), config.listen,
+               config.known.size());
 
   constexpr net::Millis kFiguresEvery = 10000;
   net::Millis figures_at = loop.now() + kFiguresEvery;
--- /dev/null
+++ b/tests/core_stories.cpp
@@ -0,0 +1,152 @@
+// The exchange by itself, on a clock that the test sets: what must hold at which moment, whatever the wire.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "app/lifecycle.hpp"
+#include "core/exchange.hpp"
+#include "stage.hpp"
+
+using namespace winchhall;
+using core::Outcome;
+using core::Verdict;
+
+namespace {
+
+struct Desk : core::Carrier, core::MembershipSource {
+  explicit Desk(pewterrill::Settings settings = testing::two_classes())
+      : exchange(
+            std::move(settings), 3, [this] { return now; }, [](const std::string&) {}) {
+    exchange.attach(*this, *this);
+    exchange.start({testing::member("a", 1, 0), testing::member("b", 2, 1)});
+  }
+  void launch(const core::Order& o) override { out[o.attempt] = o; }
+  void flush() override {}
+  void abandon(core::AttemptNumber n) override {
+    out.erase(n);
+    ++abandoned;
+  }
+  void probe(const std::string&, const std::string&) override {}
+  void close_idle(const std::string&) override {}
+  void retire(const std::string&) override {}
+  void watch(bool) override {}
+  void fetch() override {}
+
+  void ask(int query_class, core::Millis lasts, int parts = 4) {
+    core::QuerySpec q{
+        .id = "q" + std::to_string(asked++), .query_class = query_class, .give_up_at = now + lasts};
+    for (int i = 0; i < parts; ++i) q.parts.push_back({i, 1.0 / parts, 10.0});
+    last = exchange.submit(q, [this](Verdict v) {
+      verdicts.push_back(v);
+      decided_at = now;
+    });
+    exchange.run();
+  }
+  void end(core::AttemptNumber n, Outcome outcome, const std::string& value = "v") {
+    core::Result r{.outcome = outcome};
+    if (outcome == Outcome::ok) r.values = {value};
+    exchange.attempt_ended(n, r);
+    exchange.run();
+  }
+  void pass(core::Millis time) {
+    for (core::Millis until = now + time; now < until; now += 5) exchange.run();
+  }
+
+  core::Millis now = 1000;
+  core::Exchange exchange;
+  std::map<core::AttemptNumber, core::Order> out;
+  std::vector<Verdict> verdicts;
+  core::QueryNumber last = 0;
+  core::Millis decided_at = 0;
+  int asked = 0, abandoned = 0;
+};
+
+}  // namespace
+
+TEST_CASE("servers that stay silent: one final answer, before the client's time is up") {
+  Desk d;
+  d.ask(0, 800);
+  d.pass(3000);
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].kind != Verdict::Kind::answered);
+  CHECK(d.decided_at < 1800);
+  CHECK(d.exchange.attempts_out() == 0);
+  CHECK(d.out.empty());
+}
+
+TEST_CASE("an answer that comes after its attempt was given up is in no verdict") {
+  Desk d;
+  d.ask(0, 2000, 1);
+  auto first = d.out.begin()->first;
+  d.pass(1500);  // its patience is over: moved, under a new number
+  REQUIRE(!d.out.empty());
+  CHECK(d.out.count(first) == 0);
+  d.end(first, Outcome::ok, "late");
+  CHECK(d.verdicts.empty());
+  d.end(d.out.begin()->first, Outcome::ok, "second");
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].rows[0].values == std::vector<std::string>{"second"});
+}
+
+TEST_CASE("a partial answer holds the least share at least, and is not called whole") {
+  Desk d;
+  d.ask(1, 6000);
+  REQUIRE(d.out.size() == 4);
+  auto parts = d.out;
+  auto it = parts.begin();
+  for (int i = 0; i < 3; ++i) d.end((it++)->first, Outcome::ok);
+  d.pass(200);
+  CHECK(d.verdicts.empty());
+  d.pass(200);  // the aim is over
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].kind == Verdict::Kind::answered);
+  CHECK(!d.verdicts[0].whole);
+  CHECK(d.verdicts[0].share == doctest::Approx(0.75));
+  CHECK(d.verdicts[0].rows.size() == 3);
+  CHECK(d.abandoned >= 1);
+  CHECK(d.exchange.attempts_out() == 0);
+}
+
+TEST_CASE("what is over the limit is refused at once, with a time to come back") {
+  pewterrill::Settings settings = testing::two_classes();
+  settings.max_open = 5;
+  Desk d(settings);
+  d.ask(0, 2000);
+  CHECK(d.verdicts.empty());
+  d.ask(0, 2000);
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].kind == Verdict::Kind::refused);
+  CHECK(d.verdicts[0].retry_after == 2000);
+  CHECK(d.decided_at == d.now);
+}
+
+TEST_CASE("a query that is withdrawn leaves nothing behind and gets no verdict") {
+  Desk d;
+  d.ask(0, 2000);
+  d.exchange.withdraw(d.last);
+  d.exchange.run();
+  CHECK(d.out.empty());
+  CHECK(d.exchange.attempts_out() == 0);
+  CHECK(d.exchange.open_queries() == 0);
+  d.pass(3000);
+  CHECK(d.verdicts.empty());
+}
+
+TEST_CASE("the phases follow each other one way") {
+  app::Lifecycle life;
+  CHECK(!life.admits());
+  life.serving();
+  CHECK(life.admits());
+  life.idle(0);
+  CHECK(life.phase() == app::Phase::Ready);
+  life.terminate(5000);
+  CHECK(!life.admits());
+  life.idle(5500);  // new work is still expected
+  CHECK(life.phase() == app::Phase::Draining);
+  life.terminate(9000);  // a second signal does not start the time anew
+  life.idle(6001);
+  CHECK(life.phase() == app::Phase::Stopped);
+  life.serving();
+  CHECK(life.phase() == app::Phase::Stopped);
+}
--- /dev/null
+++ b/tests/flight_stories.cpp
@@ -0,0 +1,515 @@
+// Stories of the Flight front and of Flight calls to nodes, against a stand-in node and a client written
+// here.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "command.pb.h"
+#include "flight.pb.h"
+#include "flight/arrow.hpp"
+#include "flight/flight_pool.hpp"
+#include "flight/flight_server.hpp"
+#include "flight/grpc.hpp"
+#include "stage.hpp"
+
+using namespace winchhall;
+using namespace winchhall::testing;
+using namespace winchhall::flight;
+namespace wire = arrow::flight::protocol;
+
+namespace {
+
+std::string data_message(const ArrowMessage& m) {
+  wire::FlightData data;
+  data.set_data_header(m.header);
+  data.set_data_body(m.body);
+  return frame_message(data.SerializeAsString());
+}
+
+// A ledger node on Flight. A script may answer otherwise than with two rows in two batches.
+class StandIn {
+ public:
+  struct Side : Http2::Handler {
+    Side(StandIn& node, net::Loop& loop) : owner(node), http2(loop, *this, true) {}
+    void head(std::int32_t id, const Headers& headers) override { heads[id] = headers; }
+    void data(std::int32_t id, std::string_view bytes) override { in[id].append(bytes); }
+    void peer_done(std::int32_t id) override {
+      bool bad = false;
+      auto message = take_message(in[id], kMessageMost, bad);
+      wire::Ticket ticket;
+      PartCommand command;
+      REQUIRE(message);
+      REQUIRE(ticket.ParseFromString(*message));
+      REQUIRE(command.ParseFromString(ticket.ticket()));
+      REQUIRE(find_header(heads[id], "grpc-timeout"));
+      owner.asked.push_back({this, id, command.shard(), command.text()});
+      owner.on_part(owner.asked.back());
+    }
+    void closed(std::int32_t, std::uint32_t error) override { owner.cancelled += error == NGHTTP2_CANCEL; }
+    void down() override { over = true; }
+    StandIn& owner;
+    Http2 http2;
+    std::map<std::int32_t, Headers> heads;
+    std::map<std::int32_t, std::string> in;
+    bool over = false;
+  };
+  struct Part {
+    Side* side;
+    std::int32_t stream;
+    int shard;
+    std::string text;
+  };
+
+  explicit StandIn(net::Loop& loop)
+      : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) {
+          sides.push_back(std::make_shared<Side>(*this, loop));
+          sides.back()->http2.adopt(std::move(fd));
+        }) {}
+
+  static std::string rows(int shard) {
+    std::string v = "v" + std::to_string(shard);
+    return data_message(schema_message()) + data_message(batch_message({{shard, v}}));
+  }
+  static void reply(const Part& p, const std::string& body, const Headers& trailers) {
+    p.side->http2.respond(p.stream, {{":status", "200"}, {"content-type", "application/grpc"}}, body,
+                          trailers);
+  }
+  static void answer(const Part& p) {
+    Headers trailers = status_trailers(Status::ok, "");
+    trailers.emplace_back("node-load", "inflight=1");
+    reply(p, rows(p.shard), trailers);
+  }
+
+  net::Listener listener;
+  std::vector<std::shared_ptr<Side>> sides;
+  std::vector<Part> asked;
+  std::function<void(const Part&)> on_part = [](const Part& p) { answer(p); };
+  int cancelled = 0;
+};
+
+struct Reply {
+  Headers headers;
+  std::string in;
+  bool done = false;
+  std::uint32_t error = 0;
+  int status() const {
+    const std::string* text = find_header(headers, "grpc-status");
+    return text ? std::stoi(*text) : -1;
+  }
+};
+
+// The Flight side of a stage: nodes over Flight, the Flight front, and an analyst's client.
+struct FlightStage : Http2::Handler {
+  explicit FlightStage(pewterrill::Settings settings = two_classes())
+      : exchange(
+            std::move(settings), 7, [this] { return loop.now(); }, [](const std::string&) {}),
+        pool(loop, exchange, {}),
+        front(loop, exchange, loopback(0), 16, 9, 20),
+        client(loop, *this, false) {
+    spdlog::set_level(spdlog::level::off);
+    exchange.attach(pool, none);
+  }
+  void begin(const std::vector<core::Member>& members) {
+    exchange.start(members);
+    REQUIRE(client.connect(loopback(front.port())));
+  }
+  void head(std::int32_t id, const Headers& headers) override {
+    for (const auto& h : headers) replies[id].headers.push_back(h);
+  }
+  void data(std::int32_t id, std::string_view bytes) override { replies[id].in.append(bytes); }
+  void peer_done(std::int32_t id) override { replies[id].done = true; }
+  void closed(std::int32_t id, std::uint32_t error) override {
+    replies[id].done = true;
+    replies[id].error = error;
+  }
+  void down() override { lost = true; }
+
+  void until(const std::function<bool()>& done) {
+    net::Millis give_up = loop.now() + 60000;  // only ends a test that hangs
+    while (!done()) {
+      loop.turn(std::clamp(exchange.next_due() - loop.now(), 0.0, 20.0));
+      exchange.run();
+      REQUIRE(loop.now() < give_up);
+    }
+  }
+
+  static std::string command(const std::vector<int>& shards, const std::string& query_class = "lookup") {
+    QueryCommand c;
+    c.set_query_class(query_class);
+    c.set_tenant("acme");
+    c.set_key(0x7f3a);
+    c.set_text("c41e77d0");
+    for (int shard : shards) {
+      auto* part = c.add_parts();
+      part->set_shard(shard);
+      part->set_weight(1.0 / static_cast<double>(shards.size()));
+    }
+    return c.SerializeAsString();
+  }
+  std::int32_t call(const std::string& method, const std::string& message, const std::string& timeout = "8S",
+                    const std::string& id = "") {
+    Headers headers{{":method", "POST"},
+                    {":scheme", "http"},
+                    {":path", "/arrow.flight.protocol.FlightService/" + method},
+                    {":authority", "here"},
+                    {"te", "trailers"},
+                    {"content-type", "application/grpc"}};
+    if (!timeout.empty()) headers.emplace_back("grpc-timeout", timeout);
+    if (!id.empty()) headers.emplace_back("x-request-id", id);
+    std::int32_t stream = client.request(headers, frame_message(message));
+    client.pump();
+    return stream;
+  }
+  std::int32_t get(const std::string& cmd, const std::string& timeout = "8S", const std::string& id = "") {
+    wire::Ticket ticket;
+    ticket.set_ticket(cmd);
+    return call("DoGet", ticket.SerializeAsString(), timeout, id);
+  }
+  Reply& finish(std::int32_t stream) {
+    until([&] { return replies[stream].done; });
+    return replies[stream];
+  }
+  static std::vector<ArrowRow> read(Reply& r, std::string* metadata = nullptr) {
+    std::vector<ArrowRow> rows;
+    bool bad = false, first = true;
+    while (auto message = take_message(r.in, kMessageMost, bad)) {
+      wire::FlightData data;
+      REQUIRE(data.ParseFromString(*message));
+      CHECK(read_arrow(data.data_header(), data.data_body(), rows) ==
+            (first ? ArrowKind::schema : ArrowKind::batch));
+      if (metadata) *metadata = data.app_metadata();
+      first = false;
+    }
+    CHECK(!bad);
+    return rows;
+  }
+
+  net::Loop loop;
+  core::Exchange exchange;
+  NoDiscovery none;
+  FlightPool pool;
+  FlightServer front;
+  Http2 client;
+  std::map<std::int32_t, Reply> replies;
+  bool lost = false;
+};
+
+}  // namespace
+
+TEST_CASE("a query's whole path: described by GetFlightInfo, redeemed by DoGet, rows with their schema") {
+  FlightStage s;
+  StandIn node(s.loop);
+  s.begin({member("a", node.listener.port(), 0)});
+  wire::FlightDescriptor descriptor;
+  descriptor.set_type(wire::FlightDescriptor::CMD);
+  descriptor.set_cmd(FlightStage::command({3, 4}));
+  Reply& info_reply = s.finish(s.call("GetFlightInfo", descriptor.SerializeAsString()));
+  CHECK(info_reply.status() == 0);
+  bool bad = false;
+  wire::FlightInfo info;
+  REQUIRE(info.ParseFromString(*take_message(info_reply.in, kMessageMost, bad)));
+  CHECK(info.schema() == encapsulated_schema());
+  CHECK(info.schema().size() % 8 == 0);
+  REQUIRE(info.endpoint_size() == 1);
+  CHECK(node.asked.empty());
+
+  Reply& got = s.finish(s.call("DoGet", info.endpoint(0).ticket().SerializeAsString()));
+  CHECK(got.status() == 0);
+  std::string metadata;
+  CHECK(FlightStage::read(got, &metadata) == std::vector<ArrowRow>{{3, "v3"}, {4, "v4"}});
+  CHECK(metadata == "{\"exact\":true,\"share\":1.000000}");
+  CHECK(*find_header(got.headers, "answer-exact") == "true");
+  CHECK(node.asked[0].text == "c41e77d0");
+  CHECK(s.finish(s.call("GetSchema", descriptor.SerializeAsString())).status() == 0);
+}
+
+TEST_CASE("a node's stream that breaks halfway: the part is not in, another attempt is, no row comes twice") {
+  FlightStage s;
+  StandIn breaks(s.loop), sound(s.loop);
+  bool whole_connection = false;
+  SUBCASE("the stream is reset") {}
+  SUBCASE("the connection ends") { whole_connection = true; }
+  breaks.on_part = [&](const StandIn::Part& p) {
+    // A schema and a batch with the part's row go out, and no end of the stream.
+    Headers none;
+    std::string half = StandIn::rows(p.shard);
+    p.side->http2.respond(p.stream, {{":status", "200"}, {"content-type", "application/grpc"}},
+                          half + std::string(70000, '\0'), none);
+    s.loop.at(s.loop.now() + 20, [&s, side = p.side, id = p.stream, whole_connection] {
+      if (whole_connection) return side->http2.close();
+      side->http2.reset(id, NGHTTP2_INTERNAL_ERROR);
+      side->http2.pump();
+    });
+  };
+  s.begin({member("a", breaks.listener.port(), 0), member("b", sound.listener.port(), 1)});
+  for (int i = 0; i < 4; ++i) {
+    Reply& got = s.finish(s.get(FlightStage::command({1, 2, 3, 4})));
+    CHECK(got.status() == 0);
+    CHECK(FlightStage::read(got) == std::vector<ArrowRow>{{1, "v1"}, {2, "v2"}, {3, "v3"}, {4, "v4"}});
+  }
+  CHECK(!breaks.asked.empty());
+  s.until([&] { return s.exchange.attempts_out() == 0; });
+}
+
+TEST_CASE("a client that cancels: its parts are cancelled at the nodes and nothing is kept") {
+  FlightStage s;
+  StandIn node(s.loop);
+  bool drops = false;
+  SUBCASE("by a reset") {}
+  SUBCASE("by leaving") { drops = true; }
+  node.on_part = [](const StandIn::Part& p) {
+    if (p.shard == 1) StandIn::answer(p);  // one part is in, the other runs
+  };
+  s.begin({member("a", node.listener.port(), 0)});
+  std::int32_t id = s.get(FlightStage::command({1, 2}));
+  s.until([&] { return node.asked.size() == 2 && s.exchange.attempts_out() == 1; });
+  if (drops) {
+    s.client.close();
+  } else {
+    s.client.reset(id, NGHTTP2_CANCEL);
+    s.client.pump();
+  }
+  s.until([&] { return node.cancelled == 1; });
+  s.until(
+      [&] { return s.exchange.open_queries() == 0 && s.exchange.attempts_out() == 0 && !s.front.busy(); });
+  CHECK(s.exchange.figures()[0].withdrawn == 1);
+  if (drops) CHECK(s.front.connections() == 0);
+}
+
+TEST_CASE("a client that stops reading in the middle of its answer is let go when its time is up") {
+  FlightStage s;
+  StandIn node(s.loop);
+  node.on_part = [](const StandIn::Part& p) {
+    std::string body = data_message(schema_message());
+    for (int i = 0; i < 4; ++i) body += data_message(batch_message({{p.shard, std::string(100000, 'x')}}));
+    StandIn::reply(p, body, status_trailers(Status::ok, ""));
+  };
+  s.begin({member("a", node.listener.port(), 0)});
+  // A raw client that never widens its windows: the answer's first 64 KiB are all that can go out.
+  Peer raw(s.loop);
+  raw.dial(s.front.port());
+  struct Quiet : Http2::Handler {
+    void head(std::int32_t, const Headers&) override {}
+    void data(std::int32_t, std::string_view) override {}
+    void peer_done(std::int32_t) override {}
+    void closed(std::int32_t, std::uint32_t) override {}
+    void down() override {}
+  } quiet;
+  // Its words are made by the codec once, on a connection to nowhere that is then replayed by hand.
+  std::string words;
+  std::vector<std::shared_ptr<Peer>> ears;
+  net::Listener tap(s.loop, loopback(0), [&](net::UniqueFd fd) {
+    auto ear = std::make_shared<Peer>(s.loop);
+    ears.push_back(ear);
+    ear->heard = [&words](std::string& in) { words += std::exchange(in, {}); };
+    ear->adopt(std::move(fd));
+  });
+  Http2 scribe(s.loop, quiet, false);
+  REQUIRE(scribe.connect(loopback(tap.port())));
+  wire::Ticket ticket;
+  ticket.set_ticket(FlightStage::command({1}));
+  scribe.request({{":method", "POST"},
+                  {":scheme", "http"},
+                  {":path", "/arrow.flight.protocol.FlightService/DoGet"},
+                  {":authority", "x"},
+                  {"content-type", "application/grpc"},
+                  {"grpc-timeout", "1500m"}},
+                 frame_message(ticket.SerializeAsString()));
+  s.until([&] { return has(words, "x") && words.size() > 150 && scribe.unsent() == 0; });
+  std::size_t size = 0;
+  s.until([&] { return std::exchange(size, words.size()) == words.size(); });
+  raw.stream->write(words);
+  s.until([&] { return s.exchange.figures()[0].whole == 1; });
+  CHECK(s.front.busy());
+  s.until([&] { return !s.front.busy(); });
+}
+
+TEST_CASE("what ends a call is a proper status") {
+  pewterrill::Settings settings = two_classes();
+  settings.max_open = 3;
+  FlightStage s(settings);
+  StandIn node(s.loop);
+  node.on_part = [](const StandIn::Part&) {};
+  s.begin({member("a", node.listener.port(), 0)});
+  std::int32_t held = s.get(FlightStage::command({1, 2}), "2S", "mine");
+  s.until([&] { return node.asked.size() == 2; });
+  SUBCASE("refused: unavailable, with advice when to come back") {
+    Reply& got = s.finish(s.get(FlightStage::command({1})));
+    CHECK(got.status() == static_cast<int>(Status::unavailable));
+    CHECK(*read_retry_after(got.headers) == 2000);
+  }
+  SUBCASE("out of time") {
+    // The deadline is the grpc-timeout of the call: a silent node does not hold the answer back.
+    CHECK(s.finish(held).status() == static_cast<int>(Status::deadline_exceeded));
+    CHECK(s.exchange.figures()[0].failed == 1);
+    s.until([&] { return node.cancelled == 2; });
+  }
+  SUBCASE("bad input") {
+    auto status = [&](const std::string& cmd, const char* timeout = "8S", const char* id = "") {
+      return static_cast<Status>(s.finish(s.get(cmd, timeout, id)).status());
+    };
+    CHECK(status("\xff\xff") == Status::invalid_argument);
+    CHECK(status(FlightStage::command({})) == Status::invalid_argument);
+    CHECK(status(FlightStage::command({1, 1})) == Status::invalid_argument);
+    CHECK(status(FlightStage::command({99})) == Status::invalid_argument);
+    CHECK(status(FlightStage::command({1}, "nothing")) == Status::not_found);
+    CHECK(status(FlightStage::command({1}), "soon") == Status::invalid_argument);
+    CHECK(status(FlightStage::command({1}), "0m") == Status::deadline_exceeded);
+    CHECK(status(FlightStage::command({1}), "8S", "mine") == Status::already_exists);
+    CHECK(status(FlightStage::command({1}), "8S", "two words") == Status::invalid_argument);
+    CHECK(status(std::string(100000, 'x')) == Status::resource_exhausted);
+    CHECK(s.finish(s.call("DoPut", "")).status() == static_cast<int>(Status::unimplemented));
+    CHECK(s.finish(s.call("GetFlightInfo", "\x08\x01")).status() ==
+          static_cast<int>(Status::invalid_argument));
+    CHECK(s.client.open());
+    CHECK(node.asked.size() == 2);
+  }
+  SUBCASE("bytes that are no HTTP/2 end that connection alone") {
+    Peer raw(s.loop);
+    raw.dial(s.front.port());
+    raw.stream->write("GET / HTTP/1.1\r\n\r\n" + std::string(100, '\xee'));
+    s.until([&] { return raw.over; });
+    CHECK(s.client.open());
+  }
+}
+
+TEST_CASE("a node that turns parts away, errs or answers with what is no answer: the other replica serves") {
+  FlightStage s;
+  StandIn bad(s.loop), good(s.loop);
+  SUBCASE("unavailable") {
+    bad.on_part = [](const auto& p) { StandIn::reply(p, "", status_trailers(Status::unavailable, "full")); };
+  }
+  SUBCASE("refused stream") {
+    bad.on_part = [](const auto& p) { p.side->http2.reset(p.stream, NGHTTP2_REFUSED_STREAM); };
+  }
+  SUBCASE("error") {
+    bad.on_part = [](const auto& p) { StandIn::reply(p, "", status_trailers(Status::internal, "broken")); };
+  }
+  SUBCASE("rows of another part") {
+    bad.on_part = [](const auto& p) {
+      StandIn::reply(p, StandIn::rows(p.shard + 1), status_trailers(Status::ok, ""));
+    };
+  }
+  SUBCASE("no schema first") {
+    bad.on_part = [](const auto& p) {
+      StandIn::reply(p, data_message(batch_message({{p.shard, "v"}})), status_trailers(Status::ok, ""));
+    };
+  }
+  SUBCASE("no Arrow at all") {
+    bad.on_part = [](const auto& p) {
+      StandIn::reply(p, frame_message("nonsense"), status_trailers(Status::ok, ""));
+    };
+  }
+  SUBCASE("endless") {
+    bad.on_part = [](const auto& p) {
+      StandIn::reply(p, std::string(600000, '\0'), status_trailers(Status::ok, ""));
+    };
+  }
+  s.begin({member("a", bad.listener.port(), 0), member("b", good.listener.port(), 1)});
+  for (int i = 0; i < 4; ++i) {
+    Reply& got = s.finish(s.get(FlightStage::command({1, 2})));
+    CHECK(got.status() == 0);
+    CHECK(FlightStage::read(got) == std::vector<ArrowRow>{{1, "v1"}, {2, "v2"}});
+  }
+}
+
+TEST_CASE("a drained node gets nothing new, and the front's own drain finishes what it has") {
+  FlightStage s;
+  StandIn a(s.loop), b(s.loop);
+  s.begin({member("a", a.listener.port(), 0), member("b", b.listener.port(), 1)});
+  s.exchange.list(pewterrill::ServerList::Kind::changes,
+                  {member("a", a.listener.port(), 0, pewterrill::ServerState::draining)});
+  for (int i = 0; i < 5; ++i) CHECK(s.finish(s.get(FlightStage::command({1, 2}))).status() == 0);
+  CHECK(a.asked.empty());
+  b.on_part = [](const StandIn::Part&) {};
+  std::int32_t last = s.get(FlightStage::command({1}));
+  s.until([&] { return b.asked.size() == 11; });
+  s.front.wind_down();
+  StandIn::answer(b.asked.back());
+  b.asked.back().side->http2.pump();
+  CHECK(s.finish(last).status() == 0);
+  s.until([&] { return s.lost && s.front.connections() == 0; });
+}
+
+TEST_CASE("the least share is honoured, and a part of it is not called whole") {
+  FlightStage s;
+  StandIn node(s.loop);
+  node.on_part = [](const StandIn::Part& p) {
+    if (p.shard != 4) StandIn::answer(p);
+  };
+  s.begin({member("a", node.listener.port(), 0)});
+  Reply& got = s.finish(s.get(FlightStage::command({1, 2, 3, 4}, "report"), "3S"));
+  CHECK(got.status() == 0);
+  CHECK(*find_header(got.headers, "answer-exact") == "false");
+  CHECK(*find_header(got.headers, "answer-share") == "0.750000");
+  CHECK(FlightStage::read(got).size() == 3);
+  node.on_part = [](const StandIn::Part& p) {
+    if (p.shard == 1) StandIn::answer(p);
+  };
+  CHECK(s.finish(s.get(FlightStage::command({1, 2, 3, 4}, "report"), "1S")).status() != 0);
+}
+
+// The proof that both fronts stand on the same decisions: one mix of queries, some served, some partial, some
+// refused by their nodes, over frames and over Flight; the verdicts and the service figures are equal.
+TEST_CASE("the same mix of queries over both fronts gives the same verdicts and service figures") {
+  struct Item {
+    std::string query_class;
+    std::vector<int> shards;
+  };
+  std::vector<Item> mix;
+  for (int i = 0; i < 24; ++i) {
+    std::vector<int> shards;
+    for (int j = 0; j < 2 + i % 3; ++j) shards.push_back((i + j) % 12);
+    mix.push_back({i % 4 == 3 ? "report" : "lookup", shards});
+  }
+  // Shard 11 errs at every node, for every attempt: what needs it fails, or is answered in part.
+  auto errs = [](int shard) { return shard == 11; };
+  std::vector<std::string> http, over_flight;
+
+  Stage h;
+  ScriptedLeaf ha(h.loop), hb(h.loop);
+  ha.on_part =
+      hb.on_part = [&](const ScriptedLeaf::Part& p) { ScriptedLeaf::answer(p, errs(p.shard) ? 500 : 200); };
+  h.begin({member("a", ha.listener.port(), 0), member("b", hb.listener.port(), 1)});
+  auto client = h.dial();
+  for (std::size_t i = 0; i < mix.size(); ++i) {
+    std::string parts;
+    for (int shard : mix[i].shards)
+      parts += (parts.empty() ? "" : ",") + std::string("{\"id\":") + std::to_string(shard) +
+               ",\"w\":" + std::to_string(1.0 / static_cast<double>(mix[i].shards.size())) + "}";
+    std::string got = h.ask(*client, Stage::query("q" + std::to_string(i), parts, mix[i].query_class));
+    std::string verdict = has(got, "200 OK") ? has(got, "\"exact\":true") ? "whole" : "partial" : "none";
+    for (int shard = 0; shard < 12; ++shard)
+      if (has(got, "\"v" + std::to_string(shard) + "\"")) verdict += " v" + std::to_string(shard);
+    http.push_back(verdict);
+  }
+
+  FlightStage f;
+  StandIn fa(f.loop), fb(f.loop);
+  fa.on_part = fb.on_part = [&](const StandIn::Part& p) {
+    if (errs(p.shard)) return StandIn::reply(p, "", status_trailers(Status::internal, "broken"));
+    StandIn::answer(p);
+  };
+  f.begin({member("a", fa.listener.port(), 0), member("b", fb.listener.port(), 1)});
+  for (std::size_t i = 0; i < mix.size(); ++i) {
+    Reply& got = f.finish(f.get(FlightStage::command(mix[i].shards, mix[i].query_class)));
+    const std::string* exact = find_header(got.headers, "answer-exact");
+    std::string verdict = got.status() == 0 ? (*exact == "true" ? "whole" : "partial") : "none";
+    auto rows = got.status() == 0 ? FlightStage::read(got) : std::vector<ArrowRow>{};
+    std::sort(rows.begin(), rows.end(), [](auto& x, auto& y) { return x.shard < y.shard; });
+    for (const ArrowRow& row : rows) verdict += " " + row.data;
+    over_flight.push_back(verdict);
+  }
+
+  CHECK(http == over_flight);
+  CHECK(std::count_if(http.begin(), http.end(), [](auto& v) { return v.rfind("whole", 0) == 0; }) > 10);
+  CHECK(std::count_if(http.begin(), http.end(), [](auto& v) { return v.rfind("partial", 0) == 0; }) > 0);
+  CHECK(std::count(http.begin(), http.end(), "none") > 0);
+  for (std::size_t c = 0; c < 2; ++c) {
+    const core::Figures &x = h.exchange.figures()[c], &y = f.exchange.figures()[c];
+    CHECK(x.taken == y.taken);
+    CHECK(x.whole == y.whole);
+    CHECK(x.partial == y.partial);
+    CHECK(x.refused == y.refused);
+    CHECK(x.failed == y.failed);
+    CHECK(x.worth_asked == y.worth_asked);
+    CHECK(x.worth_earned == doctest::Approx(y.worth_earned));
+  }
+}
--- /dev/null
+++ b/tests/platform_stories.cpp
@@ -0,0 +1,297 @@
+// Stories of the platform's front, its leafs and its discovery. Each guards against one failure.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "platform/members.hpp"
+#include "stage.hpp"
+
+using namespace winchhall;
+using namespace winchhall::testing;
+using pewterrill::ServerState;
+
+TEST_CASE("a query is served though every byte comes alone") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  leaf.on_part = [&](const ScriptedLeaf::Part& p) {
+    CHECK(p.text == "c41e77d0");
+    std::string frame =
+        platform::make_frame('O', p.id + " 200 7 inflight=2,util=0.5\nv" + std::to_string(p.shard));
+    for (char c : frame) p.from->stream->write({&c, 1});
+  };
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  for (char c : Stage::query("q1", kTwoParts)) {
+    client->stream->write({&c, 1});
+    s.loop.turn(0);
+  }
+  std::string got = s.answer(*client);
+  CHECK(has(got, "200 OK"));
+  CHECK(has(got, R"({"exact":true,"rows":[{"data":"v3","id":3},{"data":"v4","id":4}]})"));
+  CHECK(leaf.parts[0].id.substr(0, 3) == "q1.");
+  CHECK(leaf.parts[0].list.substr(0, 2) == "d=");
+}
+
+TEST_CASE("two requests written at once are answered in turn on one connection") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  client->stream->write(Stage::query("q1", R"({"id":1,"w":1})") + Stage::query("q2", R"({"id":2,"w":1})"));
+  CHECK(has(s.answer(*client), "\"v1\""));
+  CHECK(has(s.answer(*client), "\"v2\""));
+  CHECK(s.pool.connections() == 1);
+}
+
+TEST_CASE("a connection that breaks under a part, or is refused, costs an attempt and no answer") {
+  Stage s;
+  ScriptedLeaf breaks(s.loop), sound(s.loop);
+  breaks.on_part = [](const ScriptedLeaf::Part& p) { p.from->stream->close(); };
+  int refused_port = 0;
+  {
+    ScriptedLeaf closed(s.loop);
+    refused_port = closed.listener.port();
+  }
+  bool refused = false;
+  SUBCASE("breaks") {}
+  SUBCASE("refused") { refused = true; }
+  s.begin({member("a", refused ? refused_port : breaks.listener.port(), 0),
+           member("b", sound.listener.port(), 1)});
+  auto client = s.dial();
+  for (int i = 0; i < 6; ++i)
+    CHECK(has(s.ask(*client, Stage::query("q" + std::to_string(i), kTwoParts)), "\"exact\":true"));
+  s.until([&] { return s.exchange.attempts_out() == 0; });
+  CHECK(s.exchange.figures()[0].whole == 6);
+  CHECK(s.exchange.figures()[0].attempts > 12);
+}
+
+TEST_CASE("each way an attempt ends is told as the protocol's table has it") {
+  struct Recorder : core::Carrier {
+    void launch(const core::Order&) override {}
+    void flush() override {}
+    void abandon(core::AttemptNumber) override {}
+    void probe(const std::string&, const std::string&) override {}
+    void close_idle(const std::string&) override {}
+    void retire(const std::string&) override {}
+  };
+  using core::Outcome;
+  CHECK(platform::read_answer("x.1 200 5 -\nvalue")->value == "value");
+  CHECK(platform::read_answer("x.1 503 5 inflight=9\n")->load.in_flight == 9);
+  CHECK(!platform::read_answer("x.1 999 5 -\n"));
+  CHECK(!platform::read_answer("x.1 200 5 -"));
+  // A leaf that turns parts away, or errs, is left for the other replica.
+  for (int end : {503, 500}) {
+    Stage s;
+    ScriptedLeaf bad(s.loop), good(s.loop);
+    bad.on_part = [&](const ScriptedLeaf::Part& p) { ScriptedLeaf::answer(p, end); };
+    s.begin({member("a", bad.listener.port(), 0), member("b", good.listener.port(), 1)});
+    auto client = s.dial();
+    CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "\"exact\":true"));
+    CHECK(has(s.ask(*client, Stage::query("p", kTwoParts)), "\"exact\":true"));
+  }
+}
+
+TEST_CASE("a leaf that speaks nonsense loses its connection and nothing else") {
+  Stage s;
+  ScriptedLeaf mad(s.loop), sound(s.loop);
+  std::string words;
+  SUBCASE("length nought") { words = std::string(8, '\0'); }
+  SUBCASE("length of gigabytes") { words = "\xff\xff\xff\x7fO"; }
+  SUBCASE("unknown letter") { words = platform::make_frame('Q', "?"); }
+  SUBCASE("complaint") { words = platform::make_frame('Z', "no such frame"); }
+  SUBCASE("unreadable answer") { words = platform::make_frame('O', "only words"); }
+  mad.on_part = [&](const ScriptedLeaf::Part& p) { p.from->stream->write(words); };
+  s.begin({member("a", mad.listener.port(), 0), member("b", sound.listener.port(), 1)});
+  auto client = s.dial();
+  for (int i = 0; i < 3; ++i)
+    CHECK(has(s.ask(*client, Stage::query("q" + std::to_string(i), kTwoParts)), "\"exact\":true"));
+}
+
+TEST_CASE("malformed requests get their status, and the program goes on") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::string fine = Stage::query("q", kTwoParts);
+  auto with = [&](const std::string& from, const std::string& to) {
+    std::string changed = fine;
+    changed.replace(changed.find(from), from.size(), to);
+    return changed;
+  };
+  auto body = [](const std::string& text) {
+    return "POST /lookup HTTP/1.1\r\nX-Request-ID: z\r\nContent-Length: " + std::to_string(text.size()) +
+           "\r\n\r\n" + text;
+  };
+  const std::pair<std::string, int> cases[] = {
+      {with("/lookup", "/nothing"), 404},
+      {with("POST", "DELETE"), 405},
+      {"POST /ready HTTP/1.1\r\n\r\n", 405},
+      {with("X-Request-ID: q\r\n", ""), 400},
+      {with("X-Request-ID: q", "X-Request-ID: q 1 2"), 400},
+      {with("8000m", "soon"), 400},
+      {with("8000m", "-5m"), 400},
+      {with("Content-Length: ", "Content-Length: 9999"), 413},
+      {with("Content-Length: ", "Content-Length: x"), 400},
+      {with("HTTP/1.1", "SPDY/3"), 505},
+      {"nonsense\r\n\r\n", 400},
+      {"GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n", 431},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n", 413},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400},
+      {body("{"), 400},
+      {body("[]"), 400},
+      {body(R"({"parts":[]})"), 400},
+      {body(R"({"parts":[{"id":99,"w":1}]})"), 400},
+      {body(R"({"parts":[{"id":-1,"w":1}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":0.5},{"id":1,"w":0.5}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":0.2}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":"all"}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":1}],"expr":5})"), 400},
+      {body(std::string(60000, '[')), 400},
+  };
+  for (const auto& [request, status] : cases) {
+    auto client = s.dial();
+    INFO(request.substr(0, 80));
+    CHECK(s.ask(*client, request).substr(9, 3) == std::to_string(status));
+  }
+  auto client = s.dial();
+  CHECK(has(s.ask(*client, "GET /ready HTTP/1.1\r\n\r\n"), "200 OK"));
+  CHECK(has(s.ask(*client, fine), "\"exact\":true"));
+  CHECK(leaf.parts.size() == 2);
+}
+
+TEST_CASE("a name in use is not taken twice, and is free once answered") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  std::vector<ScriptedLeaf::Part> held;
+  leaf.on_part = [&](const ScriptedLeaf::Part& p) { held.push_back(p); };
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto one = s.dial(), two = s.dial();
+  one->stream->write(Stage::query("same", R"({"id":1,"w":1})"));
+  s.until([&] { return held.size() == 1; });
+  CHECK(has(s.ask(*two, Stage::query("same", R"({"id":1,"w":1})")), "409"));
+  ScriptedLeaf::answer(held[0]);
+  CHECK(has(s.answer(*one), "200 OK"));
+  leaf.on_part = [](const ScriptedLeaf::Part& p) { ScriptedLeaf::answer(p); };
+  CHECK(has(s.ask(*two, Stage::query("same", R"({"id":1,"w":1})")), "200 OK"));
+}
+
+TEST_CASE("a client that goes away has its parts given up, and nothing is kept of it") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  leaf.on_part = [](const ScriptedLeaf::Part&) {};
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  client->stream->write(Stage::query("q", kTwoParts));
+  s.until([&] { return leaf.parts.size() == 2; });
+  client->stream->close();
+  s.until([&] { return leaf.given_up.size() == 2; });
+  s.until([&] { return s.exchange.open_queries() == 0 && s.exchange.attempts_out() == 0; });
+  CHECK(s.exchange.figures()[0].withdrawn == 1);
+  CHECK(s.front.connections() == 0);
+}
+
+TEST_CASE("more parts than a connection carries go on a further one, and calls hold no more than a batch") {
+  Stage s(two_classes(), {2, 4, 250, 30000, 50});
+  ScriptedLeaf leaf(s.loop);
+  std::vector<ScriptedLeaf::Part> held;
+  leaf.on_part = [&](const ScriptedLeaf::Part& p) { held.push_back(p); };
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::string parts;
+  for (int i = 0; i < 10; ++i)
+    parts += (i ? "," : "") + std::string("{\"id\":") + std::to_string(i) + ",\"w\":0.1}";
+  auto client = s.dial();
+  client->stream->write(Stage::query("q", parts));
+  s.until([&] { return held.size() == 10; });
+  CHECK(leaf.frames == 5);
+  CHECK(leaf.peers.size() == 3);
+  for (const auto& p : held) ScriptedLeaf::answer(p);
+  CHECK(has(s.answer(*client), "\"exact\":true"));
+}
+
+TEST_CASE("an idle connection is closed before the leaf does it") {
+  Stage s(two_classes(), {1, 32, 250, 500, 50});
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "200 OK"));
+  s.until([&] { return s.pool.connections() == 0 && leaf.peers[0]->over; });
+  CHECK(has(s.ask(*client, Stage::query("p", kTwoParts)), "200 OK"));
+  CHECK(leaf.peers.size() == 2);
+}
+
+TEST_CASE("a machine that came back is called on new connections") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  core::Member m = member("a", leaf.listener.port(), 0);
+  s.begin({m});
+  auto client = s.dial();
+  CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "200 OK"));
+  m.entry.started = 1000.0;
+  s.exchange.list(pewterrill::ServerList::Kind::changes, {m});
+  s.until([&] { return leaf.peers[0]->over; });
+  CHECK(has(s.ask(*client, Stage::query("p", kTwoParts)), "200 OK"));
+  CHECK(leaf.peers.size() == 2);
+}
+
+TEST_CASE("discovery that fails is asked again, the list is kept, and a drain is obeyed") {
+  pewterrill::Settings settings = two_classes();
+  settings.list_on_request = true;
+  settings.must_ask_in = 1000;
+  Stage s(settings);
+  ScriptedLeaf a(s.loop), b(s.loop);
+  int calls = 0;
+  std::string after;
+  std::vector<std::shared_ptr<Peer>> watchers;
+  net::Listener service(s.loop, loopback(0), [&](net::UniqueFd fd) {
+    auto peer = std::make_shared<Peer>(s.loop);
+    watchers.push_back(peer);
+    Peer* raw = peer.get();
+    peer->heard = [&, raw](std::string& in) {
+      if (!has(in, "\r\n\r\n")) return;
+      after = std::exchange(in, {});
+      int call = ++calls;
+      if (call == 1) return raw->stream->write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+      if (call == 2) return raw->stream->close();
+      auto row = [](const ScriptedLeaf& leaf, const char* id, const char* phase) {
+        return std::string("{\"id\":\"") + id +
+               "\",\"host_port\":\"127.0.0.1:" + std::to_string(leaf.listener.port()) +
+               "\",\"cell\":0,\"phase\":\"" + phase + "\"}";
+      };
+      std::string line =
+          "{\"revision\":9,\"complete\":false,\"members\":[" + row(a, "a", "draining") + "]}\n";
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+      std::string all = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n";
+      for (char c : all) raw->stream->write({&c, 1});
+    };
+    peer->adopt(std::move(fd));
+  });
+  platform::Discovery discovery(s.loop, s.exchange, "127.0.0.1:" + std::to_string(service.port()), 5, 250);
+  s.exchange.attach(s.pool, discovery);
+  s.begin({member("a", a.listener.port(), 0), member("b", b.listener.port(), 1)});
+  auto client = s.dial();
+  s.until([&] { return calls >= 2; });
+  CHECK(has(s.ask(*client, Stage::query("kept", kTwoParts)), "\"exact\":true"));
+  s.until([&] { return calls >= 3; });
+  CHECK(has(after, "GET /v1/endpoints?watch=1&after=5 "));
+  // Whether the drain has come shows in where parts go; from then on none may go to the drained leaf.
+  int n = 0;
+  for (std::size_t before = 1; before != 0;) {
+    before = a.parts.size();
+    s.ask(*client, Stage::query("w" + std::to_string(n++), kTwoParts));
+    before = a.parts.size() - before;
+  }
+  std::size_t at_drain = a.parts.size();
+  for (int i = 0; i < 10; ++i)
+    CHECK(has(s.ask(*client, Stage::query("d" + std::to_string(i), kTwoParts)), "\"exact\":true"));
+  CHECK(a.parts.size() == at_drain);
+}
+
+TEST_CASE("a list that cannot be read changes nothing") {
+  CHECK(!platform::read_members("{"));
+  CHECK(!platform::read_members("[]"));
+  CHECK(!platform::read_members(R"({"revision":1})"));
+  CHECK(!platform::read_members(R"({"revision":1,"members":[{"cell":"x"}]})"));
+  auto list = platform::read_members(
+      R"({"revision":3,"complete":true,"members":[{"id":"s","host_port":"h:1","cell":2,"phase":"gone","up_since_ms":8}]})");
+  REQUIRE(list);
+  CHECK(list->members[0].entry.state == ServerState::gone);
+  CHECK(list->members[0].entry.started == 8.0);
+}
--- /dev/null
+++ b/tests/stage.hpp
@@ -0,0 +1,215 @@
+// A stage for stories: the real loop, exchange, fronts and carriers over loopback, with peers that follow a
+// script on the same loop. One thread, ports from the kernel, waits on conditions.
+#pragma once
+
+#include <doctest/doctest.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/exchange.hpp"
+#include "net/loop.hpp"
+#include "net/stream.hpp"
+#include "platform/client_front.hpp"
+#include "platform/discovery.hpp"
+#include "platform/frames.hpp"
+#include "platform/leaf_pool.hpp"
+
+namespace winchhall::testing {
+
+inline pewterrill::Settings two_classes() {
+  pewterrill::Settings s;
+  s.classes.push_back({.name = "lookup", .aim = 2000, .deadline = 8000, .late_worth = 0.3});
+  s.classes.push_back({.name = "report",
+                       .aim = 300,
+                       .deadline = 8000,
+                       .late_worth = 0.3,
+                       .floor = 0.5,
+                       .partial_worth = 0.9});
+  s.tenants.push_back({.name = "acme"});
+  s.cells = 2;
+  s.reach = 2;
+  s.tick = 1;
+  s.max_attempts = 3;
+  s.may_cancel = true;
+  s.max_open = 125;
+  s.retry_after_heard = true;
+  s.max_retry_after = 2000;
+  s.reports = true;
+  s.report_fields = {pewterrill::ReportField::in_flight};
+  return s;
+}
+
+inline sockaddr_in loopback(int port) { return *net::parse_address("127.0.0.1:" + std::to_string(port)); }
+
+inline core::Member member(const std::string& id, int port, int cell,
+                           pewterrill::ServerState state = pewterrill::ServerState::ready) {
+  core::Member m;
+  m.entry.server = id;
+  m.entry.cell = cell;
+  m.entry.state = state;
+  m.endpoint = "127.0.0.1:" + std::to_string(port);
+  return m;
+}
+
+// One side of a connection whose bytes a script reads and writes.
+class Peer : public net::Stream::Owner {
+ public:
+  explicit Peer(net::Loop& loop) : loop_(loop) {}
+  void adopt(net::UniqueFd fd) { stream = net::Stream::adopt(loop_, std::move(fd), *this); }
+  void dial(int port) {
+    int error = 0;
+    stream = net::Stream::connect(loop_, loopback(port), *this, error);
+    REQUIRE(stream);
+  }
+  void received(std::string& in) override {
+    if (heard) return heard(in);
+    text += std::exchange(in, {});
+  }
+  void ended() override { over = true; }
+
+  std::shared_ptr<net::Stream> stream;
+  std::function<void(std::string&)> heard;
+  std::string text;
+  bool over = false;
+
+ private:
+  net::Loop& loop_;
+};
+
+// A leaf on frames. By default each part is answered with `v` and its shard.
+class ScriptedLeaf {
+ public:
+  struct Part {
+    Peer* from;
+    std::string id, list, text;
+    int shard;
+  };
+
+  explicit ScriptedLeaf(net::Loop& loop)
+      : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) {
+          auto peer = std::make_shared<Peer>(loop);
+          Peer* raw = peer.get();
+          peer->heard = [this, raw](std::string& in) { read(raw, in); };
+          peers.push_back(peer);
+          peer->adopt(std::move(fd));
+        }) {}
+
+  static void answer(const Part& p, int end = 200, const std::string& report = "inflight=1") {
+    std::string value = end == 200 ? "v" + std::to_string(p.shard) : "";
+    p.from->stream->write(
+        platform::make_frame('O', p.id + " " + std::to_string(end) + " 7 " + report + "\n" + value));
+  }
+
+  net::Listener listener;
+  std::vector<std::shared_ptr<Peer>> peers;
+  std::function<void(const Part&)> on_part = [](const Part& p) { answer(p); };
+  std::vector<Part> parts;
+  std::vector<std::string> given_up;
+  std::size_t frames = 0;
+
+ private:
+  void read(Peer* from, std::string& in) {
+    bool bad = false;
+    while (auto frame = platform::take_frame(in, bad)) {
+      if (frame->letter == 'K') given_up.push_back(frame->rest);
+      if (frame->letter != 'D') continue;
+      ++frames;
+      for (std::string rest = frame->rest; !rest.empty();) {
+        std::size_t line = rest.find('\n');
+        char id[200], list[200];
+        int shard = 0;
+        unsigned long size = 0;
+        REQUIRE(std::sscanf(rest.substr(0, line).c_str(), "%199s %d %199s %lu", id, &shard, list, &size) ==
+                4);
+        Part p{from, id, list, rest.substr(line + 1, size), shard};
+        rest.erase(0, line + 1 + size);
+        parts.push_back(p);
+        on_part(p);
+      }
+    }
+    REQUIRE(!bad);
+  }
+};
+
+class NoDiscovery : public core::MembershipSource {
+ public:
+  void watch(bool) override {}
+  void fetch() override {}
+};
+
+class Stage {
+ public:
+  explicit Stage(pewterrill::Settings settings = two_classes(),
+                 platform::LeafLimits limits = {1, 32, 250, 30000, 50})
+      : exchange(
+            std::move(settings), 7, [this] { return loop.now(); }, [](const std::string&) {}),
+        pool(loop, exchange, limits),
+        front(loop, exchange, loopback(0), {exchange.settings(), 16}, 100, [] { return true; }) {
+    spdlog::set_level(spdlog::level::off);
+    exchange.attach(pool, none);
+  }
+
+  void begin(const std::vector<core::Member>& members) { exchange.start(members); }
+
+  // The limit only ends a test that hangs; nothing passes or fails by how long it took.
+  void until(const std::function<bool()>& done, const char* what = "") {
+    net::Millis give_up = loop.now() + 60000;
+    while (!done()) {
+      loop.turn(std::clamp(exchange.next_due() - loop.now(), 0.0, 20.0));
+      exchange.run();
+      INFO(what);
+      REQUIRE(loop.now() < give_up);
+    }
+  }
+
+  std::shared_ptr<Peer> dial() {
+    auto peer = std::make_shared<Peer>(loop);
+    peer->dial(front.port());
+    return peer;
+  }
+  // Waits for one whole answer and takes it from the peer's text.
+  std::string answer(Peer& peer) {
+    std::size_t end = std::string::npos, size = 0;
+    until([&] {
+      end = peer.text.find("\r\n\r\n");
+      if (end == std::string::npos) return false;
+      std::size_t at = peer.text.find("Content-Length: ");
+      size = at < end ? std::stoul(peer.text.substr(at + 16)) : 0;
+      return peer.text.size() >= end + 4 + size;
+    });
+    std::string all = peer.text.substr(0, end + 4 + size);
+    peer.text.erase(0, end + 4 + size);
+    return all;
+  }
+  std::string ask(Peer& peer, const std::string& request) {
+    peer.stream->write(request);
+    return answer(peer);
+  }
+
+  static std::string query(const std::string& id, const std::string& parts,
+                           const std::string& path = "lookup", int timeout_ms = 8000) {
+    std::string body = "{\"parts\":[" + parts + "],\"expr\":\"c41e77d0\"}";
+    return "POST /" + path + "?k=7f3a HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: " + id +
+           "\r\nX-Tenant-Id: acme\r\nX-Timeout: " + std::to_string(timeout_ms) +
+           "m\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  net::Loop loop;
+  core::Exchange exchange;
+  NoDiscovery none;
+  platform::LeafPool pool;
+  platform::ClientFront front;
+};
+
+inline const char kTwoParts[] = R"({"id":3,"w":0.5,"hint":9000},{"id":4,"w":0.5})";
+
+inline bool has(const std::string& text, const std::string& piece) {
+  return text.find(piece) != std::string::npos;
+}
+
+}  // namespace winchhall::testing
