--- /dev/null
+++ b/examples/toy_leaf.cpp
@@ -0,0 +1,71 @@
+// A toy leaf on frames: toy_leaf PORT. It answers each part with its shard's number, 20 ms later.
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "net/loop.hpp"
+#include "net/stream.hpp"
+#include "platform/frames.hpp"
+
+using namespace winchhall;
+
+namespace {
+
+struct Side : net::Stream::Owner, std::enable_shared_from_this<Side> {
+  Side(net::Loop& l, std::set<std::shared_ptr<Side>>& a) : loop(l), all(a) {}
+  void received(std::string& in) override {
+    bool bad = false;
+    while (auto frame = platform::take_frame(in, bad)) {
+      if (frame->letter == 'U') stream->write(platform::make_frame('U', "inflight=" + std::to_string(held)));
+      if (frame->letter == 'I') stream->write(platform::make_frame('I', "200"));
+      if (frame->letter != 'D') continue;
+      for (std::string rest = frame->rest; !rest.empty();) {
+        std::size_t line = rest.find('\n');
+        char id[200];
+        int shard = 0;
+        unsigned long size = 0;
+        if (line == std::string::npos ||
+            std::sscanf(rest.substr(0, line).c_str(), "%199s %d %*s %lu", id, &shard, &size) != 3)
+          return stream->close();
+        rest.erase(0, line + 1 + size);
+        ++held;
+        loop.at(loop.now() + 20, [self = shared_from_this(), name = std::string(id), shard] {
+          --self->held;
+          self->stream->write(
+              platform::make_frame('O', name + " 200 0 inflight=" + std::to_string(self->held) + "\n" +
+                                            "value of shard " + std::to_string(shard)));
+        });
+      }
+    }
+    if (bad) ended();
+  }
+  void ended() override {
+    stream->close();
+    auto self = shared_from_this();
+    all.erase(self);
+    loop.bury(std::move(self));
+  }
+  net::Loop& loop;
+  std::set<std::shared_ptr<Side>>& all;
+  std::shared_ptr<net::Stream> stream;
+  int held = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto address = net::parse_address("127.0.0.1:" + std::string(argc > 1 ? argv[1] : ""));
+  if (!address) return std::fprintf(stderr, "usage: toy_leaf PORT\n"), EXIT_FAILURE;
+  net::Loop loop;
+  std::set<std::shared_ptr<Side>> sides;
+  net::Listener listener(loop, *address, [&](net::UniqueFd fd) {
+    auto side = std::make_shared<Side>(loop, sides);
+    sides.insert(side);
+    side->stream = net::Stream::adopt(loop, std::move(fd), *side);
+  });
+  std::printf("toy leaf on port %d\n", listener.port());
+  std::fflush(stdout);
+  for (;;) loop.turn(1000);
+}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -100,13 +100,13 @@
     }
     if (!winding && life.closing(now)) {
       front.wind_down();
+      front.stop_listening();
       if (analysts) analysts->wind_down();
+      if (analysts) analysts->stop_listening();
       winding = true;
     }
-    if (winding && exchange.open_queries() == 0 && !front.busy() && !(analysts && analysts->busy())) {
-      front.stop_listening();
+    if (winding && exchange.open_queries() == 0 && !front.busy() && !(analysts && analysts->busy()))
       life.idle(now);
-    }
     if (now >= figures_at) {
       figures_at = now + kFiguresEvery;
       for (std::size_t i = 0; i < exchange.figures().size(); ++i) {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -83,6 +83,8 @@
     connecting_ = false;
     owner_.connected();
   }
+  // Guards against a busy loop: a peer that is gone stays ready, and a full buffer would never be read from.
+  if (open() && in_.size() >= kInMost && (events & (POLLHUP | POLLERR))) return fail();
   if (open() && (events & (POLLIN | POLLHUP | POLLERR))) read();
   if (open() && (events & POLLOUT)) flush();
   update();
