--- a/tests/platform_stories.cpp
+++ b/tests/platform_stories.cpp
@@ -63,15 +63,6 @@
 }
 
 TEST_CASE("each way an attempt ends is told as the protocol's table has it") {
-  struct Recorder : core::Carrier {
-    void launch(const core::Order&) override {}
-    void flush() override {}
-    void abandon(core::AttemptNumber) override {}
-    void probe(const std::string&, const std::string&) override {}
-    void close_idle(const std::string&) override {}
-    void retire(const std::string&) override {}
-  };
-  using core::Outcome;
   CHECK(platform::read_answer("x.1 200 5 -\nvalue")->value == "value");
   CHECK(platform::read_answer("x.1 503 5 inflight=9\n")->load.in_flight == 9);
   CHECK(!platform::read_answer("x.1 999 5 -\n"));
