Take a new configuration on SIGHUP and move discovery to its address at once

Checked: 129 is 128 + SIGHUP; main.cpp's signal set held SIGTERM and SIGINT only, and it was blocked after the configuration had been read. Ruled out: the old service's end by itself; a broken watch was asked again before. At fault: main.cpp, serve() (signal set); app/config.cpp, load_config(), which could be called once and let wrong types pass as defaults; platform/discovery.cpp, whose address was fixed. The file is now read again and checked whole; a bad one changes nothing. LB_DISCOVERY is as old as the process, so an address that changes in the file wins over it. Watch and open fetch begin anew at the new address after the revision held. The new story fails with the old program (it is gone after the first signal).

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -1,12 +1,14 @@
 #include "app/config.hpp"
 
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
 
+#include "net/stream.hpp"
 #include "platform/members.hpp"
 
 namespace winchhall::app {
@@ -15,6 +17,12 @@
 using nlohmann::json;
 using namespace pewterrill;
 
+constexpr std::size_t kSocketsLeast = 16;  // with fewer no client and leaf meet
+
+std::string not_a(const char* key, const char* what) {
+  return std::string("'") + key + "' in the configuration is no " + what;
+}
+
 const json& child(const json& parent, const char* key) {
   static const json none;
   auto it = parent.is_object() ? parent.find(key) : parent.end();
@@ -23,25 +31,37 @@
 
 double number(const json& parent, const char* key, double otherwise) {
   const json& v = child(parent, key);
-  return v.is_number() ? v.get<double>() : otherwise;
+  if (v.is_null()) return otherwise;
+  if (!v.is_number() || !std::isfinite(v.get<double>())) throw std::runtime_error(not_a(key, "number"));
+  return v.get<double>();
 }
 
 int whole(const json& parent, const char* key, int otherwise) {
-  return static_cast<int>(number(parent, key, otherwise));
+  double n = number(parent, key, otherwise);
+  if (std::abs(n) > 1e9) throw std::runtime_error(not_a(key, "number of use"));
+  return static_cast<int>(n);
 }
 
 bool flag(const json& parent, const char* key) {
   const json& v = child(parent, key);
+  if (!v.is_null() && !v.is_boolean()) throw std::runtime_error(not_a(key, "yes or no"));
   return v.is_boolean() && v.get<bool>();
 }
 
 std::string text(const json& parent, const char* key, const std::string& otherwise = {}) {
   const json& v = child(parent, key);
+  if (!v.is_null() && !v.is_string()) throw std::runtime_error(not_a(key, "text"));
   return v.is_string() ? v.get<std::string>() : otherwise;
 }
 
-double nth(const json& list, std::size_t i, double otherwise) {
-  return list.is_array() && i < list.size() && list[i].is_number() ? list[i].get<double>() : otherwise;
+const json& list(const json& parent, const char* key) {
+  const json& v = child(parent, key);
+  if (!v.is_null() && !v.is_array()) throw std::runtime_error(not_a(key, "list"));
+  return v;
+}
+
+double nth(const json& row, std::size_t i, double otherwise) {
+  return i < row.size() && row[i].is_number() ? row[i].get<double>() : otherwise;
 }
 
 ReportField report_field(const std::string& name) {
@@ -54,7 +74,7 @@
   Settings s;
   const json &extra = child(from, "extra"), &permits = child(from, "permissions"),
              &rules = child(from, "rules");
-  for (const json& row : child(from, "services")) {
+  for (const json& row : list(from, "services")) {
     std::size_t i = s.classes.size();
     ClassSettings c;
     c.name = text(row, "name");
@@ -65,13 +85,13 @@
     c.late_worth = number(row, "late_share", 0);
     c.worth = number(row, "gain", 1);
     c.repeat_window = number(row, "window", 0);
-    c.need = nth(child(extra, "need_by_class"), i, 1);
-    c.floor = nth(child(extra, "floor_by_class"), i, c.need);
-    c.partial_worth = nth(child(extra, "partial_earns"), i, 0);
+    c.need = nth(list(extra, "need_by_class"), i, 1);
+    c.floor = nth(list(extra, "floor_by_class"), i, c.need);
+    c.partial_worth = nth(list(extra, "partial_earns"), i, 0);
     s.classes.push_back(c);
   }
   if (s.classes.empty()) throw std::runtime_error("settings name no class of query");
-  for (const json& row : child(from, "tenants"))
+  for (const json& row : list(from, "tenants"))
     s.tenants.push_back({text(row, "name"), number(row, "quota_per_s", 0)});
   s.over_share_worth = number(from, "over_share_worth", 1);
   s.brokers = whole(from, "balancers", 1);
@@ -98,11 +118,31 @@
   s.budget_free = number(rules, "extra_floor", 0);
   s.budget_share = number(rules, "extra_share", 0);
   s.reports = text(child(from, "report"), "how", "off") != "off";
-  for (const json& field : child(child(from, "report"), "fields"))
+  for (const json& field : list(child(from, "report"), "fields"))
     s.report_fields.push_back(report_field(field.is_string() ? field.get<std::string>() : ""));
   return s;
 }
 
+void require(bool holds, const char* what) {
+  if (!holds) throw std::runtime_error(std::string("the configuration's ") + what);
+}
+
+bool is_address(const std::string& text) { return net::parse_address(text).has_value(); }
+
+// What no aggregator can run on, found before any of it is used.
+void check(const Config& c) {
+  require(c.sockets >= kSocketsLeast && c.sockets <= 1'000'000, "limit of sockets is of no use");
+  require(c.discovery.empty() || is_address(c.discovery), "'discovery' is no address");
+  require(c.settings.cells >= 1 && c.settings.reach >= 1 && c.shards >= 0, "layout of shards is of no use");
+  require(c.settings.max_open >= 0 && c.settings.max_attempts >= 1, "permissions are of no use");
+  require(c.conn_idle > 0 && c.connect_timeout > 0, "times for connections are of no use");
+  for (const ClassSettings& k : c.settings.classes) {
+    require(!k.name.empty(), "settings have a class without a name");
+    require(k.aim > 0 && k.deadline > 0, "settings have a class without time");
+    require(k.need > 0 && k.need <= 1 && k.floor > 0 && k.floor <= k.need, "least shares are of no use");
+  }
+}
+
 std::uint64_t read_seed(const json& from) {
   const json& v = child(from, "seed");
   if (v.is_number()) return v.get<std::uint64_t>();
@@ -130,9 +170,11 @@
   c.listen = text(from, "listen");
   c.discovery = text(from, "discovery");
   c.seed = read_seed(from);
-  c.sockets = static_cast<std::size_t>(number(child(from, "limits"), "sockets", 1024));
-  if (child(from, "known").is_object()) {
-    if (auto known = platform::read_members(child(from, "known").dump())) {
+  c.sockets = static_cast<std::size_t>(std::max(0, whole(child(from, "limits"), "sockets", 1024)));
+  if (!child(from, "known").is_null()) {
+    auto known = platform::read_members(child(from, "known").dump());
+    c.known_read = known.has_value();
+    if (known) {
       c.known = known->members;
       c.known_revision = known->revision;
     }
@@ -145,6 +187,7 @@
   c.streams_per_conn = std::max(1, whole(permits, "streams_per_conn", 1));
   c.conn_idle = number(permits, "conn_idle", c.conn_idle);
   c.connect_timeout = number(permits, "connect_timeout", c.connect_timeout);
+  check(c);
   return c;
 }
 
@@ -158,19 +201,31 @@
     throw std::runtime_error("the Flight file names no address to listen on");
 }
 
-Config load_config() {
-  auto env = [](const char* name) {
-    const char* v = std::getenv(name);
-    return std::string(v ? v : "");
-  };
-  std::string path = env("LB_CONFIG");
-  if (path.empty()) throw std::runtime_error("LB_CONFIG is not set");
-  Config c = parse_config(read_file(path));
-  if (auto v = env("LB_NAME"); !v.empty()) c.name = v;
-  if (auto v = env("LB_LISTEN"); !v.empty()) c.listen = v;
-  if (auto v = env("LB_DISCOVERY"); !v.empty()) c.discovery = v;
-  if (auto v = env("WINCHHALL_FLIGHT"); !v.empty()) parse_flight_config(read_file(v), c.flight);
-  return c;
+namespace {
+std::string environment(const char* name) {
+  const char* v = std::getenv(name);
+  return std::string(v ? v : "");
+}
+}  // namespace
+
+ConfigFile::ConfigFile() : path_(environment("LB_CONFIG")) {
+  if (path_.empty()) throw std::runtime_error("LB_CONFIG is not set");
+  config_ = parse_config(read_file(path_));
+  discovery_in_file_ = config_.discovery;
+  if (auto v = environment("LB_NAME"); !v.empty()) config_.name = v;
+  if (auto v = environment("LB_LISTEN"); !v.empty()) config_.listen = v;
+  if (auto v = environment("LB_DISCOVERY"); !v.empty()) config_.discovery = v;
+  if (auto v = environment("WINCHHALL_FLIGHT"); !v.empty()) parse_flight_config(read_file(v), config_.flight);
+}
+
+void ConfigFile::reload() {
+  Config fresh = parse_config(read_file(path_));
+  if (!fresh.known_read) throw std::runtime_error("the configuration's 'known' is no list");
+  // LB_DISCOVERY is as old as the process: a file that names another address than it did is the later word.
+  if (!fresh.discovery.empty() && fresh.discovery != discovery_in_file_) {
+    discovery_in_file_ = fresh.discovery;
+    config_.discovery = fresh.discovery;
+  }
 }
 
 }  // namespace winchhall::app
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -21,6 +21,7 @@
   std::size_t sockets = 1024;
   std::vector<core::Member> known{};
   long long known_revision = 0;
+  bool known_read = true;  // false: the file's last list cannot be read
   pewterrill::Settings settings{};
   int shards = 0;                // 0: not stated
   int batch = 1;                 // parts in one call
@@ -30,9 +31,23 @@
   FlightConfig flight{};
 };
 
-// Throws std::runtime_error with a plain message. Environment variables LB_* win over the file.
-Config load_config();
+// Throws std::runtime_error with a plain message where the text, as a whole, is no configuration.
 Config parse_config(const std::string& text);
 void parse_flight_config(const std::string& text, FlightConfig& flight);
 
+// The file that LB_CONFIG names. Read at the start, when environment variables LB_* win over it, and again
+// when an operator asks for that.
+class ConfigFile {
+ public:
+  ConfigFile();  // throws std::runtime_error
+  const Config& config() const { return config_; }
+  // Takes over what may change in a running program, which is discovery's address. Throws std::runtime_error
+  // and leaves all as it was where any of the file cannot be used.
+  void reload();
+
+ private:
+  std::string path_, discovery_in_file_;
+  Config config_;
+};
+
 }  // namespace winchhall::app
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,24 +30,30 @@
   return *a;
 }
 
-void serve() {
-  app::Config config = app::load_config();
-  app::Lifecycle life;
-  net::Loop loop;
+void reload(app::ConfigFile& file, platform::Discovery& discovery) {
+  try {
+    file.reload();
+    discovery.move(file.config().discovery);
+    spdlog::info("configuration read again: discovery at {}, the rest counts from the next start",
+                 file.config().discovery);
+  } catch (const std::exception& error) {
+    // Guards against a file that is half there, or spoilt: an aggregator that runs is never ended by it.
+    spdlog::error("configuration not taken over, the old one stays: {}", error.what());
+  }
+}
 
+void serve() {
+  // Before all else: a SIGHUP that finds no handler ends the program.
   sigset_t signals;
   sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
+  for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
   sigprocmask(SIG_BLOCK, &signals, nullptr);
   net::UniqueFd signal_fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
-  loop.add(signal_fd.get(), POLLIN, [&](short) {
-    signalfd_siginfo info;
-    while (read(signal_fd.get(), &info, sizeof info) == sizeof info) {
-      life.terminate(loop.now());
-      spdlog::info("phase {}", life.name());
-    }
-  });
+  app::ConfigFile file;
+  const app::Config config = file.config();
+  if (!config.known_read) spdlog::warn("the configuration's last list of servers cannot be read");
+  app::Lifecycle life;
+  net::Loop loop;
 
   core::Exchange exchange(
       config.settings, config.seed, [&] { return loop.now(); },
@@ -70,6 +76,17 @@
   core::Carrier& carrier = nodes ? static_cast<core::Carrier&>(*nodes) : *leafs;
   platform::Discovery discovery(loop, exchange, config.discovery, config.known_revision,
                                 config.connect_timeout);
+  loop.add(signal_fd.get(), POLLIN, [&](short) {
+    signalfd_siginfo info;
+    while (read(signal_fd.get(), &info, sizeof info) == sizeof info) {
+      if (info.ssi_signo == SIGHUP) {
+        reload(file, discovery);
+        continue;
+      }
+      life.terminate(loop.now());
+      spdlog::info("phase {}", life.name());
+    }
+  });
   exchange.attach(carrier, discovery);
   exchange.start(config.known);
   platform::ClientFront front(loop, exchange, address(config.listen, "listen on"),
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -106,8 +106,19 @@
 }
 
 void Discovery::watch(bool on) {
-  if (on) return start(watching_, true);
-  stop(watching_);
+  wanted_ = on;
+  if (!on) return stop(watching_);
+  // A call without an answer yet, as after a move, is this call too.
+  if (!watching_ || watching_->answered_) start(watching_, true);
+}
+
+// Guards against drains that are missed: the old service goes on holding its watch for a while and tells
+// nothing any more. The new watch asks for what changed after the revision held, so nothing is lost between.
+void Discovery::move(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  if (wanted_) start(watching_, true);
+  if (fetching_) start(fetching_, false);
 }
 
 void Discovery::fetch() { start(fetching_, false); }
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -18,6 +18,8 @@
 
   void watch(bool on) override;
   void fetch() override;
+  // From now on the service is asked there. What is held stays; a call that is open begins anew at once.
+  void move(const std::string& address);
 
  private:
   class Call;
@@ -31,6 +33,7 @@
   std::string address_;
   long long revision_;
   net::Millis connect_timeout_;
+  bool wanted_ = false;  // a watch, whether or not one is open just now
   std::shared_ptr<Call> watching_, fetching_;
 };
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -25,8 +25,8 @@
   return path;
 }
 
-std::string configuration(int leaf_port) {
-  return R"({"name":"t0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+std::string configuration(int leaf_port, const std::string& discovery = "127.0.0.1:1") {
+  return R"({"name":"t0","listen":"127.0.0.1:0","discovery":")" + discovery + R"(","seed":"8c1f30d27a5be964",
     "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
     "known":{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:)" +
          std::to_string(leaf_port) +
@@ -41,7 +41,8 @@
 
 class Program {
  public:
-  Program(net::Loop& loop, const std::string& config, const std::string& flight = "", rlim_t files = 0)
+  Program(net::Loop& loop, const std::string& config, const std::string& flight = "", rlim_t files = 0,
+          const std::string& discovery = "")
       : loop_(loop), config_(temporary(config)), flight_(flight.empty() ? "" : temporary(flight)) {
     int ends[2];
     REQUIRE(pipe(ends) == 0);
@@ -51,6 +52,7 @@
       close(ends[0]);
       setenv("LB_CONFIG", config_.c_str(), 1);
       for (const char* name : {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "WINCHHALL_FLIGHT"}) unsetenv(name);
+      if (!discovery.empty()) setenv("LB_DISCOVERY", discovery.c_str(), 1);
       if (!flight_.empty()) setenv("WINCHHALL_FLIGHT", flight_.c_str(), 1);
       rlimit limit{files, files};
       if (files > 0) setrlimit(RLIMIT_NOFILE, &limit);
@@ -91,6 +93,10 @@
     });
     return std::stoi(log.substr(at + before.size()));
   }
+  void reload(const std::string& config) {
+    std::ofstream(config_) << config;
+    REQUIRE(kill(pid, SIGHUP) == 0);
+  }
   int exit_code() {
     int status = 0;
     until([&] { return waitpid(pid, &status, WNOHANG) == pid; });
@@ -157,6 +163,51 @@
   CHECK(has(p.log, "phase stopped"));
 }
 
+TEST_CASE("SIGHUP moves discovery by the file, keeps list and drains, and a bad file changes nothing") {
+  net::Loop loop;
+  ScriptedLeaf leaf(loop), second(loop);
+  ScriptedDiscovery first(loop), moved(loop), last(loop);
+  int port = leaf.listener.port();
+  Program p(loop, configuration(port, first.address()), "", 0, first.address());
+  auto client = p.dial(p.port("listens on port "));
+  p.until([&] { return first.calls.size() == 1; });
+  first.tell(7, ScriptedDiscovery::row("s-2", second.listener.port()));
+  p.until([&] { return has(p.log, "discovery revision 7"); });
+
+  for (const char* bad : {"", "{", "{}", R"({"discovery":"127.0.0.1:2","settings":{"services":7}})"}) {
+    p.log.clear();
+    p.reload(bad);
+    p.until([&] { return has(p.log, "configuration not taken over"); });
+  }
+  std::string spoilt = configuration(port, moved.address());
+  p.log.clear();
+  p.reload(spoilt.replace(spoilt.find("1024"), 4, "\"1\""));
+  p.until([&] { return has(p.log, "'sockets' in the configuration is no number"); });
+  CHECK(!first.peers[0]->over);
+  CHECK(moved.calls.empty());
+
+  p.reload(configuration(port, moved.address()));
+  p.until([&] { return moved.calls.size() == 1 && first.peers[0]->over; });
+  CHECK(has(moved.calls[0], "watch=1&after=7 "));
+  moved.tell(9, ScriptedDiscovery::row("s-1", port, "draining"));
+  p.until([&] { return has(p.log, "discovery revision 9"); });
+  for (int i = 0; i < 4; ++i)
+    CHECK(has(p.ask(*client, Stage::query("q" + std::to_string(i), kTwoParts)), "\"exact\":true"));
+  CHECK(leaf.parts.empty());
+  CHECK(second.parts.size() == 8);
+
+  // While draining it moves as well: what was taken still needs the list.
+  client->stream->write(std::string(kReady, 20));
+  p.until([&] { return client->stream->unsent() == 0; });
+  REQUIRE(kill(p.pid, SIGTERM) == 0);
+  p.until([&] { return has(p.log, "phase draining"); });
+  p.reload(configuration(port, last.address()));
+  p.until([&] { return last.calls.size() == 1; });
+  CHECK(has(last.calls[0], "watch=1&after=9 "));
+  client->stream->write(kReady + 20);
+  CHECK(p.exit_code() == 0);
+}
+
 TEST_CASE("out of descriptors it waits, and serves again when clients leave") {
   net::Loop loop;
   ScriptedLeaf leaf(loop);
--- a/tests/stage.hpp
+++ b/tests/stage.hpp
@@ -146,6 +146,42 @@
   }
 };
 
+// Discovery that opens each watch and tells what the script has it tell.
+class ScriptedDiscovery {
+ public:
+  explicit ScriptedDiscovery(net::Loop& loop)
+      : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) {
+          auto peer = std::make_shared<Peer>(loop);
+          Peer* raw = peer.get();
+          peer->heard = [this, raw](std::string& in) {
+            if (has(in, "\r\n\r\n"))
+              raw->stream->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            if (has(in, "\r\n\r\n")) calls.push_back(std::exchange(in, {}));
+          };
+          peers.push_back(peer);
+          peer->adopt(std::move(fd));
+        }) {}
+  static bool has(const std::string& text, const char* piece) {
+    return text.find(piece) != std::string::npos;
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(listener.port()); }
+  void tell(int revision, const std::string& rows, bool complete = false) {
+    std::string line = "{\"revision\":" + std::to_string(revision) +
+                       ",\"complete\":" + (complete ? "true" : "false") + ",\"members\":[" + rows + "]}\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    for (auto& peer : peers) peer->stream->write(size + line + "\r\n");
+  }
+  static std::string row(const std::string& id, int port, const std::string& phase = "ready") {
+    return "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:" + std::to_string(port) +
+           "\",\"cell\":0,\"phase\":\"" + phase + "\"}";
+  }
+
+  net::Listener listener;
+  std::vector<std::shared_ptr<Peer>> peers;
+  std::vector<std::string> calls;
+};
+
 class NoDiscovery : public core::MembershipSource {
  public:
   void watch(bool) override {}
