End a spoilt answer at once as its part's error, and keep its leaf trusted

Checked, with the raw bytes of both nodes logged: of about 80 spoilt answers some 14 came whole under an id that nobody asked for and were dropped in silence, so their parts waited until their queries' time was up (the module moves nothing from a leaf that goes on answering others). Each of the others closed the connection as a reset: 49 'set aside, broken connection' in 25 s, sound leafs every one. Ruled out: load reports '%%%' and 'nan' (the answer was served, the report left out); second copies (ignored by name); values cut short (closed at the next frame). At fault: leaf_pool.cpp, take() (unknown names), received() (rests of frames kept for later answers, no bound in time on a frame begun), refuse() (told as resets); frames.cpp, take_frame() (1 MiB of a line without end). Now: unknown name, line, length and letter are found at once, a frame must be whole 250 ms after its first byte, bytes behind the last answer close the idle connection, values must be text that a JSON body carries unchanged; the part ends with an error, its neighbours are withdrawn. Names of given-up parts are bounded at 256 a connection. Both new stories fail with the old files (parts wait without end).

--- a/src/platform/frames.cpp
+++ b/src/platform/frames.cpp
@@ -1,7 +1,9 @@
 #include "platform/frames.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
+#include <cstring>
 
 namespace winchhall::platform {
 
@@ -18,7 +20,9 @@
   std::uint32_t length = 0;
   for (std::size_t i = 0; i < 4; ++i)
     length |= static_cast<std::uint32_t>(static_cast<unsigned char>(in[i])) << (8 * i);
-  bad = length == 0 || length > kFrameMost;
+  bad = length == 0 || length > kFrameMost || (in.size() > 4 && !std::strchr("DKIUOZ", in[4])) ||
+        (in.size() > 4 && in[4] == '\0');
+  if (!bad && in.size() > 4 + kLineMost && in[4] == 'O') bad = in.find('\n', 5) > 4 + kLineMost;
   if (bad || in.size() < 4 + std::size_t{length}) return std::nullopt;
   Frame frame{in[4], in.substr(5, length - 1)};
   in.erase(0, 4 + std::size_t{length});
@@ -43,7 +47,7 @@
     std::string value(item.substr(equals + 1));
     char* end = nullptr;
     double x = std::strtod(value.c_str(), &end);
-    if (value.empty() || *end != 0) continue;
+    if (value.empty() || *end != 0 || !std::isfinite(x) || x < 0) continue;
     // Guards against reports that are read under the protocol's example names only: leafs use the names that
     // the settings list under report.fields, and a choice without reports looks sound until there is load.
     if (name == "busy_reqs" || name == "inflight") load.in_flight = x;
@@ -53,6 +57,29 @@
   return load;
 }
 
+namespace {
+// Guards against noise passed on as a value: what our JSON bodies could not carry unchanged is no value.
+bool is_text(std::string_view s) {
+  for (std::size_t i = 0; i < s.size();) {
+    auto c = static_cast<unsigned char>(s[i]);
+    std::size_t n = c < 0x80                ? 1
+                    : c >= 0xc2 && c < 0xe0 ? 2
+                    : (c & 0xf0) == 0xe0    ? 3
+                    : c >= 0xf0 && c < 0xf5 ? 4
+                                            : 0;
+    if (c == 0 || n == 0 || i + n > s.size()) return false;
+    auto second = n > 1 ? static_cast<unsigned char>(s[i + 1]) : 0;
+    if ((c == 0xe0 && second < 0xa0) || (c == 0xed && second > 0x9f) || (c == 0xf0 && second < 0x90) ||
+        (c == 0xf4 && second > 0x8f))
+      return false;
+    for (std::size_t k = 1; k < n; ++k)
+      if ((static_cast<unsigned char>(s[i + k]) & 0xc0) != 0x80) return false;
+    i += n;
+  }
+  return true;
+}
+}  // namespace
+
 std::optional<PartAnswer> read_answer(const std::string& rest) {
   std::size_t line = rest.find('\n');
   if (line == std::string::npos) return std::nullopt;
@@ -64,7 +91,9 @@
   }
   PartAnswer a{std::string(words[0]), 0, {}, rest.substr(line + 1)};
   if (words[1] == "200" || words[1] == "500" || words[1] == "503") a.end = std::stoi(std::string(words[1]));
-  if (a.part.empty() || a.end == 0) return std::nullopt;
+  bool scored = !words[2].empty() && words[2].find_first_not_of("+-.0123456789eE") == std::string_view::npos;
+  if (a.part.empty() || a.end == 0 || !scored || !is_text(a.value)) return std::nullopt;
+  // A report that cannot be read is none; the answer stands without it.
   a.load = read_load(words[3]);
   return a;
 }
--- a/src/platform/frames.hpp
+++ b/src/platform/frames.hpp
@@ -10,7 +10,9 @@
 
 namespace winchhall::platform {
 
-constexpr std::size_t kFrameMost = 1024 * 1024;
+constexpr std::size_t kLineMost = 4 * 1024;  // an answer's first line
+// A value goes into one of our bodies, so no sound frame is longer.
+constexpr std::size_t kFrameMost = 64 * 1024 + kLineMost;
 
 struct Frame {
   char letter = 0;
@@ -25,7 +27,8 @@
 };
 
 std::string make_frame(char letter, std::string_view rest);
-// Takes one frame from the front of `in` where it is whole. Sets `bad` for a length no frame has.
+// Takes one frame from the front of `in` where it is whole. Sets `bad` for a length no frame has, and for one
+// that can't become any: what comes of it is not waited for, nor held.
 std::optional<Frame> take_frame(std::string& in, bool& bad);
 std::string part_lines(std::string_view part, int shard, long long wait_ms, std::string_view text);
 std::optional<PartAnswer> read_answer(const std::string& rest);
--- a/src/platform/leaf_pool.cpp
+++ b/src/platform/leaf_pool.cpp
@@ -17,6 +17,8 @@
 constexpr double kIdleShare = 0.8;            // of the leaf's idle time: we close first
 constexpr std::size_t kOutMost = 256 * 1024;  // bytes serialized ahead of a leaf that reads slowly
 constexpr net::Millis kSweep = 1000;          // ms between looks for idle connections
+constexpr net::Millis kWholeFrame = 250;      // ms from a frame's first byte until it must be there whole
+constexpr std::size_t kGivenUpMost = 256;  // names remembered of given-up parts before a connection retires
 }  // namespace
 
 class LeafPool::Connection : public net::Stream::Owner {
@@ -57,6 +59,8 @@
     if (it == live_.end()) return;
     if (it->second.frame_end > 0) {
       by_part_[it->second.part] = 0;  // its answer may still come, and means nothing then
+      // Guards against names kept for ever: not every leaf answers what was given up.
+      if (by_part_.size() - live_.size() > kGivenUpMost) retired_ = true;
       stream_->write(make_frame('K', it->second.part));
     } else {
       by_part_.erase(it->second.part);
@@ -82,6 +86,7 @@
   std::size_t live() const { return live_.size(); }
   void close() {
     pool_.loop_.cancel(connect_timer_);
+    pool_.loop_.cancel(frame_timer_);
     if (stream_) stream_->close();
   }
 
@@ -94,21 +99,43 @@
   void received(std::string& in) override {
     bool bad = false;
     while (auto frame = take_frame(in, bad)) {
+      pool_.loop_.cancel(frame_timer_);
       used_at_ = pool_.loop_.now();
       if (frame->letter == 'O') {
         auto answer = read_answer(frame->rest);
-        if (!answer) return refuse("an answer that cannot be read");
-        take(*answer);
+        if (!answer)
+          return refuse("an answer that cannot be read", frame->rest.substr(0, frame->rest.find(' ')));
+        // Guards against waiting for an answer that has come under another name: the leaf sends no second.
+        if (!take(*answer) && !idle()) return refuse("an answer to nothing that it was asked");
       } else if ((frame->letter == 'U' || frame->letter == 'I') && !probes_.empty()) {
         bool ok = frame->rest.substr(0, 3) != "500";
         pool_.exchange_.probe_ended(server_, ok ? Outcome::ok : Outcome::error, used_at_ - probes_.front(),
                                     read_load(frame->rest));
         probes_.pop_front();
       } else {
-        return refuse(frame->letter == 'Z' ? "a complaint: " + frame->rest : "a frame of no known kind");
+        if (frame->letter == 'Z') return complain(frame->rest);
+        return refuse("a frame of no known kind");
       }
     }
-    if (bad) refuse("a frame of no possible length");
+    if (bad && !idle()) return refuse("what can be no frame");
+    // Guards against bytes behind a good answer that would be read as the front of a later one's frame.
+    if (!in.empty() && idle()) {
+      spdlog::debug("leaf {} sent more than belongs to its answers", server_);
+      return pool_.drop(*this);
+    }
+    // Guards against a length that does not fit: the rest never comes, and what follows would be taken for
+    // it.
+    if (in.empty()) pool_.loop_.cancel(frame_timer_);
+    if (!in.empty() && frame_timer_ == net::TimerId{})
+      frame_timer_ = pool_.loop_.at(pool_.loop_.now() + kWholeFrame, [this] {
+        frame_timer_ = {};
+        refuse("a frame that does not end");
+      });
+  }
+
+  void complain(const std::string& words) {
+    spdlog::warn("leaf {} could not use a frame: {}", server_, words.substr(0, 200));
+    ended();
   }
 
   void ended() override {
@@ -148,12 +175,13 @@
     }
   }
 
-  void take(PartAnswer& answer) {
+  // False if nothing of that name is out here.
+  bool take(PartAnswer& answer) {
     auto it = by_part_.find(answer.part);
-    if (it == by_part_.end()) return;
+    if (it == by_part_.end()) return false;
     AttemptNumber attempt = it->second;
     by_part_.erase(it);
-    if (attempt == 0) return;
+    if (attempt == 0) return true;
     live_.erase(attempt);
     pool_.where_.erase(attempt);
     core::Result r;
@@ -161,16 +189,33 @@
     if (r.outcome == Outcome::ok) r.values.push_back(std::move(answer.value));
     r.load = answer.load;
     pool_.exchange_.attempt_ended(attempt, std::move(r));
+    return true;
   }
 
-  void refuse(const std::string& what) {
+  // Nothing more can be read here, though the leaf is sound: one answer is spoilt. Guards against taking it
+  // for a fallen server, which would set the leaf aside and cost far more than the parts on this connection.
+  // The part whose answer it was ends with an error, or the oldest where that can't be told; the others are
+  // only taken from here.
+  void refuse(const std::string& what, const std::string& part = "") {
     spdlog::warn("leaf {} sent {}", server_, what);
-    ended();
+    close();
+    auto named = by_part_.find(part);
+    AttemptNumber spoilt = named != by_part_.end() ? named->second : 0;
+    for (const auto& [attempt, state] : std::exchange(live_, {})) {
+      bool written = state.frame_end > 0 && state.frame_end <= stream_->flushed();
+      if (spoilt == 0 && written) spoilt = attempt;
+      Outcome outcome = !written ? Outcome::unsent : attempt == spoilt ? Outcome::error : Outcome::cancelled;
+      pool_.where_.erase(attempt);
+      pool_.exchange_.attempt_ended(attempt, {.outcome = outcome});
+    }
+    for (net::Millis sent : std::exchange(probes_, {}))
+      pool_.exchange_.probe_ended(server_, Outcome::error, pool_.loop_.now() - sent, {});
+    pool_.drop(*this);
   }
 
   LeafPool& pool_;
   std::shared_ptr<net::Stream> stream_;
-  net::TimerId connect_timer_{};
+  net::TimerId connect_timer_{}, frame_timer_{};
   std::deque<Call> waiting_;
   std::map<AttemptNumber, Live> live_;
   std::unordered_map<std::string, AttemptNumber> by_part_;  // 0: given up, answer not seen
--- a/tests/platform_stories.cpp
+++ b/tests/platform_stories.cpp
@@ -104,6 +104,85 @@
     CHECK(has(s.ask(*client, Stage::query("q" + std::to_string(i), kTwoParts)), "\"exact\":true"));
 }
 
+TEST_CASE("a spoilt answer is an attempt that failed at once, and its leaf stays trusted") {
+  Stage s(patient());
+  ScriptedLeaf a(s.loop), b(s.loop);
+  auto framed = [](const ScriptedLeaf::Part& p, const std::string& rest) {
+    p.from->stream->write(platform::make_frame('O', rest));
+  };
+  std::function<void(const ScriptedLeaf::Part&)> spoil;
+  SUBCASE("another id") {
+    spoil = [&](const ScriptedLeaf::Part& p) { framed(p, "0123456789abcdef.3 200 7 -\nv"); };
+  }
+  SUBCASE("an end that is none") {
+    spoil = [&](const ScriptedLeaf::Part& p) { framed(p, p.id + " ? 7 -\nv"); };
+  }
+  SUBCASE("a value that no body can carry") {
+    spoil = [&](const ScriptedLeaf::Part& p) { framed(p, p.id + " 200 7 -\n\xff\xfe"); };
+  }
+  SUBCASE("a line that never ends") {
+    spoil = [&](const ScriptedLeaf::Part& p) {
+      p.from->stream->write(std::string("\x00\xff\x00\x00O", 5) + std::string(9000, 'x'));
+    };
+  }
+  SUBCASE("a length that does not fit") {
+    spoil = [&](const ScriptedLeaf::Part& p) {
+      p.from->stream->write(std::string("\x60\x00\x00\x00O", 5) + p.id + " 200 7 -\nv");
+    };
+  }
+  SUBCASE("a value said to be of gigabytes") {
+    spoil = [&](const ScriptedLeaf::Part& p) {
+      p.from->stream->write("\xd0\x5e\xd0\xb2O" + p.id + " 200 7 -\n" + std::string(30000, 'x'));
+    };
+  }
+  // Three parts are out on the connection when one answer on it is spoilt.
+  s.begin({member("a", a.listener.port(), 0)});
+  std::vector<ScriptedLeaf::Part> held;
+  a.on_part = [&](const ScriptedLeaf::Part& p) {
+    held.push_back(p);
+    if (held.size() == 3) spoil(held[1]);
+  };
+  auto client = s.dial();
+  client->stream->write(
+      Stage::query("q", R"({"id":1,"w":0.4},{"id":2,"w":0.3},{"id":3,"w":0.3})", "lookup", 50000));
+  s.until([&] { return held.size() == 6; });
+  for (std::size_t i = 3; i < 6; ++i) ScriptedLeaf::answer(held[i]);
+  CHECK(has(s.answer(*client), "\"exact\":true"));
+  CHECK(a.peers.size() == 2);
+  a.on_part = b.on_part = [](const ScriptedLeaf::Part& p) { ScriptedLeaf::answer(p, 200, "-"); };
+  s.exchange.list(pewterrill::ServerList::Kind::changes, {member("b", b.listener.port(), 1)});
+  for (int i = 0; i < 20; ++i)
+    s.ask(*client, Stage::query("r" + std::to_string(i), kTwoParts, "lookup", 50000));
+  CHECK(a.parts.size() > 10);
+}
+
+TEST_CASE("what stands behind a good answer spoils no later one, nor does a report that cannot be read") {
+  Stage s(patient());
+  ScriptedLeaf leaf(s.loop);
+  std::string behind, report = "-";
+  SUBCASE("the front of a frame") { behind = std::string("\x40\x00\x00\x00O", 5); }
+  SUBCASE("noise") {
+    behind =
+        "j\xd5\x8c\xb5"
+        "E\x90)*\r\n\r\n";
+  }
+  SUBCASE("a second copy") { behind = "copy"; }
+  SUBCASE("no report") { report = "%%%"; }
+  SUBCASE("a report that is no number") { report = "busy_reqs=nan,pending=-3"; }
+  leaf.on_part = [&](const ScriptedLeaf::Part& p) {
+    std::string good = platform::make_frame('O', p.id + " 200 7 " + report + "\nv");
+    p.from->stream->write(good + (behind == "copy" ? good : behind));
+  };
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  for (int i = 0; i < 4; ++i)
+    CHECK(has(s.ask(*client, Stage::query("q" + std::to_string(i), R"({"id":1,"w":1})", "lookup", 50000)),
+              "\"exact\":true"));
+  CHECK(leaf.parts.size() == 4);
+  CHECK(!platform::read_load("busy_reqs=nan,pending=-3,svc_ms=inf").in_flight);
+  CHECK(!platform::read_load("busy_reqs=nan,pending=-3,svc_ms=inf").queued);
+}
+
 TEST_CASE("malformed requests get their status, and the program goes on") {
   Stage s;
   ScriptedLeaf leaf(s.loop);
