Let bad clients go in bounded time and drop what is kept of gone servers

Checked: the late first attempts go with the share of descriptors being full (101 of 102 client connections held, 'asked once and stayed'): with none idle the listener slept 50 ms. Half requests had 10 s, silent connections 120 s. By reading: taken_ and further_ of the module were only emptied where a budget of attempts is set, which this site has not; its server table, and Exchange::servers_, kept every id. Ruled out: LeafPool (closes idle connections), the 409 on an open id (touches neither name nor query of the open one), CPU (0.06 to 0.12 s in the worst second). At fault: client_front.cpp (times, order of shedding, pause, close with bytes unread), stream.cpp (256 KiB held per connection, buffers never let go), loop.cpp (work put off ran on within one turn, so hundreds of requests in one buffer kept all others waiting), http.cpp (a second coding beside chunked), exchange.cpp list(), choice.cpp count_taken(), send(), on(ServerList). The same on the Flight front: connections without a call, calls without an end, a session that the codec gives up is one error of a sound node. The new stories fail with the old files; the flat-memory story grows there by more than its bound.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -45,9 +45,10 @@
 constexpr std::size_t kFellMany = 2;   // servers lost under one query before its parts go one at a time
 constexpr Millis kSuspectFor = 60000;  // ms of wariness after a felling query: its clients ask again
 constexpr double kPressed = 0.5;  // of the time left: where queues take more, parts that weigh little wait
-constexpr double kUnservedFew = 0.2;  // up to here single servers are to blame; two steps on, overload is
-constexpr Millis kPulse = 10;         // ms between checks of what is open, or two ticks where that is longer
-constexpr int kLogLines = 200;        // log lines per start: enough for a bad hour, never a flood
+constexpr double kUnservedFew = 0.2;   // up to here single servers are to blame; two steps on, overload is
+constexpr Millis kPulse = 10;          // ms between checks of what is open, or two ticks where that is longer
+constexpr Millis kForgetGone = 30000;  // ms after which nothing is owed on account of a server that is gone
+constexpr int kLogLines = 200;         // log lines per start: enough for a bad hour, never a flood
 
 constexpr double kNever = -std::numeric_limits<double>::infinity();
 constexpr double kWeightSlack = 5e-5;  // sums of weights may fall short by rounding
@@ -149,6 +150,7 @@
   double reported = 0;
   Millis reported_at = kNever;
   std::multiset<Millis> out_since{};  // sending times of own attempts out
+  Millis gone_at = kNever;            // when the list first had it gone
   Millis last_answer = kNever;
   Millis cut_at = kNever;  // a connection broke under an attempt, and what that meant is not known yet
   double pace = 0;         // smoothed observed time over hint; 0: not known
@@ -213,7 +215,15 @@
     for (const ServerEntry& e : list.servers) {
       named.insert(e.server);
       auto [it, fresh] = by_name_.try_emplace(e.server, static_cast<int>(servers_.size()));
-      if (fresh) servers_.push_back({.id = e.server, .by_class = std::vector<Health>(set_.classes.size())});
+      if (fresh) {
+        if (!free_.empty()) {
+          it->second = free_.back();
+          free_.pop_back();
+        } else {
+          servers_.emplace_back();
+        }
+        servers_[it->second] = {.id = e.server, .by_class = std::vector<Health>(set_.classes.size())};
+      }
       Server& s = servers_[it->second];
       // A later start: the process is new and cold, and what was known of the old one is void.
       if (e.started && (!s.started || *e.started > *s.started)) {
@@ -230,9 +240,31 @@
     if (list.kind != ServerList::Kind::changes)
       for (Server& s : servers_)
         if (!named.count(s.id)) s.state = ServerState::gone;
+    forget_gone();
     retry_waiting();
   }
 
+  // Guards against a table that grows with every server there ever was: the place of one that is gone for
+  // good, and that no attempt of an open query names, is taken by the next new one.
+  void forget_gone() {
+    std::set<int> wanted;
+    for (const auto& [id, p] : parts_)
+      for (const Attempt& a : p.attempts) wanted.insert(a.server);
+    for (const auto& [number, q] : queries_) wanted.insert(q.fell.begin(), q.fell.end());
+    for (int i = 0; i < static_cast<int>(servers_.size()); ++i) {
+      Server& s = servers_[i];
+      if (s.state != ServerState::gone) {
+        s.gone_at = kNever;
+      } else if (s.gone_at == kNever) {
+        s.gone_at = now_;
+      } else if (!s.id.empty() && now_ - s.gone_at > kForgetGone && !wanted.count(i)) {
+        by_name_.erase(s.id);
+        s = {.id = {}, .state = ServerState::gone, .gone_at = s.gone_at, .by_class = {}};
+        free_.push_back(i);
+      }
+    }
+  }
+
   void ask_for_list() {
     act(WatchList{true});
     asked_open_ = true;
@@ -351,6 +383,7 @@
   }
 
   void count_taken(std::size_t requests) {
+    if (!set_.budget) return;  // nothing would ever take it out again
     taken_.emplace_back(now_, static_cast<double>(requests));
     taken_in_window_ += taken_.back().second;
   }
@@ -407,10 +440,8 @@
     Attempt& a = p.attempts.back();
     Server& s = servers_[a.server];
     const ClassSettings& c = set_.classes[q.query_class];
-    if (p.attempts.size() > 1)
-      further_.push_back(now_);
-    else
-      moves_saved_ = std::min(moves_saved_ + kMoveShare, kMoveMost);
+    if (p.attempts.size() > 1 && set_.budget) further_.push_back(now_);
+    if (p.attempts.size() == 1) moves_saved_ = std::min(moves_saved_ + kMoveShare, kMoveMost);
     if (s.started && now_ - *s.started < set_.cold_time)
       s.cold_sent.emplace_back(now_, std::max(p.hint, mean_hint(q.query_class)));
     Millis timeout = useful_until(q) - now_;
@@ -897,6 +928,7 @@
   std::vector<Action> actions_;
   std::vector<Server> servers_;
   std::map<std::string, int> by_name_;
+  std::vector<int> free_;  // places in servers_
   std::vector<ClassLearned> learned_;
   Recent falls_;       // broken connections that were falls of the server (1) or cut lines (0)
   Recent heard_;       // attempts ended
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -109,8 +109,21 @@
       if (!fresh && later) carrier_->retire(m.entry.server);
       it->second.endpoint = m.endpoint;
       if (later) it->second.started = m.entry.started;
+      it->second.named = lists_told_;
       e.servers.push_back(m.entry);
     }
+    // Guards against a table that grows with every server there ever was. What is still out on connections to
+    // one that is gone may end; nothing new goes there.
+    std::set<std::string> gone;
+    for (const Member& m : members)
+      if (m.entry.state == ServerState::gone) gone.insert(m.entry.server);
+    if (kind == ServerList::Kind::complete || kind == ServerList::Kind::cached)
+      for (const auto& [id, known] : servers_)
+        if (known.named != lists_told_) gone.insert(id);
+    for (const std::string& id : gone) {
+      carrier_->retire(id);
+      servers_.erase(id);
+    }
     ++lists_told_;
     handle(e);
   });
@@ -209,8 +222,10 @@
   ++figures_[q.spec.query_class].attempts;
   attempt_ends_.insert({state.until, attempt});
   attempts_[attempt] = state;
-  carrier_->launch({attempt, a.server, servers_[a.server].endpoint,
-                    q.spec.id + "." + std::to_string(p.spec.shard), p.spec.shard, state.until, q.text});
+  auto known = servers_.find(a.server);
+  if (known == servers_.end()) return attempt_ended(attempt, {.outcome = Outcome::unsent});
+  carrier_->launch({attempt, a.server, known->second.endpoint, q.spec.id + "." + std::to_string(p.spec.shard),
+                    p.spec.shard, state.until, q.text});
 }
 
 void Exchange::finish_attempt(AttemptNumber attempt, Result r) {
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -166,6 +166,7 @@
   struct Known {
     std::string endpoint;
     std::optional<Millis> started;
+    std::size_t named = 0;  // number of the last list that named it
   };
 
   void handle(const pewterrill::Event& event);
--- a/src/flight/flight_pool.cpp
+++ b/src/flight/flight_pool.cpp
@@ -137,11 +137,16 @@
   void going_away() override { retired_ = true; }
 
   void down() override {
+    // As with frames: bytes that cannot be read are one error of a sound node, and no fallen one.
+    bool blamed = !http2_.spoilt();
     for (auto& [id, call] : calls_) {
       bool written = http2_.written(id);
+      Outcome outcome = written ? Outcome::reset : Outcome::connect_failed;
+      if (http2_.spoilt())
+        outcome = !written ? Outcome::unsent : blamed ? Outcome::cancelled : Outcome::error;
+      blamed = blamed || written;
       pool_.where_.erase(call.attempt);
-      pool_.exchange_.attempt_ended(call.attempt,
-                                    {.outcome = written ? Outcome::reset : Outcome::connect_failed});
+      pool_.exchange_.attempt_ended(call.attempt, {.outcome = outcome});
     }
     calls_.clear();
     pool_.drop(*this);
--- a/src/flight/flight_server.cpp
+++ b/src/flight/flight_server.cpp
@@ -18,6 +18,9 @@
 constexpr char kService[] = "/arrow.flight.protocol.FlightService/";
 constexpr std::size_t kRequestMost = 96 * 1024;  // a command's text is held to 64 KiB like a body elsewhere
 constexpr std::size_t kTextMost = 64 * 1024;
+constexpr net::Millis kFirstCall = 2000;  // ms from connecting to a first call
+constexpr net::Millis kHalfCall = 2000;   // ms from a call's headers to its end
+constexpr net::Millis kSweep = 200;
 constexpr net::Millis kDueSlack = 50;  // ms before its end from which a failed query counts as out of time
 
 template <class T>
@@ -65,7 +68,8 @@
 
 class FlightServer::Connection : public Http2::Handler, public std::enable_shared_from_this<Connection> {
  public:
-  explicit Connection(FlightServer& server) : server_(server), http2_(server.loop_, *this, true) {}
+  explicit Connection(FlightServer& server)
+      : server_(server), http2_(server.loop_, *this, true), began_(server.loop_.now()) {}
   void begin(net::UniqueFd fd) { http2_.adopt(std::move(fd)); }
   void wind_down() { http2_.shut_down(); }
   bool busy() const { return !calls_.empty() || http2_.unsent() > 0; }
@@ -74,8 +78,20 @@
     http2_.close();
   }
 
+  // Guards against connections without a call, and calls without an end, that crowd out real ones.
+  void check(net::Millis now) {
+    if (!called_ && now - began_ > kFirstCall) return down();
+    std::vector<std::int32_t> late;
+    for (auto& [id, call] : calls_)
+      if (!call.answered && call.query == 0 && now - call.arrived > kHalfCall) late.push_back(id);
+    for (std::int32_t id : late)
+      if (auto it = calls_.find(id); it != calls_.end())
+        refuse(id, it->second, {Status::deadline_exceeded, "a call that does not end"});
+  }
+
   void head(std::int32_t id, const Headers& headers) override {
     if (calls_.count(id)) return;  // trailers of a request mean nothing here
+    called_ = true;
     Call& call = calls_[id];
     call.arrived = server_.loop_.now();
     call.headers = headers;
@@ -232,6 +248,8 @@
 
   FlightServer& server_;
   Http2 http2_;
+  net::Millis began_;
+  bool called_ = false;
   std::map<std::int32_t, Call> calls_;
 };
 
@@ -242,9 +260,18 @@
       shards_(shards),
       seed_(seed),
       most_(connections),
-      listener_(loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }) {}
+      listener_(loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }) {
+  sweep();
+}
+
+void FlightServer::sweep() {
+  auto copy = connections_;
+  for (const auto& c : copy) c->check(loop_.now());
+  sweep_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+}
 
 FlightServer::~FlightServer() {
+  loop_.cancel(sweep_);
   for (auto& c : connections_) c->close();
 }
 
--- a/src/flight/flight_server.hpp
+++ b/src/flight/flight_server.hpp
@@ -28,6 +28,7 @@
   class Connection;
   void accept(net::UniqueFd fd);
   void drop(Connection& connection);
+  void sweep();
   std::string fresh_id();
 
   net::Loop& loop_;
@@ -38,6 +39,7 @@
   bool winding_down_ = false;
   std::set<std::shared_ptr<Connection>> connections_;
   std::set<std::string> live_ids_;
+  net::TimerId sweep_{};
   net::Listener listener_;
 };
 
--- a/src/flight/http2.cpp
+++ b/src/flight/http2.cpp
@@ -124,6 +124,7 @@
 }
 
 void Http2::fail() {
+  spoilt_ = true;
   if (stream_) stream_->close();
   ended();
 }
@@ -143,6 +144,7 @@
   pumping_ = false;
   if (open() && stream_->unsent() == 0 && !nghttp2_session_want_read(session_) &&
       !nghttp2_session_want_write(session_)) {
+    spoilt_ = true;  // where calls are still out: the codec gave the session up over what it read
     stream_->close();
     loop_.defer([this, alive = std::weak_ptr<net::Stream>(stream_)] {
       if (alive.lock()) ended();
--- a/src/flight/http2.hpp
+++ b/src/flight/http2.hpp
@@ -51,6 +51,7 @@
   void shut_down();  // GOAWAY: streams that are open are finished, no new ones are taken
   void pump();       // gives the socket what the codec has ready
   bool written(std::int32_t stream) const;  // the kernel has taken all of what we sent on it
+  bool spoilt() const { return spoilt_; }   // it was ended because the peer's bytes could not be read
   std::size_t unsent() const { return stream_ ? stream_->unsent() : 0; }
 
   void connected() override;
@@ -78,7 +79,7 @@
   std::shared_ptr<net::Stream> stream_;
   std::map<std::int32_t, Sending> sending_;
   std::map<std::int32_t, Headers> gathering_;
-  bool pumping_ = false, over_ = false;
+  bool pumping_ = false, over_ = false, spoilt_ = false;
 };
 
 }  // namespace winchhall::flight
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -65,10 +65,9 @@
 }
 
 void Loop::run_deferred() {
-  while (!deferred_.empty()) {
-    auto now_due = std::exchange(deferred_, {});
-    for (auto& run : now_due) run();
-  }
+  // Once through: what these put off in their turn waits for the next, or a client that has hundreds of
+  // requests in its buffer would keep all others waiting.
+  for (auto& run : std::exchange(deferred_, {})) run();
 }
 
 }  // namespace winchhall::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -11,8 +11,16 @@
 
 namespace winchhall::net {
 namespace {
-constexpr std::size_t kInMost = 256 * 1024;  // bytes read ahead of an owner that does not take them
-constexpr Millis kAcceptPause = 50;          // ms without accepting once descriptors have run out
+constexpr std::size_t kInMost = 96 * 1024;     // bytes held for an owner that does not take them
+constexpr std::size_t kPiece = 32 * 1024;      // bytes shown to the owner at a time
+constexpr std::size_t kTurnMost = 256 * 1024;  // bytes read in one turn: others come to their turn too
+constexpr std::size_t kKeep = 16 * 1024;       // bytes of an empty buffer that are kept for the next use
+constexpr Millis kAcceptPause = 50;            // ms without accepting once descriptors have run out
+
+// Guards against memory held by connections that were busy once: hundreds of them stand idle.
+void let_go(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kKeep) std::string().swap(buffer);
+}
 
 void no_delay(int fd) {
   int on = 1;
@@ -93,10 +101,12 @@
 void Stream::read() {
   char buffer[16384];
   bool over = false;
-  while (in_.size() < kInMost) {
+  for (std::size_t taken = 0; open() && !broken_ && in_.size() < kInMost && taken < kTurnMost;) {
     ssize_t n = ::recv(fd_.get(), buffer, sizeof buffer, 0);
     if (n > 0) {
       in_.append(buffer, static_cast<std::size_t>(n));
+      taken += static_cast<std::size_t>(n);
+      if (in_.size() >= kPiece) owner_.received(in_);
       continue;
     }
     if (n < 0 && errno == EINTR) continue;
@@ -104,10 +114,21 @@
     break;
   }
   // What came before the end counts, even where both are found at once.
-  if (!in_.empty()) owner_.received(in_);
+  if (open() && !broken_ && !in_.empty()) owner_.received(in_);
+  let_go(in_);
   if (over && open()) fail();
 }
 
+void Stream::read_now() {
+  if (!open() || broken_ || connecting_) return;
+  read();
+  update();
+}
+
+void Stream::finish() {
+  if (open() && !broken_) ::shutdown(fd_.get(), SHUT_WR);
+}
+
 void Stream::show_again() {
   loop_.defer([weak = weak_from_this()] {
     auto self = weak.lock();
@@ -137,6 +158,7 @@
   if (out_at_ == out_.size() || out_at_ > 65536) {
     out_.erase(0, out_at_);
     out_at_ = 0;
+    let_go(out_);
   }
   if (had && unsent() == 0 && open()) {
     loop_.defer([weak = weak_from_this()] {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -40,6 +40,8 @@
 
   void write(std::string_view bytes);
   void close();
+  void read_now();    // does not wait for the next turn: what has come by now is shown
+  void finish();      // no more will be written; what the peer sends is still read
   void show_again();  // has received() called on what is left in the buffer
   bool open() const { return static_cast<bool>(fd_); }
   bool connecting() const { return connecting_; }
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -4,26 +4,43 @@
 
 namespace winchhall::platform {
 namespace {
-constexpr net::Millis kHalfRequest = 10000;  // ms for the rest of a request, from its first byte
+constexpr net::Millis kFirstRequest = 2000;  // ms from connecting to the end of the first request
+constexpr net::Millis kHalfRequest = 2000;   // ms for the rest of a later one, from its first byte
 constexpr net::Millis kSlowReader = 15000;   // ms for a client to take its answer
-constexpr net::Millis kStandIdle = 120000;   // ms between requests
-constexpr net::Millis kSweep = 500;
+constexpr net::Millis kStandIdle = 30000;    // ms between requests
+constexpr net::Millis kLinger = 1000;  // ms for a client to read its last answer, while more comes from it
+constexpr net::Millis kFresh = 100;    // ms in which a request may still be on its way behind a connection
+constexpr net::Millis kSweep = 200;
+constexpr net::Millis kCrowded = 5;          // ms without accepting while every connection has a query open
+constexpr net::Millis kListedEvery = 10000;  // ms, and of a flood of bad requests ...
+constexpr int kListedMost = 40;              // ... so many are listed in that time, the others counted
 }  // namespace
 
 class ClientFront::Connection : public net::Stream::Owner, public std::enable_shared_from_this<Connection> {
  public:
-  explicit Connection(ClientFront& front) : front_(front), since_(front.loop_.now()) {}
+  explicit Connection(ClientFront& front)
+      : front_(front), since_(front.loop_.now()), due_(since_ + kFirstRequest) {}
   void begin(net::UniqueFd fd) { stream_ = net::Stream::adopt(front_.loop_, std::move(fd), *this); }
+  // Guards against real clients crowded out by silent ones: a request that came with its connection counts
+  // before the next connection is taken.
+  void look() { stream_->read_now(); }
 
   void received(std::string& in) override {
+    // What comes behind a last answer is read and dropped: a close that leaves it unread would reset the
+    // connection, and the client would never see the answer.
+    if (closing_) return in.clear();
     // One request at a time: what follows waits in the buffer until this one is answered.
-    if (query_ != 0 || closing_) return;
+    if (query_ != 0) return;
     bool fresh = !parser_.begun();
     parser_.feed(in);
-    if (fresh && parser_.begun()) since_ = front_.loop_.now();
+    if (fresh && parser_.begun()) {
+      since_ = front_.loop_.now();
+      // From the first byte and from no later one, or a trickle would last for ever.
+      if (asked_) due_ = since_ + kHalfRequest;
+    }
     if (parser_.failed()) {
-      spdlog::warn("bad request answered with {}", parser_.error());
-      return reply(http_answer(parser_.error(), "", "", false), false);
+      in.clear();
+      return turn_away(parser_.error(), "what cannot be read");
     }
     if (!parser_.done()) {
       const std::string* expect = parser_.message().header("expect");
@@ -35,13 +52,16 @@
     }
     HttpMessage m = std::move(parser_.message());
     parser_.reset();
+    asked_ = true;
     continued_ = false;
     serve(m);
   }
 
   void drained() override {
-    since_ = front_.loop_.now();
-    if (closing_) front_.drop(*this);
+    if (query_ == 0 && !parser_.begun()) since_ = front_.loop_.now();
+    if (!closing_) return;
+    stream_->finish();
+    lingering_ = true;
   }
   void ended() override {
     if (query_ != 0) front_.exchange_.withdraw(query_);
@@ -50,11 +70,23 @@
   }
 
   bool idle() const { return query_ == 0 && !parser_.begun() && stream_->unsent() == 0; }
+  // Which goes first where another one needs the place; 0: none of it.
+  int worth_shedding(net::Millis now) const {
+    if (lingering_) return 4;
+    if (query_ != 0 || stream_->unsent() > 0) return 0;
+    if (!asked_) return now - since_ > kFresh ? 3 : 1;
+    return parser_.begun() ? 0 : 2;
+  }
   bool busy() const { return query_ != 0 || stream_->unsent() > 0; }
-  bool overdue(net::Millis now) const {
-    if (query_ != 0) return false;
-    net::Millis most = stream_->unsent() > 0 ? kSlowReader : parser_.begun() ? kHalfRequest : kStandIdle;
-    return now - since_ > most;
+  void check(net::Millis now) {
+    if (query_ != 0) return;
+    if (lingering_ || stream_->unsent() > 0 || (asked_ && !parser_.begun())) {
+      if (now - since_ > (lingering_ ? kLinger : stream_->unsent() > 0 ? kSlowReader : kStandIdle))
+        front_.drop(*this);
+    } else if (now > due_) {
+      if (!parser_.begun()) return front_.drop(*this);
+      turn_away(408, "a request that does not end");
+    }
   }
   net::Millis since() const { return since_; }
   void close() {
@@ -80,7 +112,7 @@
       d.wrong = "a name that is in use";
     }
     if (d.status != 200) {
-      spdlog::warn("request answered with {}: {}", d.status, d.wrong);
+      front_.list_bad(d.status, d.wrong);
       return reply(http_answer(d.status, d.status == 405 ? "Allow: POST\r\n" : "", "", keep), keep);
     }
     id_ = d.query.id;
@@ -91,6 +123,11 @@
     });
   }
 
+  void turn_away(int status, const char* why) {
+    front_.list_bad(status, why);
+    reply(http_answer(status, "", "", false), false);
+  }
+
   void release() {
     query_ = 0;
     front_.live_ids_.erase(id_);
@@ -110,7 +147,8 @@
   core::QueryNumber query_ = 0;
   std::string id_;
   net::Millis since_;  // of the state it is in
-  bool closing_ = false, continued_ = false;
+  net::Millis due_;    // when the request that is awaited or half there must be whole
+  bool asked_ = false, closing_ = false, lingering_ = false, continued_ = false;
 };
 
 ClientFront::ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address,
@@ -133,16 +171,30 @@
   auto c = std::make_shared<Connection>(*this);
   c->begin(std::move(fd));
   connections_.insert(c);
-  // Within our descriptors: an idle connection may be closed between requests; else no more are taken.
-  if (connections_.size() >= most_ && !shed_idle()) listener_.pause(kSweep / 10);
+  c->look();
+  // Within our descriptors: one that only stands there may be closed between requests; else no more are
+  // taken.
+  if (connections_.size() >= most_ && !shed()) listener_.pause(kCrowded);
 }
 
-bool ClientFront::shed_idle() {
-  std::shared_ptr<Connection> oldest;
-  for (const auto& c : connections_)
-    if (c->idle() && (!oldest || c->since() < oldest->since())) oldest = c;
-  if (oldest) drop(*oldest);
-  return static_cast<bool>(oldest);
+// Those that have their last answer first, then those that never asked, then the one idle for longest.
+bool ClientFront::shed() {
+  net::Millis now = loop_.now();
+  std::shared_ptr<Connection> best;
+  int most = 0;
+  for (const auto& c : connections_) {
+    int worth = c->worth_shedding(now);
+    if (worth > most || (worth > 0 && worth == most && c->since() < best->since())) {
+      best = c;
+      most = worth;
+    }
+  }
+  if (best) drop(*best);
+  return static_cast<bool>(best);
+}
+
+void ClientFront::list_bad(int status, const std::string& why) {
+  if (bad_++ < kListedMost) spdlog::warn("request answered with {}: {}", status, why);
 }
 
 void ClientFront::drop(Connection& connection) {
@@ -168,8 +220,12 @@
 void ClientFront::sweep() {
   net::Millis now = loop_.now();
   auto copy = connections_;
-  for (const auto& c : copy)
-    if (c->overdue(now)) drop(*c);
+  for (const auto& c : copy) c->check(now);
+  if (now >= listed_at_ + kListedEvery) {
+    if (bad_ > kListedMost) spdlog::warn("{} further bad requests are not listed", bad_ - kListedMost);
+    bad_ = 0;
+    listed_at_ = now;
+  }
   sweep_ = loop_.at(now + kSweep, [this] { sweep(); });
 }
 
--- a/src/platform/client_front.hpp
+++ b/src/platform/client_front.hpp
@@ -28,7 +28,8 @@
   class Connection;
   void accept(net::UniqueFd fd);
   void drop(Connection& connection);
-  bool shed_idle();
+  bool shed();
+  void list_bad(int status, const std::string& why);
   void sweep();
 
   net::Loop& loop_;
@@ -40,6 +41,8 @@
   std::set<std::shared_ptr<Connection>> connections_;
   std::set<std::string> live_ids_;
   net::TimerId sweep_{};
+  int bad_ = 0;  // requests since listed_at_
+  net::Millis listed_at_ = 0;
   net::Listener listener_;
 };
 
--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -171,8 +171,11 @@
 void HttpParser::read_framing() {
   const std::string* length = message_.header("content-length");
   if (message_.header("transfer-encoding")) {
-    // Guards against a message that two readers would cut apart differently.
-    if (length || !message_.has_token("transfer-encoding", "chunked")) return fail(400);
+    // Guards against a message that two readers would cut apart differently, and so hide another in its body:
+    // one coding, told once, and no length beside it.
+    std::size_t told = 0;
+    for (const auto& [key, value] : message_.headers) told += key == "transfer-encoding";
+    if (length || told != 1 || lower(*message_.header("transfer-encoding")) != "chunked") return fail(400);
     state_ = State::chunk_size;
     return;
   }
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -13,6 +13,8 @@
 using core::Millis;
 using nlohmann::json;
 
+constexpr Millis kTimeoutMost = 24 * 3600e3;  // no client waits a day: a longer time is a mistake
+
 template <class T>
 int index_of(const std::vector<T>& list, const std::string& name) {
   for (std::size_t i = 0; i < list.size(); ++i)
@@ -36,9 +38,9 @@
   const char* last = text.data() + text.size();
   auto [end, error] = std::from_chars(text.data(), last, n);
   if (error != std::errc{} || last - end != 1 || !(n > 0) || !std::isfinite(n)) return std::nullopt;
-  if (*end == 'm') return n;
-  if (*end == 'u') return n / 1000;
-  return std::nullopt;
+  if (*end != 'm' && *end != 'u') return std::nullopt;
+  n = *end == 'm' ? n : n / 1000;
+  return n <= kTimeoutMost ? std::optional(n) : std::nullopt;
 }
 
 bool read_body(const std::string& body, core::QuerySpec& q) {
@@ -105,6 +107,7 @@
                        : status == 400 ? "Bad Request"
                        : status == 404 ? "Not Found"
                        : status == 405 ? "Method Not Allowed"
+                       : status == 408 ? "Request Timeout"
                        : status == 409 ? "Conflict"
                        : status == 413 ? "Content Too Large"
                        : status == 503 ? "Service Unavailable"
--- a/tests/core_stories.cpp
+++ b/tests/core_stories.cpp
@@ -1,6 +1,7 @@
 // The exchange by itself, on a clock that the test sets: what must hold at which moment, whatever the wire.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <malloc.h>
 
 #include <map>
 
@@ -148,6 +149,29 @@
   CHECK(d.verdicts.empty());
 }
 
+TEST_CASE("memory stays flat with ever new servers and ever new queries") {
+  Desk d;
+  std::size_t before = 0;
+  for (int round = 0; round < 1500; ++round) {
+    // Each round all servers are new; the old ones are gone for longer than anything is owed on their
+    // account.
+    std::string a = "a" + std::to_string(round), b = "b" + std::to_string(round);
+    d.exchange.list(pewterrill::ServerList::Kind::complete,
+                    {testing::member(a, 1, 0), testing::member(b, 2, 1)});
+    for (int i = 0; i < 10; ++i) {
+      d.ask(0, 2000, 2);
+      for (const auto& [n, order] : std::map(d.out)) d.end(n, Outcome::ok);
+      d.out.clear();
+    }
+    d.verdicts.clear();
+    d.now += 20000;
+    d.exchange.run();
+    CHECK(d.exchange.known_servers() == 2);
+    if (round == 300) before = mallinfo2().uordblks;
+  }
+  CHECK(mallinfo2().uordblks < before + 20000);  // under a sanitizer both are 0
+}
+
 TEST_CASE("the phases follow each other one way") {
   app::Lifecycle life;
   CHECK(!life.admits());
--- a/tests/flight_stories.cpp
+++ b/tests/flight_stories.cpp
@@ -415,6 +415,50 @@
   }
 }
 
+TEST_CASE("a connection without a call is let go, and a call without an end gets a status") {
+  FlightStage s;
+  StandIn node(s.loop);
+  s.begin({member("a", node.listener.port(), 0)});
+  auto dial = [&](const std::string& words) {
+    auto peer = std::make_shared<Peer>(s.loop);
+    peer->dial(s.front.port());
+    peer->stream->write(words);
+    return peer;
+  };
+  std::string preface =
+      std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n") + std::string("\0\0\0\x04\0\0\0\0\0", 9);
+  auto silent = dial(""), polite = dial(preface);
+  auto half = dial(preface + std::string("\0\0\x06\x01\x04\0\0\0\x01\x83\x86\x84\x41\x01x", 15));
+  s.until([&] { return silent->over && polite->over; });
+  s.until([&] {  // headers come on its stream
+    std::string_view left = half->text;
+    for (std::size_t size = 0; left.size() >= 9; left.remove_prefix(std::min(left.size(), 9 + size))) {
+      size = static_cast<unsigned char>(left[1]) * 256u + static_cast<unsigned char>(left[2]);
+      if (left[3] == 1 && left[8] == 1) return true;
+    }
+    return false;
+  });
+}
+
+TEST_CASE("a node whose bytes cannot be read is an error of one part, and stays trusted") {
+  FlightStage s(patient());
+  StandIn sound(s.loop);
+  std::vector<std::shared_ptr<Peer>> called;
+  net::Listener mad(s.loop, loopback(0), [&](net::UniqueFd fd) {
+    called.push_back(std::make_shared<Peer>(s.loop));
+    called.back()->heard = [peer = called.back().get()](std::string& in) {
+      // Only once the part is there: a ticket names it.
+      if (has(in, "c41e77d0")) peer->stream->write("noise that no codec reads, at some length");
+    };
+    called.back()->adopt(std::move(fd));
+  });
+  s.begin({member("a", mad.port(), 0), member("b", sound.listener.port(), 1)});
+  for (std::size_t i = 1; i <= 2; ++i) {
+    CHECK(s.finish(s.get(FlightStage::command({1, 2}), "50S")).status() == 0);
+    CHECK(called.size() == i);
+  }
+}
+
 TEST_CASE("a drained node gets nothing new, and the front's own drain finishes what it has") {
   FlightStage s;
   StandIn a(s.loop), b(s.loop);
--- a/tests/platform_stories.cpp
+++ b/tests/platform_stories.cpp
@@ -213,6 +213,10 @@
       {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n", 413},
       {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
       {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n", 400},
+      {with("8000m", "1e300m"), 400},
+      {with("8000m", "nanm"), 400},
       {body("{"), 400},
       {body("[]"), 400},
       {body(R"({"parts":[]})"), 400},
@@ -235,6 +239,76 @@
   CHECK(leaf.parts.size() == 2);
 }
 
+TEST_CASE("clients that say nothing, or half of something, crowd nobody out and are let go") {
+  Stage s;  // holds 100 connections of clients
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::vector<std::shared_ptr<Peer>> crowd;
+  for (int i = 0; i < 150; ++i) {
+    crowd.push_back(s.dial());
+    if (i % 3 == 0) crowd.back()->stream->write("POST /lookup HTTP/1.1\r\nX-Request-ID: ");
+  }
+  auto trickle = s.dial(), client = s.dial();
+  CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "\"exact\":true"));
+  CHECK(s.front.connections() <= 100);
+  net::Millis written = 0;
+  s.until([&] {
+    // Slowly enough that its head does not grow too long before its time is up.
+    if (!trickle->over && s.loop.now() > written + 50) {
+      trickle->stream->write("x");
+      written = s.loop.now();
+    }
+    bool all = has(trickle->text, "408");
+    for (const auto& peer : crowd) all = all && (peer->over || has(peer->text, "408"));
+    return all;
+  });
+  CHECK(has(s.ask(*client, Stage::query("p", kTwoParts)), "\"exact\":true"));
+}
+
+TEST_CASE("a client that goes on sending after its error still reads it, and none of that is held") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  // It reads nothing before it has sent all it has.
+  net::UniqueFd client(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in to = loopback(s.front.port());
+  REQUIRE(::connect(client.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  std::string all = "POST /lookup HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + std::string(2 << 20, 'x');
+  std::size_t sent = 0;
+  s.until([&] {
+    ssize_t n = ::send(client.get(), all.data() + sent, all.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+    REQUIRE((n > 0 || errno == EAGAIN));
+    sent += n > 0 ? static_cast<std::size_t>(n) : 0;
+    return sent == all.size();
+  });
+  char answer[64] = "";
+  s.until([&] { return ::recv(client.get(), answer, 20, MSG_DONTWAIT) > 0; });
+  CHECK(has(answer, "HTTP/1.1 413"));
+  client.reset();
+  s.until([&] { return s.front.connections() == 0; });
+}
+
+TEST_CASE("connections to a server that is gone are closed, and one of a new name is called") {
+  Stage s;
+  ScriptedLeaf old(s.loop), fresh(s.loop);
+  s.begin({member("a", old.listener.port(), 0)});
+  auto client = s.dial();
+  CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "200 OK"));
+  bool named = false;
+  SUBCASE("not in the whole list") {}
+  SUBCASE("named as gone") { named = true; }
+  auto gone = member("a", old.listener.port(), 0, ServerState::gone);
+  auto next = member("b", fresh.listener.port(), 0);
+  if (named)
+    s.exchange.list(pewterrill::ServerList::Kind::changes, {gone, next});
+  else
+    s.exchange.list(pewterrill::ServerList::Kind::complete, {next});
+  s.until([&] { return old.peers[0]->over; });
+  CHECK(s.exchange.known_servers() == 1);
+  CHECK(has(s.ask(*client, Stage::query("p", kTwoParts)), "200 OK"));
+  CHECK(fresh.parts.size() == 2);
+}
+
 TEST_CASE("a name in use is not taken twice, and is free once answered") {
   Stage s;
   ScriptedLeaf leaf(s.loop);
