Leave a connection that fell silent and call its leaf on a new one

Checked: the node's log sets one leaf after the other aside as silent; 11 connections had fallen silent, as many as leafs lost. At fault: leaf_pool.cpp, room() and abandon(): a part goes to the fullest connection that is open, and one that is silent stays open; the module's trial part after each rest went there again, so the leaf was lost for good. Now a connection from which no byte came since a part was written that is given up after 50 ms, or two of them in a row, takes no further parts. The same for Flight nodes, by the same object in the core.

--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -78,6 +78,30 @@
   Load load{};
 };
 
+// Guards against a connection that fell silent without a sign: its server is sound on a new one, and every
+// part sent there would be lost, the one that tries a server set aside again as well. A carrier tells what
+// passes and calls elsewhere once silent() holds.
+class Silence {
+ public:
+  void heard(Millis now) {
+    heard_at_ = now;
+    lost_ = 0;
+  }
+  // An attempt written at `written` was given up without an answer.
+  void given_up(Millis written, Millis now) {
+    if (written <= heard_at_ || written == last_) return;
+    last_ = written;
+    lost_ = now - written > kLong ? kLost : lost_ + 1;
+  }
+  bool silent() const { return lost_ >= kLost; }
+
+ private:
+  static constexpr Millis kLong = 50;  // ms: longer than a sound server needs beside a short queue
+  static constexpr int kLost = 2;      // or so many in a row: one may be a client that went away
+  Millis heard_at_ = 0, last_ = 0;
+  int lost_ = 0;
+};
+
 class Carrier {
  public:
   virtual void launch(const Order& order) = 0;  // reports by attempt_ended(), never before it returns
--- a/src/flight/flight_pool.cpp
+++ b/src/flight/flight_pool.cpp
@@ -64,6 +64,7 @@
     if (id < 0) return pool_.exchange_.attempt_ended(o.attempt, {.outcome = Outcome::unsent});
     Call& call = calls_[id];
     call.attempt = o.attempt;
+    call.sent = pool_.loop_.now();
     call.shard = o.shard;
     pool_.where_[o.attempt] = this;
     used_at_ = pool_.loop_.now();
@@ -75,6 +76,8 @@
     auto it =
         std::find_if(calls_.begin(), calls_.end(), [&](auto& c) { return c.second.attempt == attempt; });
     if (it == calls_.end()) return;
+    silence_.given_up(it->second.sent, pool_.loop_.now());
+    retired_ = retired_ || silence_.silent();
     http2_.reset(it->first, NGHTTP2_CANCEL);
     calls_.erase(it);
     used_at_ = pool_.loop_.now();
@@ -93,12 +96,14 @@
   void up() override { pool_.loop_.cancel(connect_timer_); }
 
   void head(std::int32_t id, const Headers& headers) override {
+    silence_.heard(pool_.loop_.now());
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
     for (const auto& header : headers) it->second.headers.push_back(header);
   }
 
   void data(std::int32_t id, std::string_view bytes) override {
+    silence_.heard(pool_.loop_.now());
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
     Call& call = it->second;
@@ -157,6 +162,7 @@
  private:
   struct Call {
     AttemptNumber attempt = 0;
+    net::Millis sent = 0;
     int shard = 0;
     Headers headers;
     std::string in;
@@ -199,6 +205,7 @@
   net::TimerId connect_timer_{};
   std::map<std::int32_t, Call> calls_;
   net::Millis used_at_;
+  core::Silence silence_;
   bool retired_ = false;
 };
 
--- a/src/platform/leaf_pool.cpp
+++ b/src/platform/leaf_pool.cpp
@@ -45,7 +45,7 @@
 
   void add(Call call) {
     for (const core::Order& o : call) {
-      live_[o.attempt] = {o.part, 0};
+      live_[o.attempt] = {o.part, 0, 0};
       by_part_[o.part] = o.attempt;
       pool_.where_[o.attempt] = this;
     }
@@ -59,6 +59,9 @@
     if (it == live_.end()) return;
     if (it->second.frame_end > 0) {
       by_part_[it->second.part] = 0;  // its answer may still come, and means nothing then
+      silence_.given_up(it->second.written_at, pool_.loop_.now());
+      if (silence_.silent() && !std::exchange(retired_, true))
+        spdlog::debug("a connection to {} is silent, not used again", server_);
       // Guards against names kept for ever: not every leaf answers what was given up.
       if (by_part_.size() - live_.size() > kGivenUpMost) retired_ = true;
       stream_->write(make_frame('K', it->second.part));
@@ -97,6 +100,7 @@
   void drained() override { pump(); }
 
   void received(std::string& in) override {
+    silence_.heard(pool_.loop_.now());
     bool bad = false;
     while (auto frame = take_frame(in, bad)) {
       pool_.loop_.cancel(frame_timer_);
@@ -157,6 +161,7 @@
   struct Live {
     std::string part;
     std::uint64_t frame_end;  // where its frame ends in all that was ever queued here; 0: not serialized
+    net::Millis written_at;
   };
 
   void pump() {
@@ -170,7 +175,10 @@
         lines += part_lines(o.part, o.shard, static_cast<long long>(wait), *o.text);
       }
       std::string frame = make_frame('D', lines);
-      for (const core::Order& o : call) live_[o.attempt].frame_end = stream_->queued() + frame.size();
+      for (const core::Order& o : call) {
+        live_[o.attempt].frame_end = stream_->queued() + frame.size();
+        live_[o.attempt].written_at = pool_.loop_.now();
+      }
       stream_->write(frame);
     }
   }
@@ -221,6 +229,7 @@
   std::unordered_map<std::string, AttemptNumber> by_part_;  // 0: given up, answer not seen
   std::deque<net::Millis> probes_;
   net::Millis used_at_;
+  core::Silence silence_;
   bool retired_ = false;
 };
 
--- a/tests/platform_stories.cpp
+++ b/tests/platform_stories.cpp
@@ -369,6 +369,26 @@
   CHECK(leaf.peers.size() == 2);
 }
 
+TEST_CASE("a connection that falls silent is left, and its leaf is called on a new one") {
+  pewterrill::Settings settings = patient();
+  settings.classes[0].aim = 400;  // patience is half of it
+  Stage s(settings);
+  ScriptedLeaf leaf(s.loop), other(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0), member("b", other.listener.port(), 1)});
+  auto client = s.dial();
+  // The first connection to the leaf answers nothing, ever; all later ones do.
+  leaf.on_part = [&](const ScriptedLeaf::Part& p) {
+    if (p.from != leaf.peers[0].get()) ScriptedLeaf::answer(p, 200, "-");
+  };
+  other.on_part = [](const ScriptedLeaf::Part& p) { ScriptedLeaf::answer(p, 200, "-"); };
+  int asked = 0;
+  // The leaf is set aside for a while, and then tried with a part.
+  net::Millis give_up = s.loop.now() + 30000;  // only ends a test that fails
+  while (leaf.peers.size() < 2 && s.loop.now() < give_up)
+    s.ask(*client, Stage::query("q" + std::to_string(++asked), kTwoParts, "lookup", 50000));
+  CHECK(leaf.peers.size() == 2);
+}
+
 TEST_CASE("a machine that came back is called on new connections") {
   Stage s;
   ScriptedLeaf leaf(s.loop);
