Make room among client connections before their share is used up

Checked: figures of both nodes show no refusal and 13 open queries beside 140 to 152 client connections, our cap; so refusals are of clients without a connection. Ruled out: max_open, the module, CPU (0.11 s in the worst second). At fault: client_front.cpp, accept() made room only when our own share was full, idle connections stood 30 s.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,7 +48,8 @@
 constexpr double kUnservedFew = 0.2;   // up to here single servers are to blame; two steps on, overload is
 constexpr Millis kPulse = 10;          // ms between checks of what is open, or two ticks where that is longer
 constexpr Millis kForgetGone = 30000;  // ms after which nothing is owed on account of a server that is gone
-constexpr int kLogLines = 200;         // log lines per start: enough for a bad hour, never a flood
+constexpr double kLogLines = 200;      // log lines at once: enough for a bad hour, never a flood ...
+constexpr double kLogPerSecond = 1;    // ... and so many a second again, or a long day ends without a word
 
 constexpr double kNever = -std::numeric_limits<double>::infinity();
 constexpr double kWeightSlack = 5e-5;  // sums of weights may fall short by rounding
@@ -919,7 +920,11 @@
 
   void act(Action a) { actions_.push_back(std::move(a)); }
   void log(const std::string& text) {
-    if (logged_++ < kLogLines) act(LogLine{text});
+    log_left_ = std::min(kLogLines, log_left_ + kLogPerSecond * (now_ - logged_at_) / 1000);
+    logged_at_ = now_;
+    if (log_left_ < 1) return;
+    --log_left_;
+    act(LogLine{text});
   }
 
   Settings set_;
@@ -950,7 +955,8 @@
   std::deque<Millis> further_;
   bool watching_ = false, asked_open_ = false;
   Millis asked_at_ = 0, ask_at_ = std::numeric_limits<double>::infinity(), ask_wait_ = 0;
-  int logged_ = 0;
+  double log_left_ = kLogLines;
+  Millis logged_at_ = now_;
 };
 
 Coordinator::Coordinator(Settings settings, std::uint64_t seed, Millis now)
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -7,7 +7,8 @@
 constexpr net::Millis kFirstRequest = 2000;  // ms from connecting to the end of the first request
 constexpr net::Millis kHalfRequest = 2000;   // ms for the rest of a later one, from its first byte
 constexpr net::Millis kSlowReader = 15000;   // ms for a client to take its answer
-constexpr net::Millis kStandIdle = 30000;    // ms between requests
+constexpr net::Millis kStandIdle = 120000;   // ms between requests where there is room ...
+constexpr net::Millis kMayClose = 2000;      // ... and where it is getting short
 constexpr net::Millis kLinger = 1000;  // ms for a client to read its last answer, while more comes from it
 constexpr net::Millis kFresh = 100;    // ms in which a request may still be on its way behind a connection
 constexpr net::Millis kSweep = 200;
@@ -71,17 +72,17 @@
 
   bool idle() const { return query_ == 0 && !parser_.begun() && stream_->unsent() == 0; }
   // Which goes first where another one needs the place; 0: none of it.
-  int worth_shedding(net::Millis now) const {
+  int worth_shedding(net::Millis now, bool full) const {
     if (lingering_) return 4;
     if (query_ != 0 || stream_->unsent() > 0) return 0;
-    if (!asked_) return now - since_ > kFresh ? 3 : 1;
-    return parser_.begun() ? 0 : 2;
+    if (!asked_) return now - since_ > kFresh ? 3 : full ? 1 : 0;
+    return parser_.begun() || (!full && now - since_ < kMayClose) ? 0 : 2;
   }
   bool busy() const { return query_ != 0 || stream_->unsent() > 0; }
   void check(net::Millis now) {
     if (query_ != 0) return;
     if (lingering_ || stream_->unsent() > 0 || (asked_ && !parser_.begun())) {
-      if (now - since_ > (lingering_ ? kLinger : stream_->unsent() > 0 ? kSlowReader : kStandIdle))
+      if (now - since_ > (lingering_ ? kLinger : stream_->unsent() > 0 ? kSlowReader : front_.stand_idle()))
         front_.drop(*this);
     } else if (now > due_) {
       if (!parser_.begun()) return front_.drop(*this);
@@ -174,16 +175,24 @@
   c->look();
   // Within our descriptors: one that only stands there may be closed between requests; else no more are
   // taken.
-  if (connections_.size() >= most_ && !shed()) listener_.pause(kCrowded);
+  bool full = connections_.size() >= most_;
+  if ((full || connections_.size() > roomy()) && !shed(full) && full) listener_.pause(kCrowded);
+}
+
+// Guards against clients that ask once and hold their connection for good: clients have a share of
+// descriptors as we have, and once those hold all of it no other finds a connection, though we could take
+// more.
+net::Millis ClientFront::stand_idle() const {
+  return connections_.size() > roomy() / 2 ? kMayClose : kStandIdle;
 }
 
 // Those that have their last answer first, then those that never asked, then the one idle for longest.
-bool ClientFront::shed() {
+bool ClientFront::shed(bool full) {
   net::Millis now = loop_.now();
   std::shared_ptr<Connection> best;
   int most = 0;
   for (const auto& c : connections_) {
-    int worth = c->worth_shedding(now);
+    int worth = c->worth_shedding(now, full);
     if (worth > most || (worth > 0 && worth == most && c->since() < best->since())) {
       best = c;
       most = worth;
--- a/src/platform/client_front.hpp
+++ b/src/platform/client_front.hpp
@@ -28,7 +28,9 @@
   class Connection;
   void accept(net::UniqueFd fd);
   void drop(Connection& connection);
-  bool shed();
+  bool shed(bool full);
+  net::Millis stand_idle() const;
+  std::size_t roomy() const { return most_ * 5 / 8; }  // above it, room is made
   void list_bad(int status, const std::string& why);
   void sweep();
 
--- a/tests/core_stories.cpp
+++ b/tests/core_stories.cpp
@@ -172,6 +172,23 @@
   CHECK(mallinfo2().uordblks < before + 20000);  // under a sanitizer both are 0
 }
 
+TEST_CASE("the module's log goes on after a bad hour, at a bounded rate") {
+  pewterrill::Settings settings = testing::two_classes();
+  settings.list_on_request = true;
+  pewterrill::Coordinator module(settings, 3, 0);
+  int lines = 0;
+  for (int i = 0; i < 1000; ++i)
+    for (const auto& action :
+         module.handle(i * 1000.0, pewterrill::ServerList{pewterrill::ServerList::Kind::failed, {}}))
+      lines += std::holds_alternative<pewterrill::LogLine>(action);
+  CHECK(lines > 900);
+  for (int i = 0; i < 1000; ++i)
+    for (const auto& action :
+         module.handle(1e6, pewterrill::ServerList{pewterrill::ServerList::Kind::failed, {}}))
+      lines += std::holds_alternative<pewterrill::LogLine>(action);
+  CHECK(lines < 1300);
+}
+
 TEST_CASE("the phases follow each other one way") {
   app::Lifecycle life;
   CHECK(!life.admits());
--- a/tests/platform_stories.cpp
+++ b/tests/platform_stories.cpp
@@ -265,6 +265,20 @@
   CHECK(has(s.ask(*client, Stage::query("p", kTwoParts)), "\"exact\":true"));
 }
 
+TEST_CASE("clients that ask once and hold their connection leave room for others") {
+  Stage s;  // holds 100 connections of clients
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::vector<std::shared_ptr<Peer>> holders;
+  for (int i = 0; i < 70; ++i) {
+    holders.push_back(s.dial());
+    CHECK(has(s.ask(*holders.back(), Stage::query("q" + std::to_string(i), R"({"id":1,"w":1})")), "200 OK"));
+  }
+  s.until([&] { return s.front.connections() < 40; });
+  auto client = s.dial();
+  CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "\"exact\":true"));
+}
+
 TEST_CASE("a client that goes on sending after its error still reads it, and none of that is held") {
   Stage s;
   ScriptedLeaf leaf(s.loop);
