Let newcomers take the place of client connections idle for 250 ms

Checked: 93 new connections a second, each held after its request; within 2 s they use up the clients' share. At fault: client_front.cpp, worth_shedding().

--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -9,6 +9,7 @@
 constexpr net::Millis kSlowReader = 15000;   // ms for a client to take its answer
 constexpr net::Millis kStandIdle = 120000;   // ms between requests where there is room ...
 constexpr net::Millis kMayClose = 2000;      // ... and where it is getting short
+constexpr net::Millis kSpare = 250;          // ms idle: in the way of a newcomer where room is short
 constexpr net::Millis kLinger = 1000;  // ms for a client to read its last answer, while more comes from it
 constexpr net::Millis kFresh = 100;    // ms in which a request may still be on its way behind a connection
 constexpr net::Millis kSweep = 200;
@@ -76,7 +77,7 @@
     if (lingering_) return 4;
     if (query_ != 0 || stream_->unsent() > 0) return 0;
     if (!asked_) return now - since_ > kFresh ? 3 : full ? 1 : 0;
-    return parser_.begun() || (!full && now - since_ < kMayClose) ? 0 : 2;
+    return parser_.begun() || (!full && now - since_ < kSpare) ? 0 : 2;
   }
   bool busy() const { return query_ != 0 || stream_->unsent() > 0; }
   void check(net::Millis now) {
