--- a/include/pewterrill/coordinator.hpp
+++ b/include/pewterrill/coordinator.hpp
@@ -96,6 +96,8 @@
   int shard = 0;
   double weight = 0;             // share of its step; a step's weights sum to 1
   std::optional<double> hint{};  // expected work, milliseconds
+  // The servers that may be asked, by name; none stated: the layout's formula over `shard`.
+  std::optional<std::vector<std::string>> holders{};
 };
 
 // A query with all parts of its first step. The broker now owes it one final answer before `give_up_at`.
@@ -115,7 +117,8 @@
   std::vector<PartSpec> parts{};
 };
 
-enum class Outcome { ok, error, full, timeout, connect_failed, reset, cancelled, unsent };
+// not_mine: the server has not what the part asks for; it never ran there, and nothing is wrong with it.
+enum class Outcome { ok, error, full, timeout, connect_failed, reset, cancelled, unsent, not_mine };
 
 // How an attempt ended; exactly one for each SendPart. Attempts of a part count from 0 in the order sent.
 struct AttemptEnded {
@@ -128,6 +131,20 @@
   std::vector<double> report{};  // by Settings::report_fields; empty: none came
 };
 
+// A part is held by other servers from now on, or by none for the time being (it waits). An attempt that is
+// out goes on.
+struct HoldersChanged {
+  std::string part{};
+  std::vector<std::string> holders{};
+};
+
+// Parts of one query without an attempt out give way to others of the same work, each with its holders. The
+// attempts that the most tried of them has used count for every successor.
+struct PartsReplaced {
+  std::vector<std::string> parts{};
+  std::vector<PartSpec> successors{};
+};
+
 // Streamed classes: the attempt now belongs to the client and can no longer be moved.
 struct AttemptStarted {
   std::string part{};
@@ -155,8 +172,8 @@
   std::string query{};
 };
 
-using Event = std::variant<ServerList, QueryArrived, PartsAdded, AttemptEnded, AttemptStarted, ProbeEnded,
-                           PeerMessage, TimerFired, QueryWithdrawn>;
+using Event = std::variant<ServerList, QueryArrived, PartsAdded, AttemptEnded, HoldersChanged, PartsReplaced,
+                           AttemptStarted, ProbeEnded, PeerMessage, TimerFired, QueryWithdrawn>;
 
 // ---- Actions
 // ------------------------------------------------------------------------------------------------
--- /dev/null
+++ b/src/app/command_line.cpp
@@ -0,0 +1,112 @@
+#include "app/command_line.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "app/check_files.hpp"
+#include "app/ranges_command.hpp"
+#include "app/serve.hpp"
+
+namespace winchhall::app {
+namespace {
+
+constexpr std::size_t kPlanMost = 4096;  // parts, as when serving
+
+int check(const std::vector<std::string>& files) {
+  bool sound = true;
+  for (const std::string& file : files) {
+    Checked c = check_file(file);
+    for (const Fault& fault : c.faults) std::cout << fault.text() << "\n";
+    if (c.faults.empty()) std::cout << file << ": sound (" << c.kind << ")\n";
+    sound = sound && c.faults.empty();
+  }
+  return sound ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int show_plan_of(const std::string& source, const std::vector<std::string>& spans, double hint_us,
+                 bool json) {
+  std::vector<ranges::Span> list;
+  for (const std::string& text : spans) {
+    auto span = parse_span(text);
+    if (!span) throw CLI::ValidationError("--span", "'" + text + "': FROM:TO is wanted, two whole numbers");
+    list.push_back(*span);
+  }
+  std::string why = ranges::spans_fault(list, kPlanMost);
+  if (!why.empty()) throw CLI::ValidationError("--span", why);
+  auto hint = hint_us > 0 ? std::optional(hint_us / 1000) : std::nullopt;
+  auto plan = ranges::plan(load_map(source), list, hint, kPlanMost, why);
+  if (!plan) throw std::runtime_error(why);
+  std::cout << show_plan(*plan, json);
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int run_command(int argc, char** argv) {
+  CLI::App app{"winchhall: an aggregator for queries over sharded records"};
+  app.set_version_flag("--version", std::string("winchhall ") + WINCHHALL_VERSION);
+  app.require_subcommand(1);
+  app.footer("Without a command it serves by its environment: LB_CONFIG, WINCHHALL_OPERATOR, WINCHHALL_LOG.");
+
+  Paths paths;
+  std::string level;
+  CLI::App* serving = app.add_subcommand("serve", "serve queries until SIGTERM");
+  serving->add_option("-c,--config", paths.config, "the platform's configuration (else LB_CONFIG)");
+  serving->add_option("-o,--operator", paths.operator_file, "an operator's file (else WINCHHALL_OPERATOR)");
+  serving->add_option("--log-level", level, "trace, debug, info, warning, error")
+      ->check(CLI::IsMember({"trace", "debug", "info", "warning", "error"}));
+
+  std::vector<std::string> files;
+  CLI::App* checking = app.add_subcommand("check", "look files over; every fault with its line, 1 if any");
+  checking->add_option("FILE", files, "operator files, configurations, maps of ranges")->required();
+
+  CLI::App* maps = app.add_subcommand("ranges", "look at a map of ranges: a file, or a directory's address");
+  maps->require_subcommand(1);
+  std::string source, other, within;
+  std::vector<std::string> spans;
+  double hint_us = 0;
+  bool json = false;
+  CLI::App* show = maps->add_subcommand("show", "print the map");
+  show->add_option("SOURCE", source)->required();
+  show->add_option("--within", within, "only what touches FROM:TO");
+  show->add_flag("--json", json);
+  CLI::App* diff = maps->add_subcommand("diff", "what the second has otherwise; 1 where they differ");
+  diff->add_option("A", source)->required();
+  diff->add_option("B", other)->required();
+  CLI::App* planning = maps->add_subcommand("plan", "the parts of a query over these spans");
+  planning->add_option("SOURCE", source)->required();
+  planning->add_option("--span", spans, "FROM:TO, may be repeated")->required();
+  planning->add_option("--hint-us", hint_us, "work of the whole query in microseconds")
+      ->check(CLI::NonNegativeNumber);
+  planning->add_flag("--json", json);
+
+  try {
+    app.parse(argc, argv);
+    if (!level.empty()) spdlog::set_level(spdlog::level::from_str(level));
+    if (serving->parsed()) {
+      serve(paths);
+      return EXIT_SUCCESS;
+    }
+    if (checking->parsed()) return check(files);
+    if (show->parsed()) {
+      auto span = within.empty() ? std::optional(ranges::Span{0, ranges::kKeyEnd}) : parse_span(within);
+      if (!span) throw CLI::ValidationError("--within", "'" + within + "': FROM:TO is wanted");
+      std::cout << show_map(load_map(source), *span, json);
+      return EXIT_SUCCESS;
+    }
+    if (diff->parsed()) {
+      std::string lines = diff_maps(load_map(source), load_map(other));
+      std::cout << lines;
+      return lines.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
+    return show_plan_of(source, spans, hint_us, json);
+  } catch (const CLI::ParseError& error) {
+    int code = app.exit(error);
+    return code == 0 ? 0 : 2;
+  }
+}
+
+}  // namespace winchhall::app
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -1,5 +1,7 @@
 #include "app/config.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
@@ -208,14 +210,28 @@
 }
 }  // namespace
 
-ConfigFile::ConfigFile() : path_(environment("LB_CONFIG")) {
+ConfigFile::ConfigFile(const Paths& paths)
+    : path_(paths.config.empty() ? environment("LB_CONFIG") : paths.config) {
   if (path_.empty()) throw std::runtime_error("LB_CONFIG is not set");
   config_ = parse_config(read_file(path_));
   discovery_in_file_ = config_.discovery;
   if (auto v = environment("LB_NAME"); !v.empty()) config_.name = v;
   if (auto v = environment("LB_LISTEN"); !v.empty()) config_.listen = v;
   if (auto v = environment("LB_DISCOVERY"); !v.empty()) config_.discovery = v;
-  if (auto v = environment("WINCHHALL_FLIGHT"); !v.empty()) parse_flight_config(read_file(v), config_.flight);
+  std::string ops = paths.operator_file.empty() ? environment("WINCHHALL_OPERATOR") : paths.operator_file;
+  if (!ops.empty()) read_operator(ops);
+  if (auto v = environment("WINCHHALL_FLIGHT"); !v.empty()) {
+    if (!ops.empty())
+      throw std::runtime_error("WINCHHALL_FLIGHT and an operator's file: one of them is wanted");
+    spdlog::warn("WINCHHALL_FLIGHT is an old form: put it into an operator's file, see deploy/edge.xml");
+    parse_flight_config(read_file(v), config_.ops.flight);
+  }
+}
+
+void ConfigFile::read_operator(const std::string& path) {
+  std::vector<Fault> faults = read_operator_file(path, config_.ops);
+  for (std::size_t i = 0; i + 1 < faults.size(); ++i) spdlog::error("{}", faults[i].text());
+  if (!faults.empty()) throw std::runtime_error(faults.back().text());
 }
 
 void ConfigFile::reload() {
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -5,16 +5,11 @@
 #include <string>
 #include <vector>
 
+#include "app/operator_file.hpp"
 #include "core/exchange.hpp"
 
 namespace winchhall::app {
 
-struct FlightConfig {  // the second front; off unless an operator's file sets it up
-  bool enabled = false;
-  std::string listen{};  // where Flight clients connect
-  bool nodes = false;    // ledger nodes are called over Flight too
-};
-
 struct Config {
   std::string name{}, listen{}, discovery{};
   std::uint64_t seed = 0;
@@ -28,24 +23,31 @@
   int streams_per_conn = 1;      // parts on one connection
   double conn_idle = 30000;      // ms
   double connect_timeout = 250;  // ms
-  FlightConfig flight{};
+  OperatorSettings ops{};        // beyond the platform
 };
 
 // Throws std::runtime_error with a plain message where the text, as a whole, is no configuration.
 Config parse_config(const std::string& text);
 void parse_flight_config(const std::string& text, FlightConfig& flight);
 
+// Where the files are; what is empty is taken from the environment: LB_CONFIG, WINCHHALL_OPERATOR.
+struct Paths {
+  std::string config{}, operator_file{};
+};
+
 // The file that LB_CONFIG names. Read at the start, when environment variables LB_* win over it, and again
 // when an operator asks for that.
 class ConfigFile {
  public:
-  ConfigFile();  // throws std::runtime_error
+  explicit ConfigFile(const Paths& paths = {});  // throws std::runtime_error
   const Config& config() const { return config_; }
   // Takes over what may change in a running program, which is discovery's address. Throws std::runtime_error
   // and leaves all as it was where any of the file cannot be used.
   void reload();
 
  private:
+  void read_operator(const std::string& path);
+
   std::string path_, discovery_in_file_;
   Config config_;
 };
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,167 @@
+#include "app/serve.hpp"
+
+#include <signal.h>
+#include <spdlog/spdlog.h>
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <exception>
+#include <memory>
+#include <stdexcept>
+
+#include "app/lifecycle.hpp"
+#include "core/exchange.hpp"
+#include "flight/flight_pool.hpp"
+#include "flight/flight_server.hpp"
+#include "net/loop.hpp"
+#include "platform/client_front.hpp"
+#include "platform/discovery.hpp"
+#include "platform/leaf_pool.hpp"
+#include "platform/range_directory.hpp"
+
+namespace winchhall::app {
+namespace {
+
+sockaddr_in address(const std::string& text, const char* what) {
+  auto a = net::parse_address(text);
+  if (!a) throw std::runtime_error(std::string("no address to ") + what + ": '" + text + "'");
+  return *a;
+}
+
+void reload(ConfigFile& file, platform::Discovery& discovery) {
+  try {
+    file.reload();
+    discovery.move(file.config().discovery);
+    spdlog::info("configuration read again: discovery at {}, the rest counts from the next start",
+                 file.config().discovery);
+  } catch (const std::exception& error) {
+    // Guards against a file that is half there, or spoilt: an aggregator that runs is never ended by it.
+    spdlog::error("configuration not taken over, the old one stays: {}", error.what());
+  }
+}
+
+void log_ranges(const core::Exchange& exchange, const platform::RangeDirectory& directory) {
+  const auto& moves = exchange.moves();
+  const auto& asked = directory.figures();
+  spdlog::info(
+      "ranges: revision {} of {} ranges; parts replaced {} joined {} elsewhere {} held back {} denied {} "
+      "dropped {}; directory asked {} taken {} refused {} broken {}",
+      ranges::text_of(exchange.map().revision()), exchange.map().size(), moves.replaced, moves.joined,
+      moves.elsewhere, moves.held_back, moves.denied, moves.dropped, asked.asked, asked.taken, asked.refused,
+      asked.broken);
+}
+
+}  // namespace
+
+void serve(const Paths& paths) {
+  // Before all else: a SIGHUP that finds no handler ends the program.
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  net::UniqueFd signal_fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+  ConfigFile file(paths);
+  const Config config = file.config();
+  if (!config.known_read) spdlog::warn("the configuration's last list of servers cannot be read");
+  Lifecycle life;
+  net::Loop loop;
+
+  core::Exchange exchange(
+      config.settings, config.seed, [&] { return loop.now(); },
+      [](const std::string& line) { spdlog::info("policy: {}", line); });
+  // One set of decisions, whatever wire the nodes speak: an operator's file says which.
+  std::unique_ptr<platform::LeafPool> leafs;
+  std::unique_ptr<flight::FlightPool> nodes;
+  platform::LeafLimits limits;
+  limits.batch = static_cast<std::size_t>(config.batch);
+  limits.streams = static_cast<std::size_t>(config.streams_per_conn);
+  limits.connect_timeout = config.connect_timeout;
+  limits.idle = config.conn_idle;
+  limits.connections = config.sockets * 2 / 5;
+  const FlightConfig& flight_config = config.ops.flight;
+  const bool spans = config.ops.ranges.enabled;
+  limits.spans = spans;
+  if (flight_config.enabled && flight_config.nodes)
+    nodes = std::make_unique<flight::FlightPool>(
+        loop, exchange,
+        flight::NodeLimits{limits.streams, limits.connect_timeout, limits.idle, limits.connections});
+  else
+    leafs = std::make_unique<platform::LeafPool>(loop, exchange, limits);
+  core::Carrier& carrier = nodes ? static_cast<core::Carrier&>(*nodes) : *leafs;
+  platform::Discovery discovery(loop, exchange, config.discovery, config.known_revision,
+                                config.connect_timeout);
+  loop.add(signal_fd.get(), POLLIN, [&](short) {
+    signalfd_siginfo info;
+    while (read(signal_fd.get(), &info, sizeof info) == sizeof info) {
+      if (info.ssi_signo == SIGHUP) {
+        reload(file, discovery);
+        continue;
+      }
+      life.terminate(loop.now());
+      spdlog::info("phase {}", life.name());
+    }
+  });
+  std::unique_ptr<platform::RangeDirectory> directory;
+  if (spans)
+    directory = std::make_unique<platform::RangeDirectory>(
+        loop, exchange, config.ops.ranges.directory,
+        platform::RangeDirectory::Limits{config.ops.ranges.most, config.ops.ranges.connect_timeout},
+        config.seed);
+  exchange.attach(carrier, discovery, directory.get());
+  exchange.start(config.known);
+  if (directory) directory->start();
+  platform::ClientFront front(loop, exchange, address(config.listen, "listen on"),
+                              {exchange.settings(), config.shards, spans}, config.sockets * 4 / 10,
+                              [&] { return life.admits(); });
+  std::unique_ptr<flight::FlightServer> analysts;
+  if (flight_config.enabled) {
+    analysts =
+        std::make_unique<flight::FlightServer>(loop, exchange, address(flight_config.listen, "listen on"),
+                                               config.shards, config.seed, config.sockets / 10, spans);
+    spdlog::info("Flight on port {} of {}, nodes over {}", analysts->port(), flight_config.listen,
+                 nodes ? "Flight" : "frames");
+  }
+  spdlog::info("{} listens on port {} of {}, {} servers known", config.name, front.port(), config.listen,
+               config.known.size());
+
+  constexpr net::Millis kFiguresEvery = 10000;
+  net::Millis figures_at = loop.now() + kFiguresEvery;
+  bool winding = false;
+  while (life.phase() != Phase::Stopped) {
+    net::Millis now = loop.now();
+    loop.turn(std::clamp(exchange.next_due() - now, 0.0, 500.0));
+    exchange.run();
+    now = loop.now();
+    // Where ranges move, a map is wanted as well: a query without one can only be refused.
+    if (life.phase() == Phase::Starting && exchange.known_servers() > 0 &&
+        (!spans || !exchange.map().empty())) {
+      life.serving();
+      spdlog::info("phase {}", life.name());
+    }
+    if (!winding && life.closing(now)) {
+      front.wind_down();
+      front.stop_listening();
+      if (analysts) analysts->wind_down();
+      if (analysts) analysts->stop_listening();
+      winding = true;
+    }
+    if (winding && exchange.open_queries() == 0 && !front.busy() && !(analysts && analysts->busy()))
+      life.idle(now);
+    if (now >= figures_at) {
+      figures_at = now + kFiguresEvery;
+      for (std::size_t i = 0; i < exchange.figures().size(); ++i) {
+        const core::Figures& f = exchange.figures()[i];
+        spdlog::info("figures {}: taken {} whole {} partial {} refused {} failed {} withdrawn {} attempts {}",
+                     exchange.settings().classes[i].name, f.taken, f.whole, f.partial, f.refused, f.failed,
+                     f.withdrawn, f.attempts);
+      }
+      spdlog::info("open: queries {} attempts {} clients {} leafs {}", exchange.open_queries(),
+                   exchange.attempts_out(), front.connections(),
+                   leafs ? leafs->connections() : nodes->connections());
+      if (directory) log_ranges(exchange, *directory);
+    }
+  }
+  spdlog::info("phase {}", life.name());
+}
+
+}  // namespace winchhall::app
--- /dev/null
+++ b/src/app/serve.hpp
@@ -0,0 +1,11 @@
+// The serving program: wiring of core, fronts, carriers and sources, from start to exit.
+#pragma once
+
+#include "app/config.hpp"
+
+namespace winchhall::app {
+
+// Returns when the program was asked to end and has. Throws std::runtime_error where it can't begin.
+void serve(const Paths& paths);
+
+}  // namespace winchhall::app
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,6 +41,7 @@
 constexpr double kMoveShare = 0.1;  // of first attempts may be repeated for lateness: it must not feed itself
 constexpr double kMoveMost = 5;     // saved up at most: one query's parts
 constexpr double kLeastFit = 0.5;   // x mean response: with less time left a part is not sent any more
+constexpr Millis kMoment = 60;      // ms: a server that hears of a change later than others has heard of it
 constexpr Millis kRestart = 1500;   // ms: a process that fell does not answer again sooner
 constexpr std::size_t kFellMany = 2;   // servers lost under one query before its parts go one at a time
 constexpr Millis kSuspectFor = 60000;  // ms of wariness after a felling query: its clients ask again
@@ -94,11 +95,12 @@
 struct Attempt {
   int server = -1;
   Millis sent = 0;
-  double cost = 0;       // what it added to its server's sum
-  double ahead = 0;      // the sum it was placed at, itself included
-  bool out = true;       // no outcome yet
-  bool moving = false;   // cancelled by us
-  bool started = false;  // its stream belongs to the client
+  double cost = 0;         // what it added to its server's sum
+  double ahead = 0;        // the sum it was placed at, itself included
+  bool out = true;         // no outcome yet
+  bool moving = false;     // cancelled by us
+  bool started = false;    // its stream belongs to the client
+  Millis denied = kNever;  // when the server said that it has not what was asked for
 };
 
 struct Part {
@@ -106,7 +108,9 @@
   int query = -1;  // number of its query
   int shard = 0, step = 1;
   double weight = 0, hint = 0;
-  bool spare = false;  // not needed as things stand
+  std::optional<std::vector<std::string>> holders;  // by name, where stated
+  int used = 0;                                     // attempts of the parts that this one came from
+  bool spare = false;                               // not needed as things stand
   bool done = false;
   bool dead = false;  // no further attempt is possible
   int resets = 0;
@@ -114,6 +118,7 @@
   Millis first_maybe = 0;  // sending time of the first attempt that may have run
   std::vector<Attempt> attempts;
   bool out() const { return !attempts.empty() && attempts.back().out; }
+  int tries() const { return used + static_cast<int>(attempts.size()); }
 };
 
 struct Query {
@@ -351,19 +356,31 @@
     return 0;
   }
 
+  // One that has not what it was asked for is asked again only when it may have heard of the change.
+  bool denied_lately(int server, const Part& p) const {
+    for (const Attempt& a : p.attempts)
+      if (a.server == server && now_ - a.denied < kMoment * static_cast<double>(p.attempts.size()))
+        return true;
+    return false;
+  }
+
   int choose(const Part& p, int c, int most_distrust = 3) {
     int best = -1, best_distrust = most_distrust, ties = 0;
     double best_cost = 0;
-    for (std::size_t i = 0; i < servers_.size(); ++i) {
+    for (std::size_t k = 0; k < (p.holders ? p.holders->size() : servers_.size()); ++k) {
+      auto named = p.holders ? by_name_.find((*p.holders)[k]) : by_name_.end();
+      if (p.holders && named == by_name_.end()) continue;
+      int i = p.holders ? named->second : static_cast<int>(k);
       Server& s = servers_[i];
-      if (s.state != ServerState::ready || !holds(s, p.shard)) continue;  // Rule: drains
+      if (s.state != ServerState::ready || (!p.holders && !holds(s, p.shard))) continue;  // Rule: drains
+      if (denied_lately(i, p)) continue;
       if (!cold_allows(s, std::max(p.hint, mean_hint(c)))) continue;
       int d = distrust(s, p, c);
       double x = cost(s, c, p.hint);
       if (d > best_distrust || (best >= 0 && d == best_distrust && x > best_cost)) continue;
       if (d < best_distrust || x < best_cost) ties = 0;
       ++ties;
-      if (ties == 1 || std::uniform_int_distribution<>(1, ties)(random_) == 1) best = static_cast<int>(i);
+      if (ties == 1 || std::uniform_int_distribution<>(1, ties)(random_) == 1) best = i;
       best_distrust = d;
       best_cost = x;
     }
@@ -395,7 +412,7 @@
 
   // Rule: no effect twice. May this part be sent (again) now?
   bool repeat_allowed(const Part& p, const ClassSettings& c) const {
-    if (p.out() || static_cast<int>(p.attempts.size()) >= std::max(1, set_.max_attempts)) return false;
+    if (p.out() || p.tries() >= std::max(1, set_.max_attempts)) return false;
     if (!p.may_have_run || c.repeat == Repeat::safe) return true;
     return c.repeat == Repeat::keyed && now_ + set_.tick < p.first_maybe + c.repeat_window;
   }
@@ -441,8 +458,8 @@
     Attempt& a = p.attempts.back();
     Server& s = servers_[a.server];
     const ClassSettings& c = set_.classes[q.query_class];
-    if (p.attempts.size() > 1 && set_.budget) further_.push_back(now_);
-    if (p.attempts.size() == 1) moves_saved_ = std::min(moves_saved_ + kMoveShare, kMoveMost);
+    if (p.tries() > 1 && set_.budget) further_.push_back(now_);
+    if (p.tries() == 1) moves_saved_ = std::min(moves_saved_ + kMoveShare, kMoveMost);
     if (s.started && now_ - *s.started < set_.cold_time)
       s.cold_sent.emplace_back(now_, std::max(p.hint, mean_hint(q.query_class)));
     Millis timeout = useful_until(q) - now_;
@@ -461,7 +478,7 @@
     }
     if (useful_until(q) - now_ < kLeastFit * learned_[q.query_class].response.mean) return false;
     if (q.cautious && q.outstanding > 0) return false;
-    if (!p.attempts.empty() && !budget_allows()) return false;
+    if (p.tries() > 0 && !budget_allows()) return false;
     // A further attempt is not spent on a server that fails at once before it had time to mend.
     bool soon = !p.attempts.empty() && now_ - p.attempts.back().sent < kRest;
     if (!place(p, q.query_class, soon ? 2 : 3)) return false;
@@ -510,8 +527,55 @@
       p.step = q.step;
       p.weight = sound(spec.weight) ? spec.weight : 0;
       p.hint = take_hint(q.query_class, spec.hint);
+      p.holders = spec.holders;
+      if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
+    }
+  }
+
+  // Rule: three attempts a part at most. Ranges that split or merge don't give their parts new ones.
+  void on(const PartsReplaced& e) {
+    Part heir;
+    for (const std::string& id : e.parts) {
+      auto it = parts_.find(id);
+      if (it == parts_.end() || it->second.out() || it->second.done) return;
+      const Part& p = it->second;
+      heir.query = p.query;
+      heir.step = p.step;
+      heir.used = std::max(heir.used, p.tries());
+      heir.resets = std::max(heir.resets, p.resets);
+      heir.spare = p.spare;
+      heir.dead |= p.dead;
+      if (p.may_have_run && (!heir.may_have_run || p.first_maybe < heir.first_maybe))
+        heir.first_maybe = p.first_maybe;
+      heir.may_have_run |= p.may_have_run;
+    }
+    auto found = queries_.find(heir.query);
+    if (found == queries_.end() || found->second.ended || found->second.step != heir.step) return;
+    Query& q = found->second;
+    for (const std::string& id : e.parts) {
+      parts_.erase(id);
+      std::erase(q.parts, id);
+    }
+    for (const PartSpec& spec : e.successors) {
+      Part p = heir;
+      p.id = spec.part;
+      p.weight = sound(spec.weight) ? spec.weight : 0;
+      p.hint = spec.hint && sound(*spec.hint) ? *spec.hint : mean_hint(q.query_class);
+      p.holders = spec.holders;
       if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
     }
+    for (const PartSpec& spec : e.successors)
+      if (Part& p = parts_.at(spec.part); !p.spare && !q.awaiting_step) try_part(q, p);
+    settle(heir.query);
+  }
+
+  void on(const HoldersChanged& e) {
+    auto it = parts_.find(e.part);
+    if (it == parts_.end() || queries_.at(it->second.query).ended) return;
+    Part& p = it->second;
+    Query& q = queries_.at(p.query);
+    p.holders = e.holders;
+    if (!p.spare && !q.awaiting_step && p.step == q.step) try_part(q, p);
   }
 
   std::vector<Part*> step_parts(const Query& q) {
@@ -695,8 +759,9 @@
     release(a);
     Query& q = queries_.at(p.query);
     --q.outstanding;
-    bool never_ran =
-        e.outcome == Outcome::full || e.outcome == Outcome::connect_failed || e.outcome == Outcome::unsent;
+    bool never_ran = e.outcome == Outcome::full || e.outcome == Outcome::connect_failed ||
+                     e.outcome == Outcome::unsent || e.outcome == Outcome::not_mine;
+    if (e.outcome == Outcome::not_mine) a.denied = servers_[a.server].last_answer = now_;
     if (!never_ran && !p.may_have_run) {
       p.may_have_run = true;
       p.first_maybe = a.sent;
@@ -795,6 +860,7 @@
       case Outcome::connect_failed:
         explain_cut(s, true);
         return strike(s, s.health, kStrikes, "no connection: ", true);
+      case Outcome::not_mine:
       case Outcome::unsent:
         return;
     }
@@ -879,7 +945,7 @@
       Attempt& a = p->attempts.back();
       if (now_ - a.sent <= patience(q.query_class)) continue;
       if (start_spare(q) || !set_.may_cancel || c.repeat == Repeat::unsafe) continue;
-      if (static_cast<int>(p->attempts.size()) >= set_.max_attempts || !budget_allows()) continue;
+      if (p->tries() >= set_.max_attempts || !budget_allows()) continue;
       const Server& s = servers_[a.server];
       if (s.last_answer >= a.sent && !s.by_class[q.query_class].aside) continue;
       if (useful_until(q) - now_ < learned_[q.query_class].response.mean) continue;
@@ -917,7 +983,6 @@
   }
   void on(const ProbeEnded& e) { take_report(e.server, e.report); }
   void on(const PeerMessage&) {}
-
   void act(Action a) { actions_.push_back(std::move(a)); }
   void log(const std::string& text) {
     log_left_ = std::min(kLogLines, log_left_ + kLogPerSecond * (now_ - logged_at_) / 1000);
--- a/src/core/check.cpp
+++ b/src/core/check.cpp
@@ -5,11 +5,12 @@
 #include <set>
 
 namespace winchhall::core {
-namespace {
-constexpr std::size_t kPartsMost = 4096;
-}
-
 std::string unsound(const QuerySpec& q, int shards) {
+  if (!q.spans.empty()) {
+    if (!q.parts.empty()) return "both parts and spans";
+    if (q.hint && (!std::isfinite(*q.hint) || *q.hint < 0)) return "a hint";
+    return ranges::spans_fault(q.spans, kSpansMost);
+  }
   if (q.parts.empty() || q.parts.size() > kPartsMost) return "parts";
   std::set<int> seen;
   double sum = 0;
--- a/src/core/check.hpp
+++ b/src/core/check.hpp
@@ -7,6 +7,8 @@
 
 namespace winchhall::core {
 
+constexpr std::size_t kPartsMost = 4096;  // of one query
+constexpr std::size_t kSpansMost = 1024;  // of one query: as many fit into a body
 constexpr Millis kWayBack = 15;  // ms of a client's time spent on the way here and left for the way back
 
 // Shards that exist and come once, weights that are a share each and sum to 1, hints that are figures.
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -5,9 +5,22 @@
 #include <limits>
 #include <utility>
 
+#include "core/check.hpp"
+
 namespace winchhall::core {
 
 using namespace pewterrill;
+using ranges::Decision;
+using ranges::OpenPart;
+using ranges::PlannedPart;
+using ranges::RangeMap;
+
+namespace {
+// ms that a part waits for the directory once its server told of a later map: a question and its answer on
+// a slow link. Other holders of the old map would most likely say the same, and each saying costs an attempt.
+constexpr Millis kWord = 150;
+constexpr double kShareSlack = 1e-4;  // of sums of shares, by rounding; the rule allows as much
+}  // namespace
 
 Exchange::Exchange(Settings settings, std::uint64_t seed, std::function<Millis()> clock,
                    std::function<void(const std::string&)> log)
@@ -17,9 +30,10 @@
       coordinator_(settings_, seed, clock_()),
       figures_(settings_.classes.size()) {}
 
-void Exchange::attach(Carrier& carrier, MembershipSource& members) {
+void Exchange::attach(Carrier& carrier, MembershipSource& members, RangeSource* range_source) {
   carrier_ = &carrier;
   members_ = &members;
+  range_source_ = range_source;
 }
 
 void Exchange::start(const std::vector<Member>& known) {
@@ -38,7 +52,7 @@
   q.arrived = clock_();
   q.sink = std::move(sink);
   q.text = std::make_shared<const std::string>(std::move(spec.text));
-  for (const QueryPart& p : spec.parts) q.parts.push_back({p, false, {}, {}});
+  for (const QueryPart& p : spec.parts) q.parts.push_back({.spec = p});
   q.spec = std::move(spec);
   Figures& f = figures_[q.spec.query_class];
   ++f.taken;
@@ -46,11 +60,16 @@
   ++open_;
   // The site's limit on what is held: one more is turned away before the module sees it.
   bool full = settings_.max_open > 0 && held_ >= static_cast<std::size_t>(settings_.max_open);
-  held_ += 1 + q.parts.size();
-  if (full) {
-    inbox_.push_back([this, number] {
-      finish(number, {.kind = Verdict::Kind::refused,
-                      .retry_after = settings_.retry_after_heard ? settings_.max_retry_after : 0});
+  bool later = true;
+  std::string why = full ? "as many queries as may be held are open" : "";
+  if (!full && !q.spec.spans.empty()) why = plan(q, later);
+  q.held = 1 + q.parts.size();
+  held_ += q.held;
+  if (!why.empty()) {
+    inbox_.push_back([this, number, later, why] {
+      finish(number, {.kind = later ? Verdict::Kind::refused : Verdict::Kind::unfit,
+                      .retry_after = settings_.retry_after_heard ? settings_.max_retry_after : 0,
+                      .why = why});
     });
     return number;
   }
@@ -68,13 +87,27 @@
     e.key = state.spec.key;
     for (std::size_t i = 0; i < state.parts.size(); ++i) {
       const QueryPart& p = state.parts[i].spec;
-      e.parts.push_back({part_id(number, i), p.shard, p.weight, p.hint});
+      e.parts.push_back({part_id(number, i), p.shard, p.weight, p.hint, {}});
+      if (const auto& planned = state.parts[i].planned)
+        e.parts.back().holders = ranges::serving(*planned->holders);
     }
     handle(e);
+    // Guards against a map that came between planning and here: nobody would tell this query of it.
+    if (state.coverage && state.sink && state.parts[0].planned->revision != map_.revision()) replan(number);
   });
   return number;
 }
 
+std::string Exchange::plan(QueryState& q, bool& later) {
+  std::string why;
+  auto plan = ranges::plan(map_, q.spec.spans, q.spec.hint, kPartsMost, why);
+  later = map_.empty();
+  if (!plan) return why;
+  for (const PlannedPart& p : plan->parts) q.parts.push_back({.spec = {0, p.weight, p.hint}, .planned = p});
+  q.coverage = std::move(plan->coverage);
+  return "";
+}
+
 void Exchange::withdraw(QueryNumber number) {
   inbox_.push_back([this, number] {
     auto it = queries_.find(number);
@@ -82,7 +115,7 @@
     ++figures_[it->second.spec.query_class].withdrawn;
     it->second.sink = nullptr;
     --open_;
-    held_ -= 1 + it->second.parts.size();
+    held_ -= it->second.held;
     query_ends_.erase({it->second.spec.give_up_at, number});
     handle(QueryWithdrawn{std::to_string(number)});
     settle(number);
@@ -129,6 +162,102 @@
   });
 }
 
+// ---- Moving ranges
+
+void Exchange::remap(RangeMap map) {
+  inbox_.push_back([this, m = std::move(map)] {
+    map_ = m;
+    for (auto& [number, q] : queries_)
+      if (q.sink && q.coverage) replan(number);
+  });
+}
+
+OpenPart Exchange::open_part(const QueryState& q, std::size_t part) {
+  const PartState& p = q.parts[part];
+  return {part, p.out > 0, *p.planned};
+}
+
+void Exchange::replan(QueryNumber number) {
+  QueryState& q = queries_.at(number);
+  std::vector<OpenPart> open;
+  for (std::size_t i = 0; i < q.parts.size(); ++i)
+    if (!q.parts[i].in && !q.parts[i].replaced) open.push_back(open_part(q, i));
+  if (open.empty()) return;
+  for (const Decision& d : ranges::replan(map_, *q.coverage, std::move(open))) {
+    if (!q.sink) return;  // the module has ended it meanwhile
+    carry_out(number, d);
+  }
+}
+
+void Exchange::carry_out(QueryNumber number, const Decision& d) {
+  QueryState& q = queries_.at(number);
+  PartState& p = q.parts[d.parts[0]];
+  switch (d.kind) {
+    case Decision::Kind::keep:
+      if (p.held_back) holders(number, d.parts[0], false);
+      return;
+    case Decision::Kind::hold_back:
+      if (p.held_back) return;
+      ++moves_.held_back;
+      return holders(number, d.parts[0], true);
+    case Decision::Kind::elsewhere:
+      ++moves_.elsewhere;
+      p.planned = d.successors[0];
+      return holders(number, d.parts[0], false);
+    case Decision::Kind::replace:
+    case Decision::Kind::join:
+      ++(d.kind == Decision::Kind::join ? moves_.joined : moves_.replaced);
+      return replace(number, d);
+  }
+}
+
+void Exchange::holders(QueryNumber number, std::size_t part, bool held_back) {
+  PartState& p = queries_.at(number).parts[part];
+  p.held_back = held_back;
+  HoldersChanged e{part_id(number, part), {}};
+  if (!held_back) e.holders = ranges::serving(*p.planned->holders);
+  handle(e);
+}
+
+void Exchange::replace(QueryNumber number, const Decision& d) {
+  QueryState& q = queries_.at(number);
+  PartsReplaced e;
+  for (std::size_t part : d.parts) {
+    q.parts[part].replaced = true;
+    e.parts.push_back(part_id(number, part));
+  }
+  for (const PlannedPart& s : d.successors) {
+    e.successors.push_back(
+        {part_id(number, q.parts.size()), 0, s.weight, s.hint, ranges::serving(*s.holders)});
+    q.parts.push_back({.spec = {0, s.weight, s.hint}, .planned = s});
+    ++q.held;
+    ++held_;
+  }
+  handle(e);
+}
+
+// A server has not what the part asks for. First, before the module hears that the attempt is over: whom it
+// may ask next. Then, when it has heard: what takes the part's place.
+void Exchange::denied(QueryNumber number, std::size_t part, const Result& r, bool heard) {
+  QueryState& q = queries_.at(number);
+  if (!q.sink) return;
+  PartState& p = q.parts[part];
+  auto answer = ranges::not_mine(map_, *q.coverage, open_part(q, part), r.denial);
+  if (heard) {
+    if (answer.decision && answer.decision->kind == Decision::Kind::replace)
+      carry_out(number, *answer.decision);
+    return;
+  }
+  ++moves_.denied;
+  if (answer.ask_directory && range_source_) range_source_->refresh();
+  if (answer.decision && answer.decision->kind == Decision::Kind::elsewhere)
+    return carry_out(number, *answer.decision);
+  bool wait = answer.ask_directory && r.denial.revision > map_.revision() && range_source_;
+  if (!answer.decision && !wait) return;  // another holder, or the same one in a moment
+  if (!p.held_back) holders(number, part, true);
+  if (!answer.decision) word_due_.insert({clock_() + kWord, {number, part}});
+}
+
 // ---- The driver
 
 void Exchange::run() {
@@ -149,6 +278,14 @@
       timers_.erase(timers_.begin());
       handle(TimerFired{tag});
     }
+    while (!word_due_.empty() && word_due_.begin()->first <= now) {
+      auto [number, part] = word_due_.begin()->second;
+      word_due_.erase(word_due_.begin());
+      auto it = queries_.find(number);
+      if (it == queries_.end() || !it->second.sink) continue;
+      const PartState& p = it->second.parts[part];
+      if (p.held_back && !p.replaced && !p.in && p.out == 0) holders(number, part, false);
+    }
     // One final answer, always: the module ends its queries earlier than this.
     while (!query_ends_.empty() && query_ends_.begin()->first <= now) {
       QueryNumber number = query_ends_.begin()->second;
@@ -167,6 +304,7 @@
   if (!timers_.empty()) due = std::min(due, timers_.begin()->first);
   if (!attempt_ends_.empty()) due = std::min(due, attempt_ends_.begin()->first);
   if (!query_ends_.empty()) due = std::min(due, query_ends_.begin()->first);
+  if (!word_due_.empty()) due = std::min(due, word_due_.begin()->first);
   return due;
 }
 
@@ -216,16 +354,28 @@
   PartState& p = q.parts.at(index);
   AttemptNumber attempt = next_attempt_++;
   Millis now = clock_();
-  AttemptState state{number, index, static_cast<int>(p.attempts.size()), a.server, now, now + a.timeout};
+  AttemptState state{number, index, static_cast<int>(p.attempts.size()), a.server, now, now + a.timeout, {}};
   p.attempts.push_back(attempt);
   ++q.out;
   ++figures_[q.spec.query_class].attempts;
+  ++p.out;
+  if (p.planned) {
+    state.revision = p.planned->revision;
+    q.coverage->sent(p.planned->span);
+  }
   attempt_ends_.insert({state.until, attempt});
   attempts_[attempt] = state;
   auto known = servers_.find(a.server);
   if (known == servers_.end()) return attempt_ended(attempt, {.outcome = Outcome::unsent});
-  carrier_->launch({attempt, a.server, known->second.endpoint, q.spec.id + "." + std::to_string(p.spec.shard),
-                    p.spec.shard, state.until, q.text});
+  Order order{attempt, a.server, known->second.endpoint, {}, p.spec.shard, state.until, q.text, {}, 0, {}};
+  if (p.planned) {
+    order.span = p.planned->span;
+    order.range = p.planned->range;
+    order.revision = p.planned->revision;
+  }
+  // A span's part is named by its place in the query: its range may have a part before and after it is split.
+  order.part = q.spec.id + (p.planned ? ".r" + std::to_string(index) : "." + std::to_string(p.spec.shard));
+  carrier_->launch(order);
 }
 
 void Exchange::finish_attempt(AttemptNumber attempt, Result r) {
@@ -236,23 +386,60 @@
   attempt_ends_.erase({a.until, attempt});
   QueryState& q = queries_.at(a.query);
   --q.out;
+  --q.parts[a.part].out;
   bool open = static_cast<bool>(q.sink), ok = r.outcome == Outcome::ok;
+  if (q.coverage && open) ok = spans_ended(q, a, r);
   if (ok && open) {
     q.parts[a.part].in = true;
     q.parts[a.part].values = std::move(r.values);
   }
+  bool denies = q.coverage && open && r.outcome == Outcome::not_mine;
+  if (denies) denied(a.query, a.part, r, false);
   handle(AttemptEnded{part_id(a.query, a.part), a.count, a.server, r.outcome, clock_() - a.sent, ok || !open,
                       report(r.load)});
+  const PartState& p = q.parts[a.part];
+  if (denies && q.sink && p.out == 0) denied(a.query, a.part, r, true);
+  // Its range was split or merged while it was out: now that it has no answer, its successors are asked.
+  if (p.held_back && !p.replaced && !denies && q.sink) replan(a.query);
   settle(a.query);
 }
 
+// True where the answer counts.
+bool Exchange::spans_ended(QueryState& q, const AttemptState& a, Result& r) {
+  PartState& p = q.parts[a.part];
+  if (r.outcome != Outcome::ok) {
+    if (p.out == 0) q.coverage->back(p.planned->span);
+    return false;
+  }
+  p.answered = a.revision;
+  if (q.coverage->take(p.planned->span)) return true;
+  ++moves_.dropped;
+  log_("an answer dropped: some of its accounts are in already");
+  r.outcome = Outcome::error;
+  return false;
+}
+
 Verdict Exchange::answer(const QueryState& q, bool whole) const {
   Verdict v{.kind = Verdict::Kind::answered, .whole = whole};
   for (const PartState& p : q.parts)
     if (p.in) {
       v.share += p.spec.weight;
-      v.rows.push_back({p.spec.shard, p.values});
+      v.rows.push_back({p.spec.shard, p.values, {}, {}});
+      if (!p.planned) continue;
+      v.rows.back().span = p.planned->span;
+      v.rows.back().revision = p.answered;
     }
+  if (!q.coverage) return v;
+  // Shares of accounts are counted on accounts. The module's sums say the same; this is the last look.
+  v.share = q.coverage->in_share();
+  v.whole = whole && q.coverage->whole();
+  const ClassSettings& c = settings_.classes[q.spec.query_class];
+  if (whole != v.whole || v.share < c.floor - kShareSlack) {
+    log_("an answer of less than it is called");
+    if (v.share < c.floor - kShareSlack) return {.why = "the answer held less than its least share"};
+  }
+  std::sort(v.rows.begin(), v.rows.end(),
+            [](const Row& a, const Row& b) { return a.span.from < b.span.from; });
   return v;
 }
 
@@ -270,7 +457,7 @@
     f.worth_earned += worth * (clock_() - q.arrived <= c.aim ? 1 : c.late_worth);
   }
   --open_;
-  held_ -= 1 + q.parts.size();
+  held_ -= q.held;
   query_ends_.erase({q.spec.give_up_at, number});
   Sink sink = std::exchange(q.sink, nullptr);
   sink(std::move(v));
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "pewterrill/coordinator.hpp"
+#include "ranges/replan.hpp"
 
 namespace winchhall::core {
 
@@ -37,19 +38,26 @@
   std::optional<std::uint64_t> key{};
   std::string text{};  // what every part carries, unchanged
   std::vector<QueryPart> parts{};
+  // Instead of parts: the accounts it is about. They are cut into parts by the map of ranges, and cut anew
+  // when ranges move while it runs.
+  std::vector<ranges::Span> spans{};
+  std::optional<Millis> hint{};  // spans: expected work of all
 };
 
 struct Row {
   int shard = 0;
   std::vector<std::string> values{};  // as the server gave them
+  ranges::Span span{};                // empty: by shard
+  ranges::Revision revision{};        // of the map that the server was asked under
 };
 
 struct Verdict {
-  enum class Kind { answered, refused, failed } kind = Kind::failed;
+  enum class Kind { answered, refused, failed, unfit } kind = Kind::failed;  // unfit: nobody could answer it
   bool whole = false;
   double share = 0;        // of the parts' weight that is in
   Millis retry_after = 0;  // refused: 0 is no advice
   std::vector<Row> rows{};
+  std::string why{};  // where it isn't the module's word
 };
 
 using QueryNumber = std::uint64_t;
@@ -70,12 +78,17 @@
   int shard = 0;
   Millis until = 0;  // the attempt is abandoned then
   std::shared_ptr<const std::string> text{};
+  // What is asked for where the span isn't empty: these accounts, as the map had them at this revision.
+  ranges::Span span{};
+  ranges::RangeId range = 0;
+  ranges::Revision revision{};
 };
 
 struct Result {
   Outcome outcome = Outcome::ok;
   std::vector<std::string> values{};
   Load load{};
+  ranges::NotMine denial{};  // Outcome::not_mine
 };
 
 // Guards against a connection that fell silent without a sign: its server is sound on a new one, and every
@@ -129,6 +142,15 @@
   ~MembershipSource() = default;
 };
 
+// Tells the map of ranges by Exchange::remap(), whenever it has a new one.
+class RangeSource {
+ public:
+  virtual void refresh() = 0;  // a server knows of a later revision: ask now
+
+ protected:
+  ~RangeSource() = default;
+};
+
 // ---- Service figures, per class
 
 struct Figures {
@@ -142,7 +164,7 @@
   Exchange(pewterrill::Settings settings, std::uint64_t seed, std::function<Millis()> clock,
            std::function<void(const std::string&)> log);
 
-  void attach(Carrier& carrier, MembershipSource& members);
+  void attach(Carrier& carrier, MembershipSource& members, RangeSource* ranges = nullptr);
   void start(const std::vector<Member>& known);
 
   // Client side.
@@ -153,6 +175,8 @@
   void attempt_ended(AttemptNumber attempt, Result result);
   void probe_ended(const std::string& server, Outcome outcome, Millis elapsed, const Load& load);
   void list(pewterrill::ServerList::Kind kind, const std::vector<Member>& members);
+  // The map from now on. Queries that are open are planned again where it touches them.
+  void remap(ranges::RangeMap map);
 
   // Carries events to the module and its actions out, until nothing is due. Call whenever the above were.
   void run();
@@ -164,13 +188,25 @@
   std::size_t attempts_out() const { return attempts_.size(); }
   std::size_t known_servers() const { return servers_.size(); }
   std::size_t lists_told() const { return lists_told_; }  // to the module, failed calls included
+  const ranges::RangeMap& map() const { return map_; }
+
+  struct Moves {  // what moving ranges did to open queries since the start
+    std::uint64_t replaced = 0, joined = 0, elsewhere = 0, held_back = 0, denied = 0, dropped = 0;
+  };
+  const Moves& moves() const { return moves_; }
 
  private:
   struct PartState {
-    QueryPart spec;
+    QueryPart spec{};
     bool in = false;
-    std::vector<std::string> values;
-    std::vector<AttemptNumber> attempts;
+    std::vector<std::string> values{};
+    std::vector<AttemptNumber> attempts{};
+    // Of a span's part:
+    std::optional<ranges::PlannedPart> planned{};
+    ranges::Revision answered{};  // of the map that its answer was asked under
+    int out = 0;
+    bool replaced = false;   // by others: nothing more is asked or heard of it
+    bool held_back = false;  // the module has it without holders
   };
   struct QueryState {
     QuerySpec spec;
@@ -179,6 +215,8 @@
     std::shared_ptr<const std::string> text;
     std::vector<PartState> parts;
     int out = 0;
+    std::size_t held = 0;  // of the site's limit
+    std::optional<ranges::Coverage> coverage;
   };
   struct AttemptState {
     QueryNumber query = 0;
@@ -186,6 +224,7 @@
     int count = 0;  // which attempt of its part
     std::string server;
     Millis sent = 0, until = 0;
+    ranges::Revision revision;
   };
   struct Known {
     std::string endpoint;
@@ -199,7 +238,16 @@
   void finish_attempt(AttemptNumber attempt, Result result);
   void finish(QueryNumber number, Verdict verdict);
   void settle(QueryNumber number);
+  bool spans_ended(QueryState& query, const AttemptState& attempt, Result& result);
   Verdict answer(const QueryState& query, bool whole) const;
+  // Empty, or why these spans can't be planned; `later`: it may go in a while.
+  std::string plan(QueryState& query, bool& later);
+  void replan(QueryNumber number);
+  void carry_out(QueryNumber number, const ranges::Decision& decision);
+  void replace(QueryNumber number, const ranges::Decision& decision);
+  void holders(QueryNumber number, std::size_t part, bool held_back);
+  void denied(QueryNumber number, std::size_t part, const Result& result, bool heard);
+  static ranges::OpenPart open_part(const QueryState& query, std::size_t part);
   std::vector<double> report(const Load& load) const;
   static std::string part_id(QueryNumber number, std::size_t part);
   std::pair<QueryNumber, std::size_t> part_of(const std::string& id) const;
@@ -220,6 +268,11 @@
   std::multimap<Millis, std::int64_t> timers_;
   std::set<std::pair<Millis, AttemptNumber>> attempt_ends_;
   std::set<std::pair<Millis, QueryNumber>> query_ends_;
+  // Parts whose server knows of a later map: they wait for the directory's word until then at the longest.
+  std::set<std::pair<Millis, std::pair<QueryNumber, std::size_t>>> word_due_;
+  RangeSource* range_source_ = nullptr;
+  ranges::RangeMap map_;
+  Moves moves_;
   std::size_t open_ = 0, held_ = 0, lists_told_ = 0;
   std::vector<Figures> figures_;
 };
--- a/src/flight/flight_pool.cpp
+++ b/src/flight/flight_pool.cpp
@@ -51,6 +51,14 @@
     command.set_part(o.part);
     command.set_shard(o.shard);
     command.set_text(*o.text);
+    if (!o.span.empty()) {
+      auto* interval = command.mutable_interval();
+      interval->set_from(o.span.from);
+      interval->set_to(o.span.to);
+      interval->set_range(o.range);
+      interval->set_incarnation(o.revision.incarnation);
+      interval->set_revision(o.revision.number);
+    }
     arrow::flight::protocol::Ticket ticket;
     ticket.set_ticket(command.SerializeAsString());
     Headers headers{{":method", "POST"},
@@ -66,6 +74,7 @@
     call.attempt = o.attempt;
     call.sent = pool_.loop_.now();
     call.shard = o.shard;
+    call.span = o.span;
     pool_.where_[o.attempt] = this;
     used_at_ = pool_.loop_.now();
   }
@@ -115,7 +124,8 @@
       if (!message) break;
       arrow::flight::protocol::FlightData part;
       bad = !part.ParseFromString(*message);
-      ArrowKind kind = bad ? ArrowKind::bad : read_arrow(part.data_header(), part.data_body(), call.rows);
+      ArrowKind kind =
+          bad ? ArrowKind::bad : read_arrow(part.data_header(), part.data_body(), call.rows, call.layout());
       // The schema comes first, and once.
       bad = bad || kind == ArrowKind::bad || (kind == ArrowKind::schema) == call.schema;
       call.schema = true;
@@ -164,6 +174,8 @@
     AttemptNumber attempt = 0;
     net::Millis sent = 0;
     int shard = 0;
+    ranges::Span span;
+    Layout layout() const { return span.empty() ? Layout::shards : Layout::spans; }
     Headers headers;
     std::string in;
     std::size_t size = 0;
@@ -179,13 +191,18 @@
     if (!status) return r;
     if (*status == std::to_string(static_cast<int>(Status::ok))) {
       bool ours = call.schema && call.in.empty();
-      for (const ArrowRow& row : call.rows) ours = ours && row.shard == call.shard;
+      for (const ArrowRow& row : call.rows)
+        ours = ours && (call.span.empty() ? row.shard == call.shard : row.span == call.span);
       if (!ours) return r;
       for (ArrowRow& row : call.rows) r.values.push_back(std::move(row.data));
       r.outcome = Outcome::ok;
     } else if (call.size == 0 && (*status == std::to_string(static_cast<int>(Status::unavailable)) ||
                                   *status == std::to_string(static_cast<int>(Status::resource_exhausted)))) {
       r.outcome = Outcome::full;
+    } else if (!call.span.empty() && call.size == 0 &&
+               *status == std::to_string(static_cast<int>(Status::failed_precondition))) {
+      r.outcome = Outcome::not_mine;
+      r.denial = read_denial(call.headers);
     } else if (*status == std::to_string(static_cast<int>(Status::deadline_exceeded))) {
       r.outcome = Outcome::timeout;
     }
--- a/src/flight/flight_server.cpp
+++ b/src/flight/flight_server.cpp
@@ -35,7 +35,7 @@
   std::string message{};
 };
 
-Refusal read_command(const std::string& bytes, const pewterrill::Settings& settings, int shards,
+Refusal read_command(const std::string& bytes, const pewterrill::Settings& settings, int shards, bool spans,
                      core::QuerySpec& q) {
   QueryCommand command;
   if (!command.ParseFromString(bytes)) return {Status::invalid_argument, "the command cannot be read"};
@@ -51,6 +51,10 @@
     if (part.has_hint_us()) p.hint = part.hint_us() / 1000;
     q.parts.push_back(p);
   }
+  for (const auto& span : command.spans()) q.spans.push_back({span.from(), span.to()});
+  if (command.has_hint_us()) q.hint = command.hint_us() / 1000;
+  if (!q.spans.empty() && !spans)
+    return {Status::invalid_argument, "no directory of ranges is followed here, a query names parts"};
   std::string what = core::unsound(q, shards);
   if (!what.empty()) return {Status::invalid_argument, what};
   return {};
@@ -130,6 +134,7 @@
     net::Millis arrived = 0, due = 0;
     core::QueryNumber query = 0;
     bool answered = false;
+    Layout layout = Layout::shards;
     net::TimerId timer{};
   };
 
@@ -164,15 +169,17 @@
     if (!descriptor.ParseFromString(message) || descriptor.type() != wire::FlightDescriptor::CMD)
       return refuse(id, call, {Status::invalid_argument, "a descriptor with a command is wanted"});
     core::QuerySpec spec;
-    Refusal r = read_command(descriptor.cmd(), server_.exchange_.settings(), server_.shards_, spec);
+    Refusal r =
+        read_command(descriptor.cmd(), server_.exchange_.settings(), server_.shards_, server_.spans_, spec);
     if (r.status != Status::ok) return refuse(id, call, r);
+    Layout layout = spec.spans.empty() ? Layout::shards : Layout::spans;
     if (method == "GetSchema") {
       wire::SchemaResult result;
-      result.set_schema(encapsulated_schema());
+      result.set_schema(encapsulated_schema(layout));
       return respond(id, call, frame_message(result.SerializeAsString()), status_trailers(Status::ok, ""));
     }
     wire::FlightInfo info;
-    info.set_schema(encapsulated_schema());
+    info.set_schema(encapsulated_schema(layout));
     *info.mutable_flight_descriptor() = descriptor;
     // No location: the ticket is redeemed where it was given.
     info.add_endpoint()->mutable_ticket()->set_ticket(descriptor.cmd());
@@ -185,7 +192,8 @@
     wire::Ticket ticket;
     core::QuerySpec spec;
     if (!ticket.ParseFromString(message)) return refuse(id, call, {Status::invalid_argument, "no ticket"});
-    Refusal r = read_command(ticket.ticket(), server_.exchange_.settings(), server_.shards_, spec);
+    Refusal r =
+        read_command(ticket.ticket(), server_.exchange_.settings(), server_.shards_, server_.spans_, spec);
     if (r.status != Status::ok) return refuse(id, call, r);
     double timeout =
         server_.exchange_.settings().classes[static_cast<std::size_t>(spec.query_class)].deadline;
@@ -201,6 +209,7 @@
     if (!server_.live_ids_.insert(spec.id).second)
       return refuse(id, call, {Status::already_exists, "a query of that name is running"});
     call.id = spec.id;
+    call.layout = spec.spans.empty() ? Layout::shards : Layout::spans;
     spec.give_up_at = call.due = core::due(call.arrived, timeout);
     // A client that does not take its answer is let go when its time is up.
     call.timer = server_.loop_.at(call.arrived + timeout, [this, id] {
@@ -216,7 +225,11 @@
   void answer(std::int32_t id, Call& call, const core::Verdict& v) {
     call.query = 0;
     if (v.kind == core::Verdict::Kind::refused)
-      return respond(id, call, "", status_trailers(Status::unavailable, "refused, try again", v.retry_after));
+      return respond(
+          id, call, "",
+          status_trailers(Status::unavailable, v.why.empty() ? "refused, try again" : v.why, v.retry_after));
+    if (v.kind == core::Verdict::Kind::unfit)
+      return respond(id, call, "", status_trailers(Status::invalid_argument, v.why));
     if (v.kind == core::Verdict::Kind::failed) {
       bool late = server_.loop_.now() >= call.due - kDueSlack;
       return respond(id, call, "",
@@ -226,9 +239,12 @@
     std::string exact = v.whole ? "true" : "false", share = std::to_string(v.share);
     std::vector<ArrowRow> rows;
     for (const core::Row& row : v.rows)
-      for (const std::string& value : row.values) rows.push_back({row.shard, value});
-    std::string body = flight_data(schema_message(), "") +
-                       flight_data(batch_message(rows), "{\"exact\":" + exact + ",\"share\":" + share + "}");
+      for (const std::string& value : row.values)
+        rows.push_back({row.shard, value, row.span,
+                        call.layout == Layout::spans ? ranges::text_of(row.revision) : std::string()});
+    std::string body =
+        flight_data(schema_message(call.layout), "") +
+        flight_data(batch_message(rows, call.layout), "{\"exact\":" + exact + ",\"share\":" + share + "}");
     Headers trailers = status_trailers(Status::ok, "");
     trailers.emplace_back("answer-exact", exact);
     trailers.emplace_back("answer-share", share);
@@ -254,10 +270,11 @@
 };
 
 FlightServer::FlightServer(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, int shards,
-                           std::uint64_t seed, std::size_t connections)
+                           std::uint64_t seed, std::size_t connections, bool spans)
     : loop_(loop),
       exchange_(exchange),
       shards_(shards),
+      spans_(spans),
       seed_(seed),
       most_(connections),
       listener_(loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }) {
--- a/src/flight/flight_server.hpp
+++ b/src/flight/flight_server.hpp
@@ -15,7 +15,7 @@
 class FlightServer {
  public:
   FlightServer(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, int shards,
-               std::uint64_t seed, std::size_t connections);
+               std::uint64_t seed, std::size_t connections, bool spans = false);
   ~FlightServer();
 
   void wind_down();  // calls that are here are finished, no new ones are taken
@@ -34,6 +34,7 @@
   net::Loop& loop_;
   core::Exchange& exchange_;
   int shards_;
+  bool spans_;  // a directory of ranges is followed: queries may name accounts
   std::uint64_t seed_, count_ = 0;
   std::size_t most_;
   bool winding_down_ = false;
--- a/src/flight/grpc.cpp
+++ b/src/flight/grpc.cpp
@@ -123,4 +123,38 @@
   return std::nullopt;
 }
 
+void add_denial(Headers& trailers, const ranges::NotMine& denial) {
+  RangeDenial message;
+  message.set_incarnation(denial.revision.incarnation);
+  message.set_revision(denial.revision.number);
+  for (const ranges::PlannedPart& s : denial.successors) {
+    auto* row = message.add_successors();
+    row->set_id(s.range);
+    row->set_from(s.span.from);
+    row->set_to(s.span.to);
+    for (const std::string& holder : ranges::serving(*s.holders)) row->add_holders(holder);
+  }
+  trailers.emplace_back("range-denial-bin", encode_base64(message.SerializeAsString()));
+}
+
+ranges::NotMine read_denial(const Headers& trailers) {
+  const std::string* text = find_header(trailers, "range-denial-bin");
+  auto bytes = text ? decode_base64(*text) : std::nullopt;
+  RangeDenial message;
+  ranges::NotMine denial;
+  if (!bytes || !message.ParseFromString(*bytes)) return denial;
+  denial.revision = {message.incarnation(), message.revision()};
+  for (const auto& row : message.successors()) {
+    ranges::Holders holders;
+    for (const std::string& server : row.holders()) holders.push_back({server, ranges::Role::serving});
+    denial.successors.push_back({{row.from(), row.to()},
+                                 row.id(),
+                                 denial.revision,
+                                 std::make_shared<const ranges::Holders>(std::move(holders)),
+                                 0,
+                                 std::nullopt});
+  }
+  return denial;
+}
+
 }  // namespace winchhall::flight
--- a/src/flight/grpc.hpp
+++ b/src/flight/grpc.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "flight/http2.hpp"
+#include "ranges/replan.hpp"
 
 namespace winchhall::flight {
 
@@ -18,6 +19,7 @@
   not_found = 5,
   already_exists = 6,
   resource_exhausted = 8,
+  failed_precondition = 9,
   unimplemented = 12,
   internal = 13,
   unavailable = 14,
@@ -35,6 +37,9 @@
 // Trailers that end a call; retry_after above 0 adds google.rpc.RetryInfo.
 Headers status_trailers(Status status, const std::string& message, double retry_after_ms = 0);
 std::optional<double> read_retry_after(const Headers& trailers);
+// A node's denial of a part, in the trailer range-denial-bin. One that can't be read has no revision.
+void add_denial(Headers& trailers, const ranges::NotMine& denial);
+ranges::NotMine read_denial(const Headers& trailers);
 std::string encode_base64(std::string_view bytes);
 std::optional<std::string> decode_base64(std::string_view text);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,153 +1,21 @@
-// Wiring, signals and the exit code.
-#include <signal.h>
+// The program's begin: its command, its log, its exit code.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
-#include <sys/signalfd.h>
 
-#include <algorithm>
 #include <cstdlib>
 #include <exception>
-#include <memory>
-#include <stdexcept>
 
-#include "app/config.hpp"
-#include "app/lifecycle.hpp"
-#include "core/exchange.hpp"
-#include "flight/flight_pool.hpp"
-#include "flight/flight_server.hpp"
-#include "net/loop.hpp"
-#include "platform/client_front.hpp"
-#include "platform/discovery.hpp"
-#include "platform/leaf_pool.hpp"
+#include "app/command_line.hpp"
+#include "app/serve.hpp"
 
-namespace {
-
-using namespace winchhall;
-
-sockaddr_in address(const std::string& text, const char* what) {
-  auto a = net::parse_address(text);
-  if (!a) throw std::runtime_error(std::string("no address to ") + what + ": '" + text + "'");
-  return *a;
-}
-
-void reload(app::ConfigFile& file, platform::Discovery& discovery) {
-  try {
-    file.reload();
-    discovery.move(file.config().discovery);
-    spdlog::info("configuration read again: discovery at {}, the rest counts from the next start",
-                 file.config().discovery);
-  } catch (const std::exception& error) {
-    // Guards against a file that is half there, or spoilt: an aggregator that runs is never ended by it.
-    spdlog::error("configuration not taken over, the old one stays: {}", error.what());
-  }
-}
-
-void serve() {
-  // Before all else: a SIGHUP that finds no handler ends the program.
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
-  sigprocmask(SIG_BLOCK, &signals, nullptr);
-  net::UniqueFd signal_fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
-  app::ConfigFile file;
-  const app::Config config = file.config();
-  if (!config.known_read) spdlog::warn("the configuration's last list of servers cannot be read");
-  app::Lifecycle life;
-  net::Loop loop;
-
-  core::Exchange exchange(
-      config.settings, config.seed, [&] { return loop.now(); },
-      [](const std::string& line) { spdlog::info("policy: {}", line); });
-  // One set of decisions, whatever wire the nodes speak: an operator's file says which.
-  std::unique_ptr<platform::LeafPool> leafs;
-  std::unique_ptr<flight::FlightPool> nodes;
-  platform::LeafLimits limits;
-  limits.batch = static_cast<std::size_t>(config.batch);
-  limits.streams = static_cast<std::size_t>(config.streams_per_conn);
-  limits.connect_timeout = config.connect_timeout;
-  limits.idle = config.conn_idle;
-  limits.connections = config.sockets * 2 / 5;
-  if (config.flight.enabled && config.flight.nodes)
-    nodes = std::make_unique<flight::FlightPool>(
-        loop, exchange,
-        flight::NodeLimits{limits.streams, limits.connect_timeout, limits.idle, limits.connections});
-  else
-    leafs = std::make_unique<platform::LeafPool>(loop, exchange, limits);
-  core::Carrier& carrier = nodes ? static_cast<core::Carrier&>(*nodes) : *leafs;
-  platform::Discovery discovery(loop, exchange, config.discovery, config.known_revision,
-                                config.connect_timeout);
-  loop.add(signal_fd.get(), POLLIN, [&](short) {
-    signalfd_siginfo info;
-    while (read(signal_fd.get(), &info, sizeof info) == sizeof info) {
-      if (info.ssi_signo == SIGHUP) {
-        reload(file, discovery);
-        continue;
-      }
-      life.terminate(loop.now());
-      spdlog::info("phase {}", life.name());
-    }
-  });
-  exchange.attach(carrier, discovery);
-  exchange.start(config.known);
-  platform::ClientFront front(loop, exchange, address(config.listen, "listen on"),
-                              {exchange.settings(), config.shards}, config.sockets * 4 / 10,
-                              [&] { return life.admits(); });
-  std::unique_ptr<flight::FlightServer> analysts;
-  if (config.flight.enabled) {
-    analysts =
-        std::make_unique<flight::FlightServer>(loop, exchange, address(config.flight.listen, "listen on"),
-                                               config.shards, config.seed, config.sockets / 10);
-    spdlog::info("Flight on port {} of {}, nodes over {}", analysts->port(), config.flight.listen,
-                 nodes ? "Flight" : "frames");
-  }
-  spdlog::info("{} listens on port {} of {}, {} servers known", config.name, front.port(), config.listen,
-               config.known.size());
-
-  constexpr net::Millis kFiguresEvery = 10000;
-  net::Millis figures_at = loop.now() + kFiguresEvery;
-  bool winding = false;
-  while (life.phase() != app::Phase::Stopped) {
-    net::Millis now = loop.now();
-    loop.turn(std::clamp(exchange.next_due() - now, 0.0, 500.0));
-    exchange.run();
-    now = loop.now();
-    if (life.phase() == app::Phase::Starting && exchange.known_servers() > 0) {
-      life.serving();
-      spdlog::info("phase {}", life.name());
-    }
-    if (!winding && life.closing(now)) {
-      front.wind_down();
-      front.stop_listening();
-      if (analysts) analysts->wind_down();
-      if (analysts) analysts->stop_listening();
-      winding = true;
-    }
-    if (winding && exchange.open_queries() == 0 && !front.busy() && !(analysts && analysts->busy()))
-      life.idle(now);
-    if (now >= figures_at) {
-      figures_at = now + kFiguresEvery;
-      for (std::size_t i = 0; i < exchange.figures().size(); ++i) {
-        const core::Figures& f = exchange.figures()[i];
-        spdlog::info("figures {}: taken {} whole {} partial {} refused {} failed {} withdrawn {} attempts {}",
-                     exchange.settings().classes[i].name, f.taken, f.whole, f.partial, f.refused, f.failed,
-                     f.withdrawn, f.attempts);
-      }
-      spdlog::info("open: queries {} attempts {} clients {} leafs {}", exchange.open_queries(),
-                   exchange.attempts_out(), front.connections(),
-                   leafs ? leafs->connections() : nodes->connections());
-    }
-  }
-  spdlog::info("phase {}", life.name());
-}
-
-}  // namespace
-
-int main() {
+int main(int argc, char** argv) {
+  using namespace winchhall;
   spdlog::set_default_logger(spdlog::stderr_logger_st("winchhall"));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
   if (const char* level = std::getenv("WINCHHALL_LOG")) spdlog::set_level(spdlog::level::from_str(level));
   try {
-    serve();
+    if (argc > 1) return app::run_command(argc, argv);
+    app::serve({});
   } catch (const std::exception& error) {
     spdlog::critical("{}", error.what());
     return EXIT_FAILURE;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,12 +1,10 @@
 #include "net/stream.hpp"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <charconv>
 #include <system_error>
 
 namespace winchhall::net {
@@ -28,20 +26,6 @@
 }
 }  // namespace
 
-std::optional<sockaddr_in> parse_address(std::string_view text) {
-  std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return std::nullopt;
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  std::uint16_t port = 0;
-  auto digits = text.substr(colon + 1);
-  auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (error != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
-  a.sin_port = htons(port);
-  if (::inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &a.sin_addr) != 1) return std::nullopt;
-  return a;
-}
-
 Stream::Stream(Loop& loop, UniqueFd fd, Owner& owner, bool connecting)
     : loop_(loop), fd_(std::move(fd)), owner_(owner), connecting_(connecting) {}
 
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -1,21 +1,17 @@
 // TCP sockets: addresses, a listener, and a stream with bounded buffers that reports to its owner.
 #pragma once
 
-#include <netinet/in.h>
-
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
+#include "net/address.hpp"
 #include "net/fd.hpp"
 #include "net/loop.hpp"
 
 namespace winchhall::net {
 
-std::optional<sockaddr_in> parse_address(std::string_view host_port);
-
 class Stream : public std::enable_shared_from_this<Stream> {
  public:
   class Owner {
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -102,7 +102,8 @@
     bool keep = m.keep_alive() && !front_.winding_down_;
     if (m.target == "/ready" || m.target == "/health") {
       if (m.method != "GET" && m.method != "HEAD")
-        return reply(http_answer(405, "Allow: GET\r\n", "", keep), keep);
+        return reply(error_answer(405, "Allow: GET\r\n", "method " + m.method + ", wanted is GET", keep),
+                     keep);
       bool ok = m.target == "/health" || front_.ready_();
       return reply(http_answer(ok ? 200 : 503, "", "", keep), keep);
     }
@@ -115,7 +116,7 @@
     }
     if (d.status != 200) {
       front_.list_bad(d.status, d.wrong);
-      return reply(http_answer(d.status, d.status == 405 ? "Allow: POST\r\n" : "", "", keep), keep);
+      return reply(error_answer(d.status, d.status == 405 ? "Allow: POST\r\n" : "", d.wrong, keep), keep);
     }
     id_ = d.query.id;
     query_ = front_.exchange_.submit(std::move(d.query), [this, keep](core::Verdict v) {
@@ -127,7 +128,7 @@
 
   void turn_away(int status, const char* why) {
     front_.list_bad(status, why);
-    reply(http_answer(status, "", "", false), false);
+    reply(error_answer(status, "", why, false), false);
   }
 
   void release() {
--- a/src/platform/frames.cpp
+++ b/src/platform/frames.cpp
@@ -35,6 +35,14 @@
   return line.append("\n").append(text);
 }
 
+std::string span_lines(std::string_view part, const core::Order& o, long long wait_ms) {
+  std::string line(part);
+  line += " " + std::to_string(o.range) + " d=" + std::to_string(wait_ms) +
+          ",from=" + std::to_string(o.span.from) + ",to=" + std::to_string(o.span.to) +
+          ",rev=" + ranges::text_of(o.revision) + " " + std::to_string(o.text->size());
+  return line.append("\n").append(*o.text);
+}
+
 core::Load read_load(std::string_view report) {
   core::Load load;
   while (!report.empty()) {
@@ -90,7 +98,8 @@
     head.remove_prefix(std::min(space + 1, head.size()));
   }
   PartAnswer a{std::string(words[0]), 0, {}, rest.substr(line + 1)};
-  if (words[1] == "200" || words[1] == "500" || words[1] == "503") a.end = std::stoi(std::string(words[1]));
+  if (words[1] == "200" || words[1] == "500" || words[1] == "503" || words[1] == "421")
+    a.end = std::stoi(std::string(words[1]));
   bool scored = !words[2].empty() && words[2].find_first_not_of("+-.0123456789eE") == std::string_view::npos;
   if (a.part.empty() || a.end == 0 || !scored || !is_text(a.value)) return std::nullopt;
   // A report that cannot be read is none; the answer stands without it.
--- a/src/platform/frames.hpp
+++ b/src/platform/frames.hpp
@@ -26,11 +26,16 @@
   std::string value{};
 };
 
+constexpr int kNotMine = 421;  // an END of its own for parts of spans: the node has not what was asked for
+
 std::string make_frame(char letter, std::string_view rest);
 // Takes one frame from the front of `in` where it is whole. Sets `bad` for a length no frame has, and for one
 // that can't become any: what comes of it is not waited for, nor held.
 std::optional<Frame> take_frame(std::string& in, bool& bad);
 std::string part_lines(std::string_view part, int shard, long long wait_ms, std::string_view text);
+// The same for a part of a span: the range's id in the shard's place, the interval and the revision in the
+// list.
+std::string span_lines(std::string_view part, const core::Order& order, long long wait_ms);
 std::optional<PartAnswer> read_answer(const std::string& rest);
 core::Load read_load(std::string_view report);
 
--- a/src/platform/http.hpp
+++ b/src/platform/http.hpp
@@ -10,7 +10,8 @@
 
 namespace winchhall::platform {
 
-constexpr std::size_t kBodyMost = 64 * 1024;  // by the protocol
+constexpr std::size_t kBodyMost = 64 * 1024;             // by the protocol
+constexpr std::size_t kSpansBodyMost = 4 * 1024 * 1024;  // of an answer to spans, which the platform has not
 constexpr std::size_t kHeadMost = 16 * 1024;
 
 struct HttpMessage {
--- a/src/platform/leaf_pool.cpp
+++ b/src/platform/leaf_pool.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 
 #include "platform/frames.hpp"
+#include "platform/range_words.hpp"
 
 namespace winchhall::platform {
 
@@ -45,7 +46,7 @@
 
   void add(Call call) {
     for (const core::Order& o : call) {
-      live_[o.attempt] = {o.part, 0, 0};
+      live_[o.attempt] = {o.part, 0, 0, !o.span.empty()};
       by_part_[o.part] = o.attempt;
       pool_.where_[o.attempt] = this;
     }
@@ -107,7 +108,7 @@
       used_at_ = pool_.loop_.now();
       if (frame->letter == 'O') {
         auto answer = read_answer(frame->rest);
-        if (!answer)
+        if (!answer || (answer->end == kNotMine && !(pool_.limits_.spans && asked_for_span(answer->part))))
           return refuse("an answer that cannot be read", frame->rest.substr(0, frame->rest.find(' ')));
         // Guards against waiting for an answer that has come under another name: the leaf sends no second.
         if (!take(*answer) && !idle()) return refuse("an answer to nothing that it was asked");
@@ -162,8 +163,15 @@
     std::string part;
     std::uint64_t frame_end;  // where its frame ends in all that was ever queued here; 0: not serialized
     net::Millis written_at;
+    bool span;  // a part of a span, which its leaf may say not to have
   };
 
+  bool asked_for_span(const std::string& part) const {
+    auto it = by_part_.find(part);
+    if (it == by_part_.end() || it->second == 0) return true;  // given up: nothing is taken from it
+    return live_.at(it->second).span;
+  }
+
   void pump() {
     while (stream_->open() && !stream_->connecting() && !waiting_.empty() && stream_->unsent() < kOutMost) {
       Call call = std::move(waiting_.front());
@@ -172,7 +180,8 @@
       std::string lines;
       for (const core::Order& o : call) {
         double wait = std::max(1.0, std::floor(o.until - pool_.loop_.now()));
-        lines += part_lines(o.part, o.shard, static_cast<long long>(wait), *o.text);
+        lines += o.span.empty() ? part_lines(o.part, o.shard, static_cast<long long>(wait), *o.text)
+                                : span_lines(o.part, o, static_cast<long long>(wait));
       }
       std::string frame = make_frame('D', lines);
       for (const core::Order& o : call) {
@@ -193,7 +202,11 @@
     live_.erase(attempt);
     pool_.where_.erase(attempt);
     core::Result r;
-    r.outcome = answer.end == 200 ? Outcome::ok : answer.end == 503 ? Outcome::full : Outcome::error;
+    r.outcome = answer.end == 200        ? Outcome::ok
+                : answer.end == 503      ? Outcome::full
+                : answer.end == kNotMine ? Outcome::not_mine
+                                         : Outcome::error;
+    if (r.outcome == Outcome::not_mine) r.denial = read_denial(answer.value);
     if (r.outcome == Outcome::ok) r.values.push_back(std::move(answer.value));
     r.load = answer.load;
     pool_.exchange_.attempt_ended(attempt, std::move(r));
--- a/src/platform/leaf_pool.hpp
+++ b/src/platform/leaf_pool.hpp
@@ -18,6 +18,7 @@
   net::Millis connect_timeout = 250;  // ms
   net::Millis idle = 30000;           // ms: the leaf closes a connection that stood idle so long
   std::size_t connections = 400;      // in all
+  bool spans = false;                 // parts of spans are asked for, which a leaf may say not to have
 };
 
 class LeafPool final : public core::Carrier {
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -22,6 +22,14 @@
   return -1;
 }
 
+constexpr std::size_t kShown = 60;  // signs of a client's own word that are told back to it
+
+std::string names_of(const std::vector<pewterrill::ClassSettings>& classes) {
+  std::string all;
+  for (const auto& c : classes) all += (all.empty() ? "" : ", ") + c.name;
+  return all;
+}
+
 std::optional<std::uint64_t> hex_key(std::string_view text) {
   std::uint64_t key = 0;
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), key, 16);
@@ -43,21 +51,41 @@
   return n <= kTimeoutMost ? std::optional(n) : std::nullopt;
 }
 
-bool read_body(const std::string& body, core::QuerySpec& q) {
+// Empty, or what is wrong with the body.
+std::string read_spans(const json& from, bool served, core::QuerySpec& q) {
+  if (!served) return "'spans': no directory of ranges is followed here, a query names parts";
+  if (from.contains("parts")) return "both 'parts' and 'spans'";
+  if (!from["spans"].is_array()) return "'spans' is no list";
+  for (const json& row : from["spans"]) {
+    if (!row.is_object() || !row.contains("from") || !row.contains("to") ||
+        !row["from"].is_number_unsigned() || !row["to"].is_number_unsigned())
+      return "'spans': {\"from\":A,\"to\":B} is wanted, whole numbers from 0 to 2^53, not " +
+             row.dump(-1, ' ', true, json::error_handler_t::replace).substr(0, 100);
+    q.spans.push_back({row["from"].get<ranges::Key>(), row["to"].get<ranges::Key>()});
+  }
+  if (q.spans.empty()) return "'spans' is empty";
+  if (from.contains("hint") && from["hint"].is_number()) q.hint = from["hint"].get<double>() / 1000;
+  return "";
+}
+
+std::string read_body(const std::string& body, bool spans, core::QuerySpec& q) {
   json from = json::parse(body, nullptr, false);
-  if (!from.is_object() || !from.contains("parts") || !from["parts"].is_array()) return false;
-  if (from.contains("expr") && !from["expr"].is_string()) return false;
+  if (!from.is_object()) return "body: a JSON object is wanted";
+  if (from.contains("expr") && !from["expr"].is_string()) return "body: 'expr' is no text";
   q.text = from.value("expr", "");
+  if (from.contains("spans")) return read_spans(from, spans, q);
+  if (!from.contains("parts") || !from["parts"].is_array()) return "body: 'parts' is no list";
   for (const json& row : from["parts"]) {
-    if (!row.is_object() || !row.contains("id") || !row["id"].is_number_integer()) return false;
-    if (!row.contains("w") || !row["w"].is_number()) return false;
+    if (!row.is_object() || !row.contains("id") || !row["id"].is_number_integer())
+      return "body: a part without an 'id' that is a whole number";
+    if (!row.contains("w") || !row["w"].is_number()) return "body: a part without a 'w' that is a number";
     std::int64_t shard = row["id"].get<std::int64_t>();
-    if (shard < 0 || shard > 1'000'000'000) return false;
+    if (shard < 0 || shard > 1'000'000'000) return "body: a part's id " + std::to_string(shard);
     core::QueryPart p{static_cast<int>(shard), row["w"].get<double>(), {}};
     if (row.contains("hint") && row["hint"].is_number()) p.hint = row["hint"].get<double>() / 1000;
     q.parts.push_back(p);
   }
-  return true;
+  return "";
 }
 
 Decoded wrong(int status, std::string why) { return {status, std::move(why), {}}; }
@@ -68,23 +96,27 @@
   std::string_view path = m.target;
   std::string_view query = path.substr(std::min(path.find('?'), path.size()));
   path = path.substr(0, path.size() - query.size());
-  if (path.empty() || path[0] != '/') return wrong(400, "target");
+  if (path.empty() || path[0] != '/') return wrong(400, "target: a path is wanted");
   path.remove_prefix(1);
   path = path.substr(0, path.find('/'));
   Decoded d;
   core::QuerySpec& q = d.query;
   q.query_class = index_of(names.settings.classes, std::string(path));
-  if (q.query_class < 0) return wrong(404, "no such class");
-  if (m.method != "POST") return wrong(405, "method");
+  if (q.query_class < 0)
+    return wrong(404, "no such class: '" + std::string(path.substr(0, kShown)) + "', known are " +
+                          names_of(names.settings.classes));
+  if (m.method != "POST") return wrong(405, "method " + m.method.substr(0, kShown) + ", wanted is POST");
   const std::string* id = m.header("x-request-id");
-  if (!id || !core::fit_name(*id)) return wrong(400, "X-Request-ID");
+  if (!id || !core::fit_name(*id))
+    return wrong(400, "X-Request-ID: wanted are 1 to 128 signs, none of them a space");
   q.id = *id;
   if (const std::string* tenant = m.header("x-tenant-id"))
     q.tenant = index_of(names.settings.tenants, *tenant);
   Millis timeout = names.settings.classes[static_cast<std::size_t>(q.query_class)].deadline;
   if (const std::string* text = m.header("x-timeout")) {
     auto read = read_timeout(*text);
-    if (!read) return wrong(400, "X-Timeout");
+    if (!read)
+      return wrong(400, "X-Timeout '" + text->substr(0, kShown) + "': wanted is a number above 0 and m or u");
     timeout = *read;
   }
   // The client counts from its sending: what the way took and takes is not ours to use.
@@ -97,7 +129,7 @@
     if (item.substr(0, 2) == "k=") q.key = hex_key(item.substr(2));
     query.remove_prefix(item.size());
   }
-  if (!read_body(m.body, q)) return wrong(400, "body");
+  if (std::string what = read_body(m.body, names.spans, q); !what.empty()) return wrong(400, what);
   if (std::string what = core::unsound(q, names.shards); !what.empty()) return wrong(400, what);
   return d;
 }
@@ -117,21 +149,43 @@
          "\r\n\r\n" + body;
 }
 
+std::string error_answer(int status, const std::string& headers, const std::string& why, bool keep) {
+  // Bytes of a client that are no text are passed on as signs that stand for them.
+  std::string body = json{{"error", why}}.dump(-1, ' ', false, json::error_handler_t::replace);
+  return http_answer(status, headers + "Content-Type: application/json\r\n", body, keep);
+}
+
 std::string verdict_answer(const core::Verdict& v, bool keep) {
-  if (v.kind == core::Verdict::Kind::refused) {
+  using Kind = core::Verdict::Kind;
+  auto why = [&](const char* otherwise) { return v.why.empty() ? otherwise : v.why; };
+  if (v.kind == Kind::refused) {
     char advice[64] = "";
     if (v.retry_after > 0)
       std::snprintf(advice, sizeof advice, "Retry-After: %.3f\r\n", v.retry_after / 1000);
-    return http_answer(503, advice, "", keep);
+    return error_answer(503, advice, why("refused: too much is asked just now, or servers are missing"),
+                        keep);
   }
-  if (v.kind == core::Verdict::Kind::failed) return http_answer(500, "", "", keep);
+  if (v.kind == Kind::unfit) return error_answer(400, "", why("cannot be asked"), keep);
+  if (v.kind == Kind::failed) return error_answer(500, "", why("failed: not enough came in in time"), keep);
   json rows = json::array();
+  bool spans = false;
   for (const core::Row& row : v.rows)
-    for (const std::string& value : row.values) rows.push_back({{"id", row.shard}, {"data", value}});
+    for (const std::string& value : row.values) {
+      if (row.span.empty()) {
+        rows.push_back({{"id", row.shard}, {"data", value}});
+        continue;
+      }
+      spans = true;
+      rows.push_back({{"from", row.span.from},
+                      {"to", row.span.to},
+                      {"rev", ranges::text_of(row.revision)},
+                      {"data", value}});
+    }
   std::string body = json{{"exact", v.whole}, {"rows", std::move(rows)}}.dump(-1, ' ', false,
                                                                               json::error_handler_t::replace);
-  // The protocol's limit on bodies; a cut answer would be none.
-  if (body.size() > kBodyMost) return http_answer(500, "", "", keep);
+  // The protocol's limit on bodies; a cut answer would be none. Spans are no part of that protocol.
+  if (body.size() > (spans ? kSpansBodyMost : kBodyMost))
+    return error_answer(500, "", "the answer is larger than a body may be", keep);
   return http_answer(200, "Content-Type: application/json\r\n", body, keep);
 }
 
--- a/src/platform/request.hpp
+++ b/src/platform/request.hpp
@@ -10,7 +10,8 @@
 
 struct ClientNames {  // what a request may name, from the settings
   const pewterrill::Settings& settings;
-  int shards = 0;  // 0: not stated
+  int shards = 0;      // 0: not stated
+  bool spans = false;  // a directory of ranges is followed: queries may name accounts
 };
 
 struct Decoded {
@@ -22,6 +23,8 @@
 Decoded decode_query(const HttpMessage& message, const ClientNames& names, core::Millis arrived);
 
 std::string http_answer(int status, const std::string& headers, const std::string& body, bool keep);
+// The same with a body that says what was wrong: {"error":"..."}.
+std::string error_answer(int status, const std::string& headers, const std::string& why, bool keep);
 std::string verdict_answer(const core::Verdict& verdict, bool keep);
 
 }  // namespace winchhall::platform
--- /dev/null
+++ b/src/ranges/planner.hpp
@@ -0,0 +1,37 @@
+// From spans of keys to parts: one for each range that a span touches, cut to the span.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ranges/coverage.hpp"
+#include "ranges/map.hpp"
+
+namespace winchhall::ranges {
+
+struct PlannedPart {
+  Span span{};
+  RangeId range = 0;
+  Revision revision{};  // of the map it was planned under
+  HoldersPtr holders{};
+  double weight = 0;             // share of the whole query
+  std::optional<double> hint{};  // expected work, ms
+};
+
+struct Plan {
+  std::vector<PlannedPart> parts{};
+  Coverage coverage{};
+};
+
+// The parts of these spans, which are sound (spans_fault). A range's weight counts by the share of its keys
+// that a part has; `hint` is the work of the whole query and is divided likewise. Nothing, and the reason,
+// where there is no map yet or the query would need more than `most` parts.
+std::optional<Plan> plan(const RangeMap& map, const std::vector<Span>& spans, std::optional<double> hint,
+                         std::size_t most, std::string& fault);
+
+// The same for a piece of a query under way, whose shares are those of its coverage: for successors.
+std::vector<PlannedPart> plan_again(const RangeMap& map, const Span& span, const Coverage& coverage,
+                                    std::optional<double> hint, double share);
+
+}  // namespace winchhall::ranges
