--- a/include/pewterrill/coordinator.hpp
+++ b/include/pewterrill/coordinator.hpp
@@ -56,18 +56,19 @@
   bool may_hedge = false;  // two attempts of a part at once; pewterrill never needs it
   bool retry_after_heard = false;
   Millis max_retry_after = 0;
-  int max_attempts = 1;      // per part
-  int max_open = 0;          // queries and parts held at most; 0: no limit stated
-  Millis answer_grace = 0;   // a final answer still counts this long after give_up_at
-  Millis drain_grace = 0;    // sends to a draining server must have stopped by then
-  double cold_share = 1;     // a server starts with at least this share of its capacity
-  Millis cold_time = 0;      // and is warm within this time
-  double fall_multiple = 0;  // sent more than this x its present capacity ... (0: no such rule)
-  Millis fall_time = 0;      // ... for this long, by all brokers, a cold server falls over
-  bool budget = false;       // further attempts are rationed:
-  double budget_free = 0;    // at most so many ...
-  double budget_share = 0;   // ... plus this share of queries and parts taken ...
-  Millis budget_window = 0;  // ... in any window of this length
+  bool weights_count = false;  // a server's size says how much it takes beside others
+  int max_attempts = 1;        // per part
+  int max_open = 0;            // queries and parts held at most; 0: no limit stated
+  Millis answer_grace = 0;     // a final answer still counts this long after give_up_at
+  Millis drain_grace = 0;      // sends to a draining server must have stopped by then
+  double cold_share = 1;       // a server starts with at least this share of its capacity
+  Millis cold_time = 0;        // and is warm within this time
+  double fall_multiple = 0;    // sent more than this x its present capacity ... (0: no such rule)
+  Millis fall_time = 0;        // ... for this long, by all brokers, a cold server falls over
+  bool budget = false;         // further attempts are rationed:
+  double budget_free = 0;      // at most so many ...
+  double budget_share = 0;     // ... plus this share of queries and parts taken ...
+  Millis budget_window = 0;    // ... in any window of this length
   bool reports = false;
   std::vector<ReportField> report_fields{};  // the order of values in a report
 };
--- /dev/null
+++ b/lab/clients.cpp
@@ -0,0 +1,261 @@
+#include "lab/clients.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "command.pb.h"
+#include "flight.pb.h"
+#include "flight/arrow.hpp"
+#include "flight/grpc.hpp"
+
+namespace winchhall::lab {
+
+using nlohmann::json;
+namespace wire = arrow::flight::protocol;
+
+namespace {
+constexpr std::size_t kStreams = 40;  // calls at once on a Flight connection
+sockaddr_in loopback(int port) { return *net::parse_address("127.0.0.1:" + std::to_string(port)); }
+}  // namespace
+
+std::string http_request(const Asked& a) {
+  json spans = json::array();
+  for (const auto& s : a.spans) spans.push_back({{"from", s.from}, {"to", s.to}});
+  std::string body = json{{"spans", spans}, {"expr", a.text}}.dump();
+  char key[24], timeout[24];
+  std::snprintf(key, sizeof key, "%llx", static_cast<unsigned long long>(a.key));
+  std::snprintf(timeout, sizeof timeout, "%.0fm", a.timeout);
+  return "POST /" + a.query_class + "?k=" + key + " HTTP/1.1\r\nHost: lab\r\nX-Request-ID: " + a.id +
+         "\r\nX-Tenant-Id: " + a.tenant + "\r\nX-Timeout: " + timeout +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+Reply read_http_reply(const platform::HttpMessage& m) {
+  Reply r;
+  json from = json::parse(m.body, nullptr, false);
+  if (from.is_object() && from.contains("error")) r.error = from["error"].dump();
+  if (const std::string* advice = m.header("retry-after")) r.retry_after = 1000 * std::stod(*advice);
+  if (m.status != 200) {
+    r.kind = m.status == 503 || m.status == 429 ? Reply::Kind::refused
+             : m.status / 100 == 4              ? Reply::Kind::unfit
+                                                : Reply::Kind::failed;
+    return r;
+  }
+  if (!from.is_object() || !from.contains("rows")) {
+    r.kind = Reply::Kind::failed;
+    r.error = "a body that is no answer";
+    return r;
+  }
+  r.kind = Reply::Kind::answered;
+  r.whole = from.value("exact", false);
+  for (const json& row : from["rows"])
+    r.rows.push_back({{row.value("from", std::uint64_t{0}), row.value("to", std::uint64_t{0})},
+                      row.value("data", std::string())});
+  return r;
+}
+
+// ---- HTTP
+
+class HttpClients::Connection : public net::Stream::Owner, public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(HttpClients& owner) : owner_(owner) {}
+  bool begin(int port) {
+    int error = 0;
+    stream_ = net::Stream::connect(owner_.loop_, loopback(port), *this, error);
+    return static_cast<bool>(stream_);
+  }
+  void close() {
+    if (stream_) stream_->close();
+  }
+  void ask(const std::string& bytes, Told told) {
+    told_ = std::move(told);
+    parser_.reset();
+    stream_->write(bytes);
+  }
+  void received(std::string& in) override {
+    if (!told_) {
+      owner_.extra_ += !in.empty();  // an answer to nothing: a second one
+      return in.clear();
+    }
+    parser_.feed(in);
+    if (!parser_.done() && !parser_.failed()) return;
+    bool keep = !parser_.failed() && parser_.message().keep_alive();
+    Reply r = parser_.failed() ? Reply{} : read_http_reply(parser_.message());
+    owner_.extra_ += !in.empty();
+    in.clear();
+    Told told = std::exchange(told_, nullptr);
+    if (keep)
+      owner_.idle_.push_back(shared_from_this());
+    else
+      leave();
+    told(std::move(r));
+  }
+  void ended() override {
+    Told told = std::exchange(told_, nullptr);
+    leave();
+    if (told) told({});
+  }
+
+ private:
+  void leave() {
+    auto self = shared_from_this();
+    std::erase(owner_.idle_, self);
+    std::erase(owner_.all_, self);
+    stream_->close();
+    owner_.loop_.bury(std::move(self));
+  }
+  HttpClients& owner_;
+  std::shared_ptr<net::Stream> stream_;
+  platform::HttpParser parser_{platform::HttpParser::Mode::streamed};
+  Told told_;
+};
+
+HttpClients::~HttpClients() {
+  for (auto& c : all_) c->close();
+}
+
+void HttpClients::ask(const std::string& request, Told told) {
+  std::shared_ptr<Connection> c;
+  if (!idle_.empty()) {
+    c = idle_.back();
+    idle_.pop_back();
+  } else {
+    c = std::make_shared<Connection>(*this);
+    if (!c->begin(port_())) return told({});
+    all_.push_back(c);
+  }
+  c->ask(request, std::move(told));
+}
+
+// ---- Flight
+
+class FlightClients::Connection : public flight::Http2::Handler,
+                                  public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(FlightClients& owner) : owner_(owner), http2_(owner.loop_, *this, false) {}
+  bool begin(int port) { return http2_.connect(loopback(port)); }
+  void close() { http2_.close(); }
+  bool room() const { return open_ && calls_.size() < kStreams; }
+
+  void ask(const Asked& a, Told told) {
+    QueryCommand command;
+    command.set_query_class(a.query_class);
+    command.set_tenant(a.tenant);
+    command.set_key(a.key);
+    command.set_text(a.text);
+    for (const auto& s : a.spans) {
+      auto* span = command.add_spans();
+      span->set_from(s.from);
+      span->set_to(s.to);
+    }
+    wire::Ticket ticket;
+    ticket.set_ticket(command.SerializeAsString());
+    std::int32_t id = http2_.request({{":method", "POST"},
+                                      {":scheme", "http"},
+                                      {":path", "/arrow.flight.protocol.FlightService/DoGet"},
+                                      {":authority", "lab"},
+                                      {"te", "trailers"},
+                                      {"content-type", "application/grpc"},
+                                      {"x-request-id", a.id},
+                                      {"grpc-timeout", flight::write_timeout(a.timeout)}},
+                                     flight::frame_message(ticket.SerializeAsString()));
+    if (id < 0) return told({});
+    calls_[id].told = std::move(told);
+    http2_.pump();
+  }
+
+  void head(std::int32_t id, const flight::Headers& headers) override {
+    auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    for (const auto& h : headers) it->second.headers.push_back(h);
+  }
+  void data(std::int32_t id, std::string_view bytes) override {
+    auto it = calls_.find(id);
+    if (it != calls_.end())
+      it->second.in.append(bytes);
+    else
+      ++owner_.extra_;
+  }
+  void peer_done(std::int32_t id) override {
+    auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    Call call = std::move(it->second);
+    calls_.erase(it);
+    call.told(read(call));
+  }
+  void closed(std::int32_t id, std::uint32_t) override {
+    auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    Told told = std::move(it->second.told);
+    calls_.erase(it);
+    told({});
+  }
+  void going_away() override { open_ = false; }
+  void down() override {
+    open_ = false;
+    auto self = shared_from_this();
+    for (auto& [id, call] : std::exchange(calls_, {})) call.told({});
+    http2_.close();
+    if (std::erase(owner_.all_, self) > 0) owner_.loop_.bury(std::move(self));
+  }
+
+ private:
+  struct Call {
+    flight::Headers headers;
+    std::string in;
+    Told told;
+  };
+  static Reply read(Call& call) {
+    Reply r;
+    const std::string* status = flight::find_header(call.headers, "grpc-status");
+    int code = status ? std::stoi(*status) : -1;
+    if (const std::string* message = flight::find_header(call.headers, "grpc-message")) r.error = *message;
+    r.kind = code == 0                                                    ? Reply::Kind::answered
+             : code == static_cast<int>(flight::Status::unavailable)      ? Reply::Kind::refused
+             : code == static_cast<int>(flight::Status::invalid_argument) ? Reply::Kind::unfit
+             : code < 0                                                   ? Reply::Kind::broken
+                                                                          : Reply::Kind::failed;
+    r.retry_after = flight::read_retry_after(call.headers).value_or(0);
+    const std::string* exact = flight::find_header(call.headers, "answer-exact");
+    r.whole = exact && *exact == "true";
+    std::vector<flight::ArrowRow> rows;
+    bool bad = false;
+    constexpr std::size_t kMost = 8 * 1024 * 1024;
+    while (auto message = flight::take_message(call.in, kMost, bad)) {
+      wire::FlightData part;
+      if (!part.ParseFromString(*message) ||
+          flight::read_arrow(part.data_header(), part.data_body(), rows, flight::Layout::spans) ==
+              flight::ArrowKind::bad) {
+        r.kind = Reply::Kind::failed;
+        r.error = "messages that are no answer";
+        return r;
+      }
+    }
+    for (flight::ArrowRow& row : rows) r.rows.push_back({row.span, std::move(row.data)});
+    return r;
+  }
+
+  FlightClients& owner_;
+  flight::Http2 http2_;
+  std::map<std::int32_t, Call> calls_;
+  bool open_ = true;
+};
+
+FlightClients::~FlightClients() {
+  for (auto& c : all_) c->close();
+}
+
+void FlightClients::ask(const Asked& asked, Told told) {
+  std::shared_ptr<Connection> c;
+  for (auto& each : all_)
+    if (!c && each->room()) c = each;
+  if (!c) {
+    c = std::make_shared<Connection>(*this);
+    if (!c->begin(port_())) return told({});
+    all_.push_back(c);
+  }
+  c->ask(asked, std::move(told));
+}
+
+}  // namespace winchhall::lab
--- /dev/null
+++ b/lab/fleet.hpp
@@ -0,0 +1,96 @@
+// A fleet on loopback: stand-in nodes, directory and rosters, real aggregators, clients and the checker, on
+// one loop. Experiments bring the load, the faults and the question.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/checker.hpp"
+#include "lab/clients.hpp"
+#include "lab/directory.hpp"
+#include "lab/node.hpp"
+#include "lab/process.hpp"
+#include "lab/truth.hpp"
+#include "lab/world.hpp"
+
+namespace winchhall::lab {
+
+struct FleetOptions {
+  std::uint64_t seed = 1;
+  std::size_t nodes = 20, aggregators = 3, accounts = 4000;
+  WorldOptions world{};
+  NodeOptions node{};
+  std::string program{};
+  std::string files_root{};  // nodes and ranges come from files there, and not from roster and directory
+  Millis slack = 250;        // ms that a busy machine may add to a limit in time
+};
+
+class Fleet {
+ public:
+  explicit Fleet(const FleetOptions& options);
+  ~Fleet();
+
+  // Starts all aggregators and waits until they are ready. Throws std::runtime_error where one isn't in time.
+  void begin();
+  void turn(Millis longest = 20);
+
+  // One query, at an aggregator that runs; its answer goes to the checker.
+  void ask(std::size_t aggregator, bool over_flight, const Asked& asked,
+           std::function<void(const Reply&)> seen = nullptr);
+  int http_port(std::size_t i) const { return aggregators_[i].http_port; }
+  int flight_port(std::size_t i) const { return aggregators_[i].flight_port; }
+  Asked draw(Random& random, std::uint64_t number) const;
+  std::size_t open() const { return open_; }
+
+  void kill(std::size_t aggregator);
+  void restart(std::size_t aggregator);
+  bool running(std::size_t aggregator) const { return aggregators_[aggregator].process->running(); }
+  void drain(std::size_t node);
+  void undrain(std::size_t node);
+  void kill_node(std::size_t node);
+  void return_node(std::size_t node);
+
+  net::Loop& loop() { return loop_; }
+  World& world() { return world_; }
+  Directory& directory() { return directory_; }
+  Checker& checker() { return checker_; }
+  Node& node(std::size_t i) { return *nodes_[i]; }
+  std::size_t nodes() const { return nodes_.size(); }
+  std::size_t aggregators() const { return aggregators_.size(); }
+  Process& process(std::size_t i) { return *aggregators_[i].process; }
+  std::size_t extra_answers() const;
+  // What must hold at the end of any run, beside what the checker has seen.
+  void look_over();
+
+  static const std::vector<ClassRule>& classes();
+
+ private:
+  struct Aggregator {
+    std::unique_ptr<Process> process;
+    bool flight_nodes = false;
+    int http_port = 0, flight_port = 0;
+    std::unique_ptr<HttpClients> http;
+    std::unique_ptr<FlightClients> flight;
+    Millis killed_at = -1;
+  };
+  bool over_flight(std::size_t aggregator) const;
+  std::string config(std::size_t aggregator, int port) const;
+  std::string ops(std::size_t aggregator, int port) const;
+  void roster_set(std::size_t node, const std::string& phase);
+  void drained_send(const Node::Arrival& arrival);
+
+  FleetOptions options_;
+  net::Loop loop_;
+  Truth truth_;
+  World world_;
+  Directory directory_;
+  Roster frames_roster_, flight_roster_;
+  Checker checker_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<Aggregator> aggregators_;
+  std::map<std::size_t, Millis> drains_;  // since when the roster says so
+  std::size_t open_ = 0;
+};
+
+}  // namespace winchhall::lab
--- /dev/null
+++ b/lab/histogram.hpp
@@ -0,0 +1,55 @@
+// Latencies in a histogram of log-linear buckets: 64 to each doubling, so a quantile is off by 1.6% at most.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <cstdint>
+
+namespace winchhall::lab {
+
+class Histogram {
+ public:
+  void add(double ms) {
+    auto us = static_cast<std::uint64_t>(std::clamp(ms * 1000, 0.0, 1e12));
+    ++counts_[bucket(us)];
+    ++count_;
+    sum_ += ms;
+    most_ = std::max(most_, ms);
+  }
+  void add(const Histogram& other) {
+    for (std::size_t i = 0; i < counts_.size(); ++i) counts_[i] += other.counts_[i];
+    count_ += other.count_;
+    sum_ += other.sum_;
+    most_ = std::max(most_, other.most_);
+  }
+  std::uint64_t count() const { return count_; }
+  double mean() const { return count_ > 0 ? sum_ / static_cast<double>(count_) : 0; }
+  double most() const { return most_; }
+  // In milliseconds: so many of all were not later than that.
+  double quantile(double q) const {
+    auto wanted = static_cast<std::uint64_t>(q * static_cast<double>(count_) + 0.5);
+    std::uint64_t seen = 0;
+    for (std::size_t i = 0; i < counts_.size(); ++i)
+      if ((seen += counts_[i]) >= wanted && seen > 0) return std::min(most_, upper(i) / 1000);
+    return most_;
+  }
+
+ private:
+  static constexpr unsigned kSub = 6;  // bits: 64 buckets to a doubling
+  static std::size_t bucket(std::uint64_t us) {
+    if (us < (1U << kSub)) return us;
+    unsigned shift = static_cast<unsigned>(std::bit_width(us)) - 1 - kSub;
+    return (static_cast<std::size_t>(shift + 1) << kSub) + ((us >> shift) & ((1U << kSub) - 1));
+  }
+  static double upper(std::size_t i) {
+    if (i < (1U << kSub)) return static_cast<double>(i);
+    std::uint64_t shift = (i >> kSub) - 1, within = i & ((1U << kSub) - 1);
+    return static_cast<double>(((1ULL << kSub) + within + 1) << shift);
+  }
+  std::array<std::uint64_t, 64 * 42> counts_{};
+  std::uint64_t count_ = 0;
+  double sum_ = 0, most_ = 0;
+};
+
+}  // namespace winchhall::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,91 @@
+// winchhall-lab: stand-ins, load, faults and checkers, on loopback only and with every bound stated.
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <exception>
+
+#include "lab/experiments.hpp"
+
+namespace {
+
+std::string beside(const std::string& name) {
+  char path[4096];
+  ssize_t n = readlink("/proc/self/exe", path, sizeof path);
+  std::string program(path, n > 0 ? static_cast<std::size_t>(n) : 0);
+  return program.substr(0, program.rfind('/') + 1) + name;
+}
+
+void common_options(CLI::App& app, winchhall::lab::Common& c) {
+  c.program = beside("winchhall");
+  app.add_option("--seed", c.seed, "of all that is drawn")->capture_default_str();
+  app.add_option("--seconds", c.seconds, "of each run")->check(CLI::Range(2.0, 600.0))->capture_default_str();
+  app.add_option("--json", c.json, "file for the figures");
+  app.add_option("--logs", c.logs, "folder for the aggregators' logs")->check(CLI::ExistingDirectory);
+  app.add_option("--slack-ms", c.slack_ms, "that a busy machine may add to a limit in time")
+      ->capture_default_str();
+  app.add_option("--program", c.program, "the aggregator to run")->check(CLI::ExistingFile);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using namespace winchhall;
+  spdlog::set_level(spdlog::level::off);
+  CLI::App app{"winchhall-lab: experiments on loopback; exit code 1 where a rule breaks"};
+  app.require_subcommand(1);
+  CLI::App* experiment = app.add_subcommand("experiment", "run one");
+  experiment->require_subcommand(1);
+
+  lab::MovingRanges moving;
+  CLI::App* m = experiment->add_subcommand("moving-ranges", "ranges split, merge and move while queries run");
+  common_options(*m, moving.common);
+  m->add_option("--rate", moving.rate, "queries a second")
+      ->check(CLI::Range(1.0, 2000.0))
+      ->capture_default_str();
+  m->add_option("--nodes", moving.nodes)->check(CLI::Range(4, 64))->capture_default_str();
+  m->add_option("--aggregators", moving.aggregators)->check(CLI::Range(2, 9))->capture_default_str();
+  m->add_option("--reshuffle-ms", moving.reshuffle_ms)->check(CLI::Range(50.0, 1e6))->capture_default_str();
+  m->add_option("--service-least", moving.service_least, "of the run without reshuffles")
+      ->capture_default_str();
+  m->add_flag("!--no-faults", moving.faults, "neither pauses nor deaths nor a directory in trouble");
+
+  lab::WatchedFiles files;
+  CLI::App* w =
+      experiment->add_subcommand("watched-files", "files rewritten without pause, a third of them spoilt");
+  common_options(*w, files.common);
+  w->add_option("--rate", files.rate, "queries a second")
+      ->check(CLI::Range(1.0, 2000.0))
+      ->capture_default_str();
+  w->add_option("--nodes", files.nodes)->check(CLI::Range(4, 64))->capture_default_str();
+  w->add_option("--aggregators", files.aggregators)->check(CLI::Range(1, 9))->capture_default_str();
+  w->add_option("--service-least", files.service_least, "of the run whose files stand still")
+      ->capture_default_str();
+
+  lab::PlatformCost cost;
+  CLI::App* c = experiment->add_subcommand("platform-cost", "start, memory and CPU of two programs in turns");
+  common_options(*c, cost.common);
+  c->add_option("--before", cost.before, "the program to compare with")->check(CLI::ExistingFile)->required();
+  c->add_option("--rounds", cost.rounds)->check(CLI::Range(1, 99))->capture_default_str();
+  c->add_option("--queries", cost.queries, "in each round")
+      ->check(CLI::Range(1, 100000))
+      ->capture_default_str();
+  c->add_option("--most", cost.most, "CPU a query, x that of before")->capture_default_str();
+
+  lab::Common shown;
+  shown.program = beside("winchhall");
+  CLI::App* demo = app.add_subcommand("demo", "one aggregator, a few nodes, one query over each front");
+  demo->add_option("--program", shown.program, "the aggregator to run")->check(CLI::ExistingFile);
+
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (demo->parsed()) return lab::demo(shown);
+    if (w->parsed()) return lab::watched_files(files);
+    if (c->parsed()) return lab::platform_cost(cost);
+    return lab::moving_ranges(moving);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "winchhall-lab: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/lab/node.cpp
@@ -0,0 +1,349 @@
+#include "lab/node.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+#include "command.pb.h"
+#include "flight.pb.h"
+#include "flight/arrow.hpp"
+#include "flight/grpc.hpp"
+#include "platform/frames.hpp"
+#include "platform/range_words.hpp"
+
+namespace winchhall::lab {
+
+namespace wire = arrow::flight::protocol;
+using flight::Headers;
+
+namespace {
+std::uint64_t number_after(const std::string& list, const char* name) {
+  std::size_t at = list.find(name);
+  std::uint64_t n = 0;
+  if (at != std::string::npos)
+    std::from_chars(list.data() + at + std::string_view(name).size(), list.data() + list.size(), n);
+  return n;
+}
+
+net::Millis now_of(net::Loop& loop) { return loop.now(); }
+}  // namespace
+
+// ---- Frames
+
+class Node::FrameSide : public net::Stream::Owner, public std::enable_shared_from_this<FrameSide> {
+ public:
+  explicit FrameSide(Node& node) : node_(node) {}
+  void begin(net::UniqueFd fd) { stream_ = net::Stream::adopt(node_.loop_, std::move(fd), *this); }
+  void close() { stream_->close(); }
+
+  void received(std::string& in) override {
+    bool bad = false;
+    while (auto frame = platform::take_frame(in, bad)) {
+      if (frame->letter == 'K') cancel(frame->rest);
+      if (frame->letter == 'U' || frame->letter == 'I')
+        stream_->write(platform::make_frame(frame->letter, node_.load()));
+      if (frame->letter == 'D') calls(frame->rest);
+    }
+    if (bad) ended();
+  }
+  void ended() override {
+    for (auto& [id, job] : jobs_) job->cancelled = true;
+    auto self = shared_from_this();
+    stream_->close();
+    if (node_.frame_sides_.erase(self) > 0) node_.loop_.bury(std::move(self));
+  }
+
+ private:
+  void cancel(const std::string& id) {
+    auto it = jobs_.find(id);
+    if (it == jobs_.end()) return;
+    it->second->cancelled = true;
+    jobs_.erase(it);
+  }
+  void calls(std::string rest) {
+    while (!rest.empty()) {
+      std::size_t line = rest.find('\n');
+      char id[200], list[200];
+      unsigned long long range = 0;
+      unsigned long size = 0;
+      if (line == std::string::npos ||
+          std::sscanf(rest.substr(0, line).c_str(), "%199s %llu %199s %lu", id, &range, list, &size) != 4)
+        return ended();
+      auto job = std::make_shared<Job>();
+      std::string words = list;
+      job->part = {node_.number_,
+                   id,
+                   rest.substr(line + 1, size),
+                   {number_after(words, "from="), number_after(words, "to=")},
+                   {}};
+      std::size_t dot = words.find('.', std::min(words.find("rev="), words.size()));
+      job->part.revision = {number_after(words, "rev="),
+                            dot == std::string::npos ? 0 : number_after(words.substr(dot), ".")};
+      job->until = now_of(node_.loop_) + static_cast<Millis>(number_after(words, "d="));
+      rest.erase(0, line + 1 + size);
+      jobs_[id] = job;
+      job->reply = [weak = weak_from_this(), part = std::string(id)](int end, const std::string& value) {
+        auto self = weak.lock();
+        if (!self || !self->stream_->open()) return;
+        self->jobs_.erase(part);
+        self->stream_->write(platform::make_frame(
+            'O', part + " " + std::to_string(end) + " 1 " + self->node_.load() + "\n" + value));
+      };
+      node_.take(job);
+    }
+  }
+
+  Node& node_;
+  std::shared_ptr<net::Stream> stream_;
+  std::map<std::string, JobPtr> jobs_;
+};
+
+// ---- Flight
+
+class Node::FlightSide : public flight::Http2::Handler, public std::enable_shared_from_this<FlightSide> {
+ public:
+  explicit FlightSide(Node& node) : node_(node), http2_(node.loop_, *this, true) {}
+  void begin(net::UniqueFd fd) { http2_.adopt(std::move(fd)); }
+  void close() { http2_.close(); }
+
+  void head(std::int32_t id, const Headers& headers) override { calls_[id].headers = headers; }
+  void data(std::int32_t id, std::string_view bytes) override { calls_[id].in.append(bytes); }
+  void peer_done(std::int32_t id) override {
+    Call& call = calls_[id];
+    bool bad = false;
+    auto message = flight::take_message(call.in, flight::kMessageMost, bad);
+    wire::Ticket ticket;
+    PartCommand command;
+    if (!message || !ticket.ParseFromString(*message) || !command.ParseFromString(ticket.ticket()))
+      return http2_.reset(id, NGHTTP2_PROTOCOL_ERROR);
+    auto job = std::make_shared<Job>();
+    const auto& interval = command.interval();
+    job->part = {node_.number_,
+                 command.part(),
+                 command.text(),
+                 {interval.from(), interval.to()},
+                 {interval.incarnation(), interval.revision()}};
+    const std::string* timeout = flight::find_header(call.headers, "grpc-timeout");
+    job->until = now_of(node_.loop_) + (timeout ? flight::read_timeout(*timeout).value_or(10000) : 10000);
+    call.job = job;
+    job->reply = [weak = weak_from_this(), id, span = job->part.span, revision = job->part.revision](
+                     int end, const std::string& value) {
+      if (auto self = weak.lock()) self->reply(id, span, revision, end, value);
+    };
+    node_.take(job);
+  }
+  void closed(std::int32_t id, std::uint32_t) override {
+    auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    if (it->second.job) it->second.job->cancelled = true;
+    calls_.erase(it);
+  }
+  void down() override {
+    for (auto& [id, call] : calls_)
+      if (call.job) call.job->cancelled = true;
+    auto self = shared_from_this();
+    http2_.close();
+    if (node_.flight_sides_.erase(self) > 0) node_.loop_.bury(std::move(self));
+  }
+
+ private:
+  struct Call {
+    Headers headers;
+    std::string in;
+    JobPtr job;
+  };
+  static std::string data_message(const flight::ArrowMessage& m) {
+    wire::FlightData data;
+    data.set_data_header(m.header);
+    data.set_data_body(m.body);
+    return flight::frame_message(data.SerializeAsString());
+  }
+  void reply(std::int32_t id, const ranges::Span& span, const ranges::Revision& revision, int end,
+             const std::string& value) {
+    if (!calls_.count(id) || !http2_.open()) return;
+    calls_[id].job = nullptr;  // answered: its end is no cancelling
+    using flight::Status;
+    Headers trailers = flight::status_trailers(end == 200                  ? Status::ok
+                                               : end == 503                ? Status::unavailable
+                                               : end == platform::kNotMine ? Status::failed_precondition
+                                                                           : Status::internal,
+                                               "");
+    trailers.emplace_back("node-load", node_.load());
+    std::string body;
+    if (end == 200) {
+      flight::ArrowRow row;
+      row.span = span;
+      row.revision = ranges::text_of(revision);
+      row.data = value;
+      body = data_message(flight::schema_message(flight::Layout::spans)) +
+             data_message(flight::batch_message({row}, flight::Layout::spans));
+    }
+    if (end == platform::kNotMine) flight::add_denial(trailers, platform::read_denial(value));
+    http2_.respond(id, {{":status", "200"}, {"content-type", "application/grpc"}}, body, trailers);
+    http2_.pump();
+  }
+
+  Node& node_;
+  flight::Http2 http2_;
+  std::map<std::int32_t, Call> calls_;
+};
+
+// ---- The node itself
+
+Node::Node(net::Loop& loop, std::size_t number, const NodeOptions& options, const World& world,
+           const Truth& truth, std::uint64_t seed, Heard heard)
+    : loop_(loop),
+      number_(number),
+      options_(options),
+      world_(world),
+      truth_(truth),
+      random_(seed, 100 + number),
+      heard_(std::move(heard)) {
+  listen();
+}
+
+Node::~Node() { die(); }
+
+std::string Node::frames_address() const { return "127.0.0.1:" + std::to_string(frames_port_); }
+std::string Node::flight_address() const { return "127.0.0.1:" + std::to_string(flight_port_); }
+
+void Node::listen() {
+  auto at = [](int port) { return *net::parse_address("127.0.0.1:" + std::to_string(port)); };
+  frames_ = std::make_unique<net::Listener>(loop_, at(frames_port_), [this](net::UniqueFd fd) {
+    auto side = std::make_shared<FrameSide>(*this);
+    frame_sides_.insert(side);
+    side->begin(std::move(fd));
+  });
+  flight_ = std::make_unique<net::Listener>(loop_, at(flight_port_), [this](net::UniqueFd fd) {
+    auto side = std::make_shared<FlightSide>(*this);
+    flight_sides_.insert(side);
+    side->begin(std::move(fd));
+  });
+  frames_port_ = frames_->port();
+  flight_port_ = flight_->port();
+}
+
+double Node::capacity(Millis now) const {
+  double warm = up_since_ <= 0 ? 1 : std::min(1.0, (now - up_since_) / options_.cold_time);
+  return static_cast<double>(options_.cores) * (options_.cold_share + (1 - options_.cold_share) * warm);
+}
+
+void Node::take(JobPtr job) {
+  Millis now = loop_.now();
+  if (!alive_) return;
+  ++counts_.asked;
+  heard_(job->part);
+  job->work = random_.between(options_.work_least, options_.work_most);
+  if (up_since_ > 0 && now - up_since_ < options_.cold_time) {
+    cold_work_.emplace_back(now, job->work);
+    while (cold_work_.front().first < now - options_.fall_time) cold_work_.pop_front();
+    double sent = 0;
+    for (const auto& w : cold_work_) sent += w.second;
+    double multiple = sent / (capacity(now) * options_.fall_time);
+    counts_.worst_cold = std::max(counts_.worst_cold, multiple);
+    if (multiple > options_.fall_multiple) {
+      counts_.fell = true;
+      return die();
+    }
+  }
+  if (now < deny_until_) {
+    ++counts_.denied;
+    return job->reply(platform::kNotMine, denial(*job));
+  }
+  if (!world_.has_data(number_, job->part.span)) {
+    ++counts_.denied;
+    return job->reply(platform::kNotMine, denial(*job));
+  }
+  if (queue_.size() >= options_.waiting) {
+    ++counts_.full;
+    return job->reply(503, "");
+  }
+  queue_.push_back(std::move(job));
+  pump();
+}
+
+std::string Node::denial(const Job& job) const {
+  const ranges::RangeMap& known = world_.map_at(loop_.now() - lag_);
+  ranges::NotMine words{known.revision(), {}};
+  if (known.revision() > job.part.revision)
+    known.visit(job.part.span, [&](const ranges::Place& p) {
+      words.successors.push_back({p.span, p.id, {}, *p.holders, 0, {}});
+      return true;
+    });
+  return platform::write_denial(words);
+}
+
+void Node::pump() {
+  Millis now = loop_.now();
+  if (!alive_ || now < paused_until_) return;
+  while (running_ < options_.cores && !queue_.empty()) {
+    JobPtr job = queue_.front();
+    queue_.pop_front();
+    if (job->cancelled || job->until <= now) {
+      ++(job->cancelled ? counts_.cancelled : counts_.late);
+      continue;
+    }
+    ++running_;
+    double slower = static_cast<double>(options_.cores) / capacity(now);
+    loop_.at(now + job->work * slower, [this, job, life = life_] {
+      if (life == life_) done(job);
+    });
+  }
+}
+
+void Node::done(JobPtr job) {
+  if (loop_.now() < paused_until_) {  // it stands still: so does what it has in hand
+    loop_.at(paused_until_, [this, job, life = life_] {
+      if (life == life_) done(job);
+    });
+    return;
+  }
+  --running_;
+  if (!job->cancelled) {
+    // The data is looked at when the answer is made: a hand-over that ended meanwhile leaves nothing to read.
+    if (world_.has_data(number_, job->part.span)) {
+      ++counts_.served;
+      job->reply(200, truth_.rows(job->part.span, job->part.text));
+    } else {
+      ++counts_.denied;
+      job->reply(platform::kNotMine, denial(*job));
+    }
+  }
+  pump();
+}
+
+void Node::pause(Millis ms) {
+  paused_until_ = std::max(paused_until_, loop_.now() + ms);
+  loop_.at(paused_until_, [this, life = life_] {
+    if (life == life_) pump();
+  });
+}
+
+void Node::die() {
+  if (!alive_) return;
+  alive_ = false;
+  ++life_;
+  running_ = 0;
+  queue_.clear();
+  frames_.reset();
+  flight_.reset();
+  for (const auto& side : std::exchange(frame_sides_, {})) {
+    side->close();
+    loop_.bury(side);
+  }
+  for (const auto& side : std::exchange(flight_sides_, {})) {
+    side->close();
+    loop_.bury(side);
+  }
+}
+
+void Node::come_back() {
+  if (alive_ || counts_.fell) return;
+  alive_ = true;
+  up_since_ = loop_.now();
+  paused_until_ = 0;
+  cold_work_.clear();
+  listen();
+}
+
+}  // namespace winchhall::lab
--- /dev/null
+++ b/lab/platform_cost.cpp
@@ -0,0 +1,199 @@
+// What the program costs on the platform's path: start, memory at rest, CPU a query. Two programs are
+// measured in turns, so that what the machine does besides falls on both alike.
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "lab/clients.hpp"
+#include "lab/experiments.hpp"
+#include "lab/histogram.hpp"
+#include "lab/process.hpp"
+#include "platform/frames.hpp"
+
+namespace winchhall::lab {
+namespace {
+
+using nlohmann::json;
+constexpr int kAtOnce = 8;          // queries out at a time: a busy aggregator, no overload
+constexpr Millis kGiveUp = 120000;  // ms: only ends a run that hangs
+
+// A leaf that answers every part at once.
+class PromptLeaf {
+ public:
+  explicit PromptLeaf(net::Loop& loop)
+      : loop_(loop), listener_(loop, *net::parse_address("127.0.0.1:0"), [this](net::UniqueFd fd) {
+          sides_.push_back(std::make_shared<Side>());
+          sides_.back()->stream = net::Stream::adopt(loop_, std::move(fd), *sides_.back());
+        }) {}
+  ~PromptLeaf() {
+    for (auto& side : sides_) side->stream->close();
+  }
+  int port() const { return listener_.port(); }
+
+ private:
+  struct Side : net::Stream::Owner {
+    void received(std::string& in) override {
+      bool bad = false;
+      std::string out;
+      while (auto frame = platform::take_frame(in, bad)) {
+        if (frame->letter != 'D') continue;
+        out += platform::make_frame(
+            'O', frame->rest.substr(0, frame->rest.find(' ')) + " 200 1 busy_reqs=1\n5be2a07c19f04d63");
+      }
+      stream->write(out);
+    }
+    void ended() override { stream->close(); }
+    std::shared_ptr<net::Stream> stream;
+  };
+  net::Loop& loop_;
+  net::Listener listener_;
+  std::vector<std::shared_ptr<Side>> sides_;
+};
+
+std::string config(const std::vector<std::unique_ptr<PromptLeaf>>& leafs) {
+  json members = json::array();
+  for (std::size_t i = 0; i < leafs.size(); ++i)
+    members.push_back({{"id", "leaf-" + std::to_string(i)},
+                       {"host_port", "127.0.0.1:" + std::to_string(leafs[i]->port())},
+                       {"cell", i},
+                       {"phase", "ready"},
+                       {"size", 1.0},
+                       {"up_since_ms", 0}});
+  return json{{"name", "cost"},
+              {"listen", "127.0.0.1:0"},
+              {"discovery", "127.0.0.1:1"},
+              {"seed", "7"},
+              {"limits", {{"sockets", 1024}}},
+              {"known", {{"revision", 1}, {"complete", true}, {"members", members}}},
+              {"settings",
+               {{"balancers", 3},
+                {"membership_mode", "pushed"},
+                {"tick", 5},
+                {"services", json::array({{{"name", "lookup"},
+                                           {"objective", 2500},
+                                           {"hard_limit", 7500},
+                                           {"late_share", 0.3},
+                                           {"gain", 1},
+                                           {"semantics", "free"}}})},
+                {"extra",
+                 {{"positions", leafs.size()},
+                  {"reach", 3},
+                  {"slabs", 2 * leafs.size()},
+                  {"need_by_class", json::array({1})},
+                  {"floor_by_class", json::array({1})}}},
+                {"permissions",
+                 {{"cancel", true},
+                  {"max_attempts", 3},
+                  {"max_open", 400},
+                  {"streams_per_conn", 32},
+                  {"conn_idle", 30000},
+                  {"connect_timeout", 250}}},
+                {"rules", {{"must_ask_in", 10000}, {"drain_grace", 2000}}},
+                {"report", {{"how", "inline"}, {"fields", json::array({"busy_reqs"})}}}}}}
+      .dump();
+}
+
+struct Usage {
+  double cpu_ms = 0, resident_kb = 0;
+};
+
+Usage usage(pid_t pid) {
+  Usage u;
+  std::ifstream sched("/proc/" + std::to_string(pid) + "/schedstat");  // nanoseconds on a processor
+  double ns = 0;
+  sched >> ns;
+  u.cpu_ms = ns / 1e6;
+  std::ifstream pages("/proc/" + std::to_string(pid) + "/statm");
+  double size = 0, resident = 0;
+  pages >> size >> resident;
+  u.resident_kb = resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
+  return u;
+}
+
+struct Cost {
+  std::vector<double> start_ms, resident_kb, cpu_us;
+  double median(std::vector<double> list) const {
+    std::sort(list.begin(), list.end());
+    return list.empty() ? 0 : list[list.size() / 2];
+  }
+};
+
+void measure(const std::string& program, std::size_t queries, Cost& cost) {
+  net::Loop loop;
+  std::vector<std::unique_ptr<PromptLeaf>> leafs;
+  for (int i = 0; i < 12; ++i) leafs.push_back(std::make_unique<PromptLeaf>(loop));
+  Process process(loop, program, config(leafs), "");
+  Millis begin = loop.now(), end = begin + kGiveUp;
+  process.start();
+  while (!process.said("phase ready") && loop.now() < end) loop.turn(1);
+  cost.start_ms.push_back(loop.now() - begin);
+  int port = process.number_after("listens on port ");
+  Usage rest = usage(process.pid());
+  cost.resident_kb.push_back(rest.resident_kb);
+  HttpClients clients(loop, [port] { return port; });
+  std::size_t asked = 0, answered = 0, failed = 0;
+  std::function<void()> next = [&] {
+    if (asked >= queries) return;
+    json parts = json::array();
+    for (std::size_t k = 0; k < 8; ++k)
+      parts.push_back({{"id", (asked + k) % 24}, {"w", 0.125}, {"hint", 9000 + 100 * k}});
+    std::string body = json{{"parts", parts}, {"expr", "c41e77d0"}}.dump();
+    std::string request =
+        "POST /lookup?k=7f3a HTTP/1.1\r\nHost: x\r\nX-Request-ID: c" + std::to_string(++asked) +
+        "\r\nX-Timeout: 7000m\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    clients.ask(request, [&](Reply reply) {
+      ++(reply.kind == Reply::Kind::answered && reply.whole ? answered : failed);
+      next();
+    });
+  };
+  for (int i = 0; i < kAtOnce; ++i) next();
+  while (answered + failed < queries && loop.now() < end) loop.turn(20);
+  if (answered != queries)
+    throw std::runtime_error(program + ": " + std::to_string(failed) + " queries failed");
+  cost.cpu_us.push_back((usage(process.pid()).cpu_ms - rest.cpu_ms) * 1000 / static_cast<double>(queries));
+  process.signal(SIGTERM);  // in order, so that one that is profiled writes what it saw
+  int status = 0;
+  while (!process.ended(status) && loop.now() < end) loop.turn(20);
+}
+
+}  // namespace
+
+int platform_cost(const PlatformCost& o) {
+  Cost first, second;
+  for (std::size_t i = 0; i < o.rounds; ++i) {
+    measure(o.before, o.queries, first);
+    measure(o.common.program, o.queries, second);
+  }
+  auto row = [](const char* name, const Cost& c) {
+    std::printf("%-8s start %6.1f ms  resident at rest %6.0f kB  CPU %6.1f us a query\n", name,
+                c.median(c.start_ms), c.median(c.resident_kb), c.median(c.cpu_us));
+  };
+  row("before", first);
+  row("now", second);
+  double ratio = second.median(second.cpu_us) / first.median(first.cpu_us);
+  std::printf("CPU a query: %.3f of before (medians of %zu rounds of %zu queries of 8 parts)\n", ratio,
+              o.rounds, o.queries);
+  if (!o.common.json.empty())
+    std::ofstream(o.common.json) << json{{"experiment", "platform-cost"},
+                                         {"rounds", o.rounds},
+                                         {"queries", o.queries},
+                                         {"before",
+                                          {{"start_ms", first.start_ms},
+                                           {"resident_kb", first.resident_kb},
+                                           {"cpu_us", first.cpu_us}}},
+                                         {"now",
+                                          {{"start_ms", second.start_ms},
+                                           {"resident_kb", second.resident_kb},
+                                           {"cpu_us", second.cpu_us}}},
+                                         {"cpu_ratio", ratio}}
+                                        .dump(2)
+                                 << "\n";
+  return ratio <= o.most ? 0 : 1;
+}
+
+}  // namespace winchhall::lab
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -6,9 +6,10 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "app/beside.hpp"
 #include "app/check_files.hpp"
+#include "app/files_command.hpp"
 #include "app/ranges_command.hpp"
-#include "app/serve.hpp"
 
 namespace winchhall::app {
 namespace {
@@ -43,6 +44,16 @@
   return EXIT_SUCCESS;
 }
 
+// The serving program takes its files from the environment.
+int become_server(const std::string& config, const std::string& operator_file, const std::string& level) {
+  if (!config.empty()) setenv("LB_CONFIG", config.c_str(), 1);
+  if (!operator_file.empty()) setenv("WINCHHALL_OPERATOR", operator_file.c_str(), 1);
+  if (!level.empty()) setenv("WINCHHALL_LOG", level.c_str(), 1);
+  std::string program = beside_program("winchhall");
+  execl(program.c_str(), program.c_str(), nullptr);
+  throw std::runtime_error("no winchhall beside this program");
+}
+
 }  // namespace
 
 int run_command(int argc, char** argv) {
@@ -51,11 +62,10 @@
   app.require_subcommand(1);
   app.footer("Without a command it serves by its environment: LB_CONFIG, WINCHHALL_OPERATOR, WINCHHALL_LOG.");
 
-  Paths paths;
-  std::string level;
+  std::string config, operator_file, level;
   CLI::App* serving = app.add_subcommand("serve", "serve queries until SIGTERM");
-  serving->add_option("-c,--config", paths.config, "the platform's configuration (else LB_CONFIG)");
-  serving->add_option("-o,--operator", paths.operator_file, "an operator's file (else WINCHHALL_OPERATOR)");
+  serving->add_option("-c,--config", config, "the platform's configuration (else LB_CONFIG)");
+  serving->add_option("-o,--operator", operator_file, "an operator's file (else WINCHHALL_OPERATOR)");
   serving->add_option("--log-level", level, "trace, debug, info, warning, error")
       ->check(CLI::IsMember({"trace", "debug", "info", "warning", "error"}));
 
@@ -83,14 +93,45 @@
       ->check(CLI::NonNegativeNumber);
   planning->add_flag("--json", json);
 
+  FilesCheck files_check;
+  CLI::App* folder = app.add_subcommand("files", "look at a folder of watched files");
+  folder->require_subcommand(1);
+  CLI::App* files_checking =
+      folder->add_subcommand("check", "every fault of the set, with its line; 1 if any");
+  files_checking->add_option("DIR", files_check.folder)->required();
+  files_checking->add_option("--zones", files_check.zones, "known zones, as in the operator's file");
+  files_checking->add_option("--cells", files_check.cells, "cells that are known: 0 up to, without, this");
+  files_checking->add_flag("--json", files_check.json);
+  std::string other_folder, store, digest;
+  CLI::App* files_status = folder->add_subcommand("status", "the last verdict in a store");
+  CLI::App* files_history = folder->add_subcommand("history", "all verdicts in a store, newest first");
+  for (CLI::App* each : {files_status, files_history}) {
+    each->add_option("STORE", store)->required();
+    each->add_flag("--json", files_check.json);
+  }
+  CLI::App* files_accept =
+      folder->add_subcommand("accept", "have the running program take a set that is held");
+  CLI::App* files_rollback =
+      folder->add_subcommand("rollback", "have it go back to a set that was taken before");
+  for (CLI::App* each : {files_accept, files_rollback}) {
+    each->add_option("STORE", store)->required();
+    each->add_option("GENERATION", digest)->required();
+  }
+  CLI::App* files_diff =
+      folder->add_subcommand("diff", "what the second folder has otherwise; 1 where they differ");
+  files_diff->add_option("A", files_check.folder)->required();
+  files_diff->add_option("B", other_folder)->required();
+
   try {
     app.parse(argc, argv);
-    if (!level.empty()) spdlog::set_level(spdlog::level::from_str(level));
-    if (serving->parsed()) {
-      serve(paths);
-      return EXIT_SUCCESS;
-    }
+    if (serving->parsed()) return become_server(config, operator_file, level);
     if (checking->parsed()) return check(files);
+    if (files_checking->parsed()) return check_folder(files_check);
+    if (files_status->parsed()) return show_store(store, false, files_check.json);
+    if (files_history->parsed()) return show_store(store, true, files_check.json);
+    if (files_accept->parsed()) return leave_word(store, "accept", digest);
+    if (files_rollback->parsed()) return leave_word(store, "rollback", digest);
+    if (files_diff->parsed()) return diff_folders(files_check.folder, other_folder);
     if (show->parsed()) {
       auto span = within.empty() ? std::optional(ranges::Span{0, ranges::kKeyEnd}) : parse_span(within);
       if (!span) throw CLI::ValidationError("--within", "'" + within + "': FROM:TO is wanted");
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -210,15 +210,14 @@
 }
 }  // namespace
 
-ConfigFile::ConfigFile(const Paths& paths)
-    : path_(paths.config.empty() ? environment("LB_CONFIG") : paths.config) {
+ConfigFile::ConfigFile() : path_(environment("LB_CONFIG")) {
   if (path_.empty()) throw std::runtime_error("LB_CONFIG is not set");
   config_ = parse_config(read_file(path_));
   discovery_in_file_ = config_.discovery;
   if (auto v = environment("LB_NAME"); !v.empty()) config_.name = v;
   if (auto v = environment("LB_LISTEN"); !v.empty()) config_.listen = v;
   if (auto v = environment("LB_DISCOVERY"); !v.empty()) config_.discovery = v;
-  std::string ops = paths.operator_file.empty() ? environment("WINCHHALL_OPERATOR") : paths.operator_file;
+  std::string ops = environment("WINCHHALL_OPERATOR");
   if (!ops.empty()) read_operator(ops);
   if (auto v = environment("WINCHHALL_FLIGHT"); !v.empty()) {
     if (!ops.empty())
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -30,16 +30,11 @@
 Config parse_config(const std::string& text);
 void parse_flight_config(const std::string& text, FlightConfig& flight);
 
-// Where the files are; what is empty is taken from the environment: LB_CONFIG, WINCHHALL_OPERATOR.
-struct Paths {
-  std::string config{}, operator_file{};
-};
-
 // The file that LB_CONFIG names. Read at the start, when environment variables LB_* win over it, and again
 // when an operator asks for that.
 class ConfigFile {
  public:
-  explicit ConfigFile(const Paths& paths = {});  // throws std::runtime_error
+  ConfigFile();  // throws std::runtime_error
   const Config& config() const { return config_; }
   // Takes over what may change in a running program, which is discovery's address. Throws std::runtime_error
   // and leaves all as it was where any of the file cannot be used.
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "generations/rows.hpp"
+
 namespace winchhall::app {
 
 struct Fault {
@@ -30,16 +32,34 @@
   double connect_timeout = 1000;  // ms
 };
 
+struct FilesConfig {  // watched files; off unless an operator's file sets them up
+  bool enabled = false;
+  std::string folder{};
+  std::string store{};                // a file of its own for what must outlive the process; empty: none
+  double drop_share = 0.25;           // a set that drops more of the nodes waits for an operator's word
+  double drain_time = 10000;          // ms that a dropped node goes on with what it has
+  std::size_t most_bytes = 32 << 20;  // of one file
+  std::vector<std::string> zones{};   // known ones; empty: any
+  long long cells = 0;                // known ones: from 0 up to, without, this; 0: any
+};
+
 struct OperatorSettings {
   FlightConfig flight{};
   RangesConfig ranges{};
+  FilesConfig files{};
 };
 
 // Every fault of the file, with its line. Settings are of use only where there is none.
 std::vector<Fault> read_operator_file(const std::string& path, OperatorSettings& settings);
 
+// Reads a set of watched files: rows, and every fault of reading. May run on any thread, one at a time.
+void read_set(const generations::Bytes& bytes, generations::Rows& rows,
+              std::vector<generations::Fault>& faults);
+
 // What the module offers; called through the loader only.
 using OperatorReader = void (*)(const std::string& path, OperatorSettings& settings,
                                 std::vector<Fault>& faults);
+using SetReader = void (*)(const generations::Bytes& bytes, generations::Rows& rows,
+                           std::vector<generations::Fault>& faults);
 
 }  // namespace winchhall::app
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -11,6 +11,7 @@
 
 #include "app/lifecycle.hpp"
 #include "core/exchange.hpp"
+#include "files/files_source.hpp"
 #include "flight/flight_pool.hpp"
 #include "flight/flight_server.hpp"
 #include "net/loop.hpp"
@@ -28,10 +29,13 @@
   return *a;
 }
 
-void reload(ConfigFile& file, platform::Discovery& discovery) {
+void reload(ConfigFile& file, platform::Discovery* discovery) {
   try {
     file.reload();
-    discovery.move(file.config().discovery);
+    if (!discovery)
+      return spdlog::info(
+          "configuration read again: the nodes come from files, the rest counts from the next start");
+    discovery->move(file.config().discovery);
     spdlog::info("configuration read again: discovery at {}, the rest counts from the next start",
                  file.config().discovery);
   } catch (const std::exception& error) {
@@ -51,17 +55,42 @@
       asked.broken);
 }
 
+files::FilesOptions files_options(const FilesConfig& config) {
+  files::FilesOptions o;
+  o.folder = config.folder;
+  o.store = config.store;
+  o.most_bytes = config.most_bytes;
+  o.bounds.zones = {config.zones.begin(), config.zones.end()};
+  o.bounds.cells = config.cells;
+  o.limits.drop_share = config.drop_share;
+  o.limits.drain_time = config.drain_time;
+  o.read = read_set;
+  return o;
+}
+
+void log_files(files::FilesSource& files) {
+  const auto& f = files.figures();
+  spdlog::info(
+      "files: number {} generation {}; looks {} taken {} refused {} held {} disturbed {} kept {} not kept {}",
+      files.keeper().number(),
+      files.keeper().current() ? generations::digest_text(files.keeper().current()->digest) : "none", f.looks,
+      f.taken, f.refused, f.held, f.disturbed, f.kept, f.not_kept);
+}
+
 }  // namespace
 
-void serve(const Paths& paths) {
+void serve() {
   // Before all else: a SIGHUP that finds no handler ends the program.
   sigset_t signals;
   sigemptyset(&signals);
   for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
   sigprocmask(SIG_BLOCK, &signals, nullptr);
   net::UniqueFd signal_fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
-  ConfigFile file(paths);
-  const Config config = file.config();
+  ConfigFile file;
+  Config config = file.config();
+  // Files tell of themselves; nobody has to be asked for the list.
+  if (config.ops.files.enabled) config.settings.list_on_request = false;
+  config.settings.weights_count = config.ops.files.enabled;
   if (!config.known_read) spdlog::warn("the configuration's last list of servers cannot be read");
   Lifecycle life;
   net::Loop loop;
@@ -79,7 +108,8 @@
   limits.idle = config.conn_idle;
   limits.connections = config.sockets * 2 / 5;
   const FlightConfig& flight_config = config.ops.flight;
-  const bool spans = config.ops.ranges.enabled;
+  const FilesConfig& files_config = config.ops.files;
+  const bool spans = config.ops.ranges.enabled || files_config.enabled;
   limits.spans = spans;
   if (flight_config.enabled && flight_config.nodes)
     nodes = std::make_unique<flight::FlightPool>(
@@ -88,13 +118,19 @@
   else
     leafs = std::make_unique<platform::LeafPool>(loop, exchange, limits);
   core::Carrier& carrier = nodes ? static_cast<core::Carrier&>(*nodes) : *leafs;
-  platform::Discovery discovery(loop, exchange, config.discovery, config.known_revision,
-                                config.connect_timeout);
+  // Who tells the nodes: discovery, or a folder of files.
+  std::unique_ptr<platform::Discovery> discovery;
+  std::unique_ptr<files::FilesSource> files;
+  if (files_config.enabled)
+    files = std::make_unique<files::FilesSource>(loop, exchange, files_options(files_config));
+  else
+    discovery = std::make_unique<platform::Discovery>(loop, exchange, config.discovery, config.known_revision,
+                                                      config.connect_timeout);
   loop.add(signal_fd.get(), POLLIN, [&](short) {
     signalfd_siginfo info;
     while (read(signal_fd.get(), &info, sizeof info) == sizeof info) {
       if (info.ssi_signo == SIGHUP) {
-        reload(file, discovery);
+        reload(file, discovery.get());
         continue;
       }
       life.terminate(loop.now());
@@ -102,14 +138,17 @@
     }
   });
   std::unique_ptr<platform::RangeDirectory> directory;
-  if (spans)
+  if (config.ops.ranges.enabled)
     directory = std::make_unique<platform::RangeDirectory>(
         loop, exchange, config.ops.ranges.directory,
         platform::RangeDirectory::Limits{config.ops.ranges.most, config.ops.ranges.connect_timeout},
         config.seed);
-  exchange.attach(carrier, discovery, directory.get());
+  core::MembershipSource& members = files ? static_cast<core::MembershipSource&>(*files) : *discovery;
+  core::RangeSource* maps = files ? static_cast<core::RangeSource*>(files.get()) : directory.get();
+  exchange.attach(carrier, members, maps);
   exchange.start(config.known);
   if (directory) directory->start();
+  if (files) files->start();
   platform::ClientFront front(loop, exchange, address(config.listen, "listen on"),
                               {exchange.settings(), config.shards, spans}, config.sockets * 4 / 10,
                               [&] { return life.admits(); });
@@ -134,7 +173,7 @@
     now = loop.now();
     // Where ranges move, a map is wanted as well: a query without one can only be refused.
     if (life.phase() == Phase::Starting && exchange.known_servers() > 0 &&
-        (!spans || !exchange.map().empty())) {
+        (!directory || !exchange.map().empty())) {
       life.serving();
       spdlog::info("phase {}", life.name());
     }
@@ -159,6 +198,7 @@
                    exchange.attempts_out(), front.connections(),
                    leafs ? leafs->connections() : nodes->connections());
       if (directory) log_ranges(exchange, *directory);
+      if (files) log_files(*files);
     }
   }
   spdlog::info("phase {}", life.name());
--- a/src/app/serve.hpp
+++ b/src/app/serve.hpp
@@ -6,6 +6,7 @@
 namespace winchhall::app {
 
 // Returns when the program was asked to end and has. Throws std::runtime_error where it can't begin.
-void serve(const Paths& paths);
+// Its files are those that the environment names.
+void serve();
 
 }  // namespace winchhall::app
--- a/src/app/xml/operator_module.cpp
+++ b/src/app/xml/operator_module.cpp
@@ -1,13 +1,12 @@
-// The module that reads operator files: libxml2, and the schema built in.
-#include <libxml/parser.h>
-#include <libxml/xmlschemas.h>
+// The module that reads XML: operator files and watched sets, by libxml2 and the schemas built in.
 #include <sys/stat.h>
 
 #include <fstream>
-#include <memory>
 #include <sstream>
 
 #include "app/operator_file.hpp"
+#include "app/xml/document.hpp"
+#include "files_schema.hpp"
 #include "net/address.hpp"
 #include "operator_schema.hpp"
 
@@ -16,76 +15,61 @@
 
 constexpr long long kFileMost = 1 << 20;  // bytes: a file of settings has a few thousand
 
-template <auto Free>
-struct Freer {
-  template <class T>
-  void operator()(T* p) const {
-    Free(p);
-  }
-};
-using Doc = std::unique_ptr<xmlDoc, Freer<xmlFreeDoc>>;
-using ParserContext = std::unique_ptr<xmlParserCtxt, Freer<xmlFreeParserCtxt>>;
-using SchemaContext = std::unique_ptr<xmlSchemaParserCtxt, Freer<xmlSchemaFreeParserCtxt>>;
-using Schema = std::unique_ptr<xmlSchema, Freer<xmlSchemaFree>>;
-using ValidContext = std::unique_ptr<xmlSchemaValidCtxt, Freer<xmlSchemaFreeValidCtxt>>;
+using xml::Attributes;
 
 struct Listing {
   const std::string& path;
   std::vector<Fault>& faults;
 };
 
-void note(void* to, xmlErrorPtr error) {
-  auto* list = static_cast<Listing*>(to);
-  std::string what = error->message ? error->message : "a fault";
-  while (!what.empty() && (what.back() == '\n' || what.back() == ' ')) what.pop_back();
-  // The schema's namespace, in every message, tells an operator nothing.
-  const std::string noise = "{urn:winchhall:operator:1}";
-  for (std::size_t at; (at = what.find(noise)) != std::string::npos;) what.erase(at, noise.size());
-  list->faults.push_back({list->path, error->line, what});
-}
-
-// Attributes with the schema's defaults filled in, as validation left them.
-struct Attributes {
-  xmlNode* node;
-  std::string text(const char* name) const {
-    xmlChar* value = xmlGetNoNsProp(node, reinterpret_cast<const xmlChar*>(name));
-    std::string s = value ? reinterpret_cast<const char*>(value) : "";
-    xmlFree(value);
-    return s;
-  }
-  bool yes(const char* name) const {
-    std::string v = text(name);
-    return v == "true" || v == "1";
-  }
-  double number(const char* name) const { return std::stod(text(name)); }
-};
-
 void read(xmlNode* root, OperatorSettings& s, Listing list) {
   auto address = [&](const Attributes& a, const char* name) {
     std::string v = a.text(name);
     // The pattern lets 999.1.1.1:70000 through; what can't be bound or reached is told here as well.
     if (!v.empty() && !net::parse_address(v))
-      list.faults.push_back({list.path, xmlGetLineNo(a.node),
+      list.faults.push_back({list.path, a.line(),
                              std::string("'") + name + "' is '" + v +
                                  "', wanted is an IPv4 address and port, "
                                  "as 127.0.0.1:8815"});
     return v;
   };
-  for (xmlNode* node = root->children; node; node = node->next) {
-    if (node->type != XML_ELEMENT_NODE) continue;
+  xml::each(root, [&](xmlNode* node) {
     Attributes a{node};
-    std::string name = reinterpret_cast<const char*>(node->name);
+    std::string name = xml::name_of(node);
     if (name == "flight") {
       s.flight = {a.yes("enabled"), address(a, "listen"), a.text("nodes") == "flight"};
       if (s.flight.enabled && s.flight.listen.empty())
-        list.faults.push_back(
-            {list.path, xmlGetLineNo(node),
-             "'listen' is missing, wanted is the address for Flight clients, or enabled=\"false\""});
+        list.faults.push_back({list.path, a.line(),
+                               "'listen' is missing, wanted is the address for Flight clients, or "
+                               "enabled=\"false\""});
     }
     if (name == "ranges")
-      s.ranges = {a.yes("enabled"), address(a, "directory"), static_cast<std::size_t>(a.number("most")),
+      s.ranges = {a.yes("enabled"), address(a, "directory"), static_cast<std::size_t>(a.whole("most")),
                   a.number("connect-timeout-ms")};
-  }
+    if (name == "files") {
+      s.files.enabled = a.yes("enabled");
+      s.files.folder = a.text("folder");
+      s.files.store = a.text("store");
+      s.files.drop_share = a.number("drop-share-percent") / 100;
+      s.files.drain_time = a.number("drain-ms");
+      s.files.most_bytes = static_cast<std::size_t>(a.whole("most-bytes"));
+      s.files.cells = static_cast<long long>(a.whole("cells"));
+      std::string zones = a.text("zones");
+      for (std::size_t at = 0; at < zones.size();) {
+        std::size_t end = std::min(zones.find(' ', at), zones.size());
+        if (end > at) s.files.zones.push_back(zones.substr(at, end - at));
+        at = end + 1;
+      }
+      if (s.files.enabled && s.files.folder.empty())
+        list.faults.push_back(
+            {list.path, a.line(), "'folder' is missing, wanted is the folder of the files"});
+    }
+  });
+  // Two sources of one map would take turns in a way that nobody could follow.
+  if (s.files.enabled && s.ranges.enabled)
+    list.faults.push_back({list.path, 0,
+                           "both <files> and <ranges> are enabled: the map of ranges comes from a "
+                           "folder or from a directory, wanted is one of them"});
 }
 
 std::string read_file(const std::string& path, std::string& fault) {
@@ -112,32 +96,60 @@
   std::string fault;
   std::string text = read_file(path, fault);
   if (!fault.empty()) return faults.push_back({path, 0, fault});
-  Listing list{path, faults};
-  ParserContext parser(xmlNewParserCtxt());
-  parser->sax->serror = [](void* context, xmlErrorPtr error) {
-    note(static_cast<xmlParserCtxt*>(context)->_private, error);
-  };
-  parser->_private = &list;
-  // Nothing is loaded from anywhere, and no entity is put in place of its name.
-  Doc doc(xmlCtxtReadMemory(parser.get(), text.data(), static_cast<int>(text.size()), path.c_str(), nullptr,
-                            XML_PARSE_NONET));
-  if (!doc) {
-    if (faults.empty()) faults.push_back({path, 0, "is no XML"});
-    return;
-  }
-  // Guards against entities that expand without end or refer outside: none can be declared.
-  if (doc->intSubset) return faults.push_back({path, 0, "a DOCTYPE is not allowed here"});
-  SchemaContext schema_context(xmlSchemaNewMemParserCtxt(kOperatorSchema, sizeof kOperatorSchema - 1));
-  Schema schema(xmlSchemaParse(schema_context.get()));
-  ValidContext valid(schema ? xmlSchemaNewValidCtxt(schema.get()) : nullptr);
-  if (!valid) return faults.push_back({path, 0, "the schema that is built in cannot be used"});
-  xmlSchemaSetValidStructuredErrors(valid.get(), note, &list);
-  xmlSchemaSetValidOptions(valid.get(), XML_SCHEMA_VAL_VC_I_CREATE);  // defaults of the schema
-  if (xmlSchemaValidateDoc(valid.get(), doc.get()) != 0) {
-    if (faults.empty()) faults.push_back({path, 0, "does not fit the schema"});
-    return;
+  static const xml::Schema schema =
+      xml::compile(std::string_view(kOperatorSchema, sizeof kOperatorSchema - 1));
+  xml::Doc doc = xml::read(text, schema.get(), "urn:winchhall:operator:1", [&](long line, std::string what) {
+    faults.push_back({path, line, std::move(what)});
+  });
+  if (doc) read(xmlDocGetRootElement(doc.get()), settings, {path, faults});
+}
+
+// A set of watched files. The schemas' order of elements does not say which root a file must have.
+extern "C" __attribute__((visibility("default"))) void winchhall_read_set(
+    const generations::Bytes& bytes, generations::Rows& rows, std::vector<generations::Fault>& faults) {
+  using namespace generations;
+  static const xml::Schema schema = xml::compile(std::string_view(kFilesSchema, sizeof kFilesSchema - 1));
+  if (!bytes.count(Kind::nodes)) faults.push_back({Kind::nodes, 0, "is not there"});
+  for (const auto& [kind, text] : bytes) {
+    Kind of = kind;
+    xml::Doc doc = xml::read(text, schema.get(), "urn:winchhall:files:1", [&](long line, std::string what) {
+      faults.push_back({of, line, std::move(what)});
+    });
+    if (!doc) continue;
+    xmlNode* root = xmlDocGetRootElement(doc.get());
+    std::string wanted = file_of(kind);
+    wanted.resize(wanted.size() - 4);
+    if (xml::name_of(root) != wanted) {
+      faults.push_back(
+          {kind, xmlGetLineNo(root), "element '" + xml::name_of(root) + "', wanted is '" + wanted + "'"});
+      continue;
+    }
+    rows.revisions[kind] = Attributes{root}.whole("revision");
+    xml::each(root, [&](xmlNode* node) {
+      Attributes a{node};
+      if (of == Kind::nodes) {
+        std::string address = a.text("address");
+        if (!net::parse_address(address))
+          faults.push_back({of, a.line(), "address '" + address + "', wanted is an IPv4 address and port"});
+        rows.nodes.push_back({a.text("id"), address, a.text("zone"), static_cast<long long>(a.whole("cell")),
+                              a.text("state") == "draining", a.line()});
+      } else if (of == Kind::weights) {
+        rows.weights.push_back({a.text("node"), a.number("value"), a.line()});
+      } else if (of == Kind::tenants) {
+        rows.tenants.push_back({a.text("name"), a.number("quota-per-s"), a.line()});
+      } else {
+        RangeRow row{a.whole("id"), {a.whole("from"), a.whole("to")}, a.number("weight"), {}, a.line()};
+        xml::each(node, [&](xmlNode* child) {
+          Attributes h{child};
+          std::string role = h.text("role");
+          row.holders.push_back({h.text("server"), role == "copying"   ? ranges::Role::copying
+                                                   : role == "leaving" ? ranges::Role::leaving
+                                                                       : ranges::Role::serving});
+        });
+        rows.ranges.push_back(std::move(row));
+      }
+    });
   }
-  read(xmlDocGetRootElement(doc.get()), settings, list);
 }
 
 }  // namespace winchhall::app
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,8 +41,8 @@
 constexpr double kMoveShare = 0.1;  // of first attempts may be repeated for lateness: it must not feed itself
 constexpr double kMoveMost = 5;     // saved up at most: one query's parts
 constexpr double kLeastFit = 0.5;   // x mean response: with less time left a part is not sent any more
-constexpr Millis kMoment = 60;      // ms: a server that hears of a change later than others has heard of it
-constexpr Millis kRestart = 1500;   // ms: a process that fell does not answer again sooner
+constexpr Millis kMoment = 60;  // ms: one that has not what it was asked for may have heard of a change then
+constexpr Millis kRestart = 1500;      // ms: a process that fell does not answer again sooner
 constexpr std::size_t kFellMany = 2;   // servers lost under one query before its parts go one at a time
 constexpr Millis kSuspectFor = 60000;  // ms of wariness after a felling query: its clients ask again
 constexpr double kPressed = 0.5;  // of the time left: where queues take more, parts that weigh little wait
@@ -53,7 +53,8 @@
 constexpr double kLogPerSecond = 1;    // ... and so many a second again, or a long day ends without a word
 
 constexpr double kNever = -std::numeric_limits<double>::infinity();
-constexpr double kWeightSlack = 5e-5;  // sums of weights may fall short by rounding
+constexpr double kWeightSlack = 5e-5;  // sums of weights may fall short by rounding ...
+constexpr double kLeastSlack = 1e-9;   // ... and by so much however they were made
 
 bool sound(double x) { return std::isfinite(x) && x >= 0; }
 
@@ -135,6 +136,7 @@
   std::set<int> fell;                // servers whose connections broke under its parts
   bool cautious = false;             // one part at a time, until one has come back
   int outstanding = 0;               // attempts still owed an outcome
+  double slack = kWeightSlack;       // no whole part is lost in it, however little it weighs
   std::vector<std::string> parts;
 };
 
@@ -150,6 +152,7 @@
 struct Server {
   std::string id;
   int cell = 0;
+  double size = 1;  // what it takes beside others, where an installation states it
   ServerState state = ServerState::ready;
   std::optional<Millis> started{};
   double sum = 0;  // hinted cost of own parts out
@@ -241,6 +244,7 @@
         s.started = e.started;
       }
       s.cell = e.cell;
+      if (set_.weights_count) s.size = std::isfinite(e.size) && e.size > 0 ? e.size : 1;
       s.state = e.state;
     }
     if (list.kind != ServerList::Kind::changes)
@@ -250,8 +254,7 @@
     retry_waiting();
   }
 
-  // Guards against a table that grows with every server there ever was: the place of one that is gone for
-  // good, and that no attempt of an open query names, is taken by the next new one.
+  // Guards against a table that grows for ever: one gone for good that no open query names makes room.
   void forget_gone() {
     std::set<int> wanted;
     for (const auto& [id, p] : parts_)
@@ -312,7 +315,7 @@
     return off < kPaceOff ? 1 : std::min(off, kPaceMax);
   }
 
-  double cost(const Server& s, int c, double hint) const { return pace(s) * (s.sum + load(s, c) + hint); }
+  double cost(const Server& s, int c, double x) const { return pace(s) * (s.sum + load(s, c) + x) / s.size; }
 
   bool holds(const Server& s, int shard) const {
     int j = (s.cell - shard) % set_.cells;
@@ -356,7 +359,6 @@
     return 0;
   }
 
-  // One that has not what it was asked for is asked again only when it may have heard of the change.
   bool denied_lately(int server, const Part& p) const {
     for (const Attempt& a : p.attempts)
       if (a.server == server && now_ - a.denied < kMoment * static_cast<double>(p.attempts.size()))
@@ -528,6 +530,7 @@
       p.weight = sound(spec.weight) ? spec.weight : 0;
       p.hint = take_hint(q.query_class, spec.hint);
       p.holders = spec.holders;
+      q.slack = std::min(q.slack, std::max(p.weight / 2, kLeastSlack));
       if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
     }
   }
@@ -562,6 +565,7 @@
       p.weight = sound(spec.weight) ? spec.weight : 0;
       p.hint = spec.hint && sound(*spec.hint) ? *spec.hint : mean_hint(q.query_class);
       p.holders = spec.holders;
+      q.slack = std::min(q.slack, std::max(p.weight / 2, kLeastSlack));
       if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
     }
     for (const PartSpec& spec : e.successors)
@@ -612,7 +616,7 @@
       if (!p->out()) continue;
       if (q.cautious && p != list.back()) {
         unplace(*p);
-      } else if (placed - p->weight >= need(q) - kWeightSlack) {
+      } else if (placed - p->weight >= need(q) - q.slack) {
         placed -= p->weight;
         unplace(*p, true);
       } else {
@@ -667,7 +671,7 @@
       if (!p->dead) possible += p->weight;
       if (!p->dead && !p->spare) asked += p->weight;
     }
-    double whole = need(q) - kWeightSlack, least = std::min(c.floor, need(q)) - kWeightSlack;
+    double whole = need(q) - q.slack, least = std::min(c.floor, need(q)) - q.slack;
     if (list.empty() && q.step == 1) return end(q, false);
     if (in >= whole) return answer(q, q.first_whole);
     double goal = q.shortened ? least : whole;
@@ -680,8 +684,7 @@
     if (q.shortened) possible = asked;
     bool hopeless = possible < whole;
     bool over = now_ >= useful_until(q) - pulse_;
-    if (may_answer &&
-        (over || (at_aim && partial > c.late_worth) || (hopeless && in >= possible - kWeightSlack)))
+    if (may_answer && (over || (at_aim && partial > c.late_worth) || (hopeless && in >= possible - q.slack)))
       return answer(q, false);
     if (over || (hopeless && (c.floor >= need(q) || possible < least))) end(q, true);
   }
@@ -781,10 +784,8 @@
     settle(p.query);
   }
 
-  // Guards against a query that brings down every server it reaches: its repeats would take the whole fleet.
-  // Once several servers fell under one query, its parts go one at a time until one comes back. It is
-  // condemned, with its subject where known, when another falls or when two fell and nothing came back; then
-  // its class starts with one part for a while. Bystanders of a crash lose a try.
+  // Guards against a query that brings down every server it reaches. Once several fell, its parts go one at a
+  // time; it is condemned, with its subject, when another falls or nothing came back. Bystanders lose a try.
   bool fells_servers(Query& q, Part& p, int server) {
     q.fell.insert(server);
     bool many = q.fell.size() >= kFellMany;
@@ -960,8 +961,7 @@
     double in = 0;
     for (Part* p : step_parts(q))
       if (p->done || (p->out() && now_ - p->attempts.back().sent <= patience(q.query_class))) in += p->weight;
-    double goal = q.shortened ? set_.classes[q.query_class].floor : need(q);
-    if (in >= goal - kWeightSlack) return true;
+    if (in >= (q.shortened ? set_.classes[q.query_class].floor : need(q)) - q.slack) return true;
     for (Part* p : step_parts(q))
       if (p->spare && try_part(q, *p)) return true;
     return false;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -52,6 +52,7 @@
   q.arrived = clock_();
   q.sink = std::move(sink);
   q.text = std::make_shared<const std::string>(std::move(spec.text));
+  q.parts.reserve(spec.parts.size());
   for (const QueryPart& p : spec.parts) q.parts.push_back({.spec = p});
   q.spec = std::move(spec);
   Figures& f = figures_[q.spec.query_class];
@@ -77,7 +78,8 @@
   inbox_.push_back([this, number] {
     auto it = queries_.find(number);
     if (it == queries_.end() || !it->second.sink) return;
-    const QueryState& state = it->second;
+    QueryState& state = it->second;
+    state.arrived_at_module = true;
     QueryArrived e;
     e.query = std::to_string(number);
     e.query_class = state.spec.query_class;
@@ -85,25 +87,35 @@
     e.give_up_at = state.spec.give_up_at;
     e.repeat = state.spec.repeat;
     e.key = state.spec.key;
+    e.parts.reserve(state.parts.size());
     for (std::size_t i = 0; i < state.parts.size(); ++i) {
       const QueryPart& p = state.parts[i].spec;
       e.parts.push_back({part_id(number, i), p.shard, p.weight, p.hint, {}});
-      if (const auto& planned = state.parts[i].planned)
-        e.parts.back().holders = ranges::serving(*planned->holders);
+      if (const auto& span = state.parts[i].span)
+        e.parts.back().holders = ranges::serving(*span->planned.holders);
     }
-    handle(e);
+    handle(std::move(e));
     // Guards against a map that came between planning and here: nobody would tell this query of it.
-    if (state.coverage && state.sink && state.parts[0].planned->revision != map_.revision()) replan(number);
+    if (state.coverage && state.sink && state.parts[0].span->planned.revision != map_.revision())
+      replan(number);
   });
   return number;
 }
 
+Exchange::PartState Exchange::span_part(PlannedPart planned) {
+  PartState p{.spec = {0, planned.weight, planned.hint}};
+  p.span = std::make_unique<SpanPart>();
+  p.span->planned = std::move(planned);
+  return p;
+}
+
 std::string Exchange::plan(QueryState& q, bool& later) {
   std::string why;
   auto plan = ranges::plan(map_, q.spec.spans, q.spec.hint, kPartsMost, why);
   later = map_.empty();
   if (!plan) return why;
-  for (const PlannedPart& p : plan->parts) q.parts.push_back({.spec = {0, p.weight, p.hint}, .planned = p});
+  q.parts.reserve(plan->parts.size());
+  for (PlannedPart& p : plan->parts) q.parts.push_back(span_part(std::move(p)));
   q.coverage = std::move(plan->coverage);
   return "";
 }
@@ -125,7 +137,8 @@
 // ---- Server side
 
 void Exchange::attempt_ended(AttemptNumber attempt, Result result) {
-  inbox_.push_back([this, attempt, r = std::move(result)] { finish_attempt(attempt, r); });
+  inbox_.push_back(
+      [this, attempt, r = std::move(result)]() mutable { finish_attempt(attempt, std::move(r)); });
 }
 
 void Exchange::probe_ended(const std::string& server, Outcome outcome, Millis elapsed, const Load& load) {
@@ -168,20 +181,22 @@
   inbox_.push_back([this, m = std::move(map)] {
     map_ = m;
     for (auto& [number, q] : queries_)
-      if (q.sink && q.coverage) replan(number);
+      // Guards against parts and their successors side by side: one that the module hasn't heard of yet is
+      // planned again when it has.
+      if (q.sink && q.coverage && q.arrived_at_module) replan(number);
   });
 }
 
 OpenPart Exchange::open_part(const QueryState& q, std::size_t part) {
-  const PartState& p = q.parts[part];
-  return {part, p.out > 0, *p.planned};
+  const SpanPart& p = *q.parts[part].span;
+  return {part, p.out > 0, p.planned};
 }
 
 void Exchange::replan(QueryNumber number) {
   QueryState& q = queries_.at(number);
   std::vector<OpenPart> open;
   for (std::size_t i = 0; i < q.parts.size(); ++i)
-    if (!q.parts[i].in && !q.parts[i].replaced) open.push_back(open_part(q, i));
+    if (!q.parts[i].in && !q.parts[i].span->replaced) open.push_back(open_part(q, i));
   if (open.empty()) return;
   for (const Decision& d : ranges::replan(map_, *q.coverage, std::move(open))) {
     if (!q.sink) return;  // the module has ended it meanwhile
@@ -191,31 +206,46 @@
 
 void Exchange::carry_out(QueryNumber number, const Decision& d) {
   QueryState& q = queries_.at(number);
-  PartState& p = q.parts[d.parts[0]];
+  SpanPart& p = *q.parts[d.parts[0]].span;
   switch (d.kind) {
     case Decision::Kind::keep:
       if (p.held_back) holders(number, d.parts[0], false);
       return;
-    case Decision::Kind::hold_back:
-      if (p.held_back) return;
-      ++moves_.held_back;
-      return holders(number, d.parts[0], true);
+    case Decision::Kind::hold_back: {
+      moves_.held_back += !p.held_back;
+      p.held_back = true;
+      // Whom its successors would go to: so long as it is out, the module only asks itself by them whether a
+      // silent server is worth leaving.
+      HoldersChanged e{part_id(number, d.parts[0]), {}};
+      for (const PlannedPart& s : d.successors)
+        for (std::string& server : ranges::serving(*s.holders))
+          if (std::find(e.holders.begin(), e.holders.end(), server) == e.holders.end())
+            e.holders.push_back(std::move(server));
+      return handle(e);
+    }
     case Decision::Kind::elsewhere:
       ++moves_.elsewhere;
       p.planned = d.successors[0];
       return holders(number, d.parts[0], false);
     case Decision::Kind::replace:
     case Decision::Kind::join:
+      // Guards against parts that an earlier decision of the same round sent out (as spares are): the module
+      // would not let go of them. They are planned again when they end.
+      if (std::any_of(d.parts.begin(), d.parts.end(),
+                      [&](std::size_t i) { return q.parts[i].span->out > 0; })) {
+        for (std::size_t i : d.parts) q.parts[i].span->held_back |= q.parts[i].span->out > 0;
+        return;
+      }
       ++(d.kind == Decision::Kind::join ? moves_.joined : moves_.replaced);
       return replace(number, d);
   }
 }
 
 void Exchange::holders(QueryNumber number, std::size_t part, bool held_back) {
-  PartState& p = queries_.at(number).parts[part];
+  SpanPart& p = *queries_.at(number).parts[part].span;
   p.held_back = held_back;
   HoldersChanged e{part_id(number, part), {}};
-  if (!held_back) e.holders = ranges::serving(*p.planned->holders);
+  if (!held_back) e.holders = ranges::serving(*p.planned.holders);
   handle(e);
 }
 
@@ -223,13 +253,13 @@
   QueryState& q = queries_.at(number);
   PartsReplaced e;
   for (std::size_t part : d.parts) {
-    q.parts[part].replaced = true;
+    q.parts[part].span->replaced = true;
     e.parts.push_back(part_id(number, part));
   }
   for (const PlannedPart& s : d.successors) {
     e.successors.push_back(
         {part_id(number, q.parts.size()), 0, s.weight, s.hint, ranges::serving(*s.holders)});
-    q.parts.push_back({.spec = {0, s.weight, s.hint}, .planned = s});
+    q.parts.push_back(span_part(s));
     ++q.held;
     ++held_;
   }
@@ -241,8 +271,7 @@
 void Exchange::denied(QueryNumber number, std::size_t part, const Result& r, bool heard) {
   QueryState& q = queries_.at(number);
   if (!q.sink) return;
-  PartState& p = q.parts[part];
-  auto answer = ranges::not_mine(map_, *q.coverage, open_part(q, part), r.denial);
+  auto answer = ranges::not_mine(map_, *q.coverage, open_part(q, part), *r.denial);
   if (heard) {
     if (answer.decision && answer.decision->kind == Decision::Kind::replace)
       carry_out(number, *answer.decision);
@@ -252,9 +281,9 @@
   if (answer.ask_directory && range_source_) range_source_->refresh();
   if (answer.decision && answer.decision->kind == Decision::Kind::elsewhere)
     return carry_out(number, *answer.decision);
-  bool wait = answer.ask_directory && r.denial.revision > map_.revision() && range_source_;
+  bool wait = answer.ask_directory && r.denial->revision > map_.revision() && range_source_;
   if (!answer.decision && !wait) return;  // another holder, or the same one in a moment
-  if (!p.held_back) holders(number, part, true);
+  holders(number, part, true);
   if (!answer.decision) word_due_.insert({clock_() + kWord, {number, part}});
 }
 
@@ -284,7 +313,7 @@
       auto it = queries_.find(number);
       if (it == queries_.end() || !it->second.sink) continue;
       const PartState& p = it->second.parts[part];
-      if (p.held_back && !p.replaced && !p.in && p.out == 0) holders(number, part, false);
+      if (p.span->held_back && !p.span->replaced && !p.in && p.span->out == 0) holders(number, part, false);
     }
     // One final answer, always: the module ends its queries earlier than this.
     while (!query_ends_.empty() && query_ends_.begin()->first <= now) {
@@ -354,27 +383,27 @@
   PartState& p = q.parts.at(index);
   AttemptNumber attempt = next_attempt_++;
   Millis now = clock_();
-  AttemptState state{number, index, static_cast<int>(p.attempts.size()), a.server, now, now + a.timeout, {}};
+  AttemptState state{number, index, static_cast<int>(p.attempts.size()), a.server, now, now + a.timeout};
   p.attempts.push_back(attempt);
   ++q.out;
   ++figures_[q.spec.query_class].attempts;
-  ++p.out;
-  if (p.planned) {
-    state.revision = p.planned->revision;
-    q.coverage->sent(p.planned->span);
+  if (p.span) {
+    ++p.span->out;
+    p.span->asked = p.span->planned.revision;
+    q.coverage->sent(p.span->planned.span);
   }
   attempt_ends_.insert({state.until, attempt});
   attempts_[attempt] = state;
   auto known = servers_.find(a.server);
   if (known == servers_.end()) return attempt_ended(attempt, {.outcome = Outcome::unsent});
   Order order{attempt, a.server, known->second.endpoint, {}, p.spec.shard, state.until, q.text, {}, 0, {}};
-  if (p.planned) {
-    order.span = p.planned->span;
-    order.range = p.planned->range;
-    order.revision = p.planned->revision;
+  if (p.span) {
+    order.span = p.span->planned.span;
+    order.range = p.span->planned.range;
+    order.revision = p.span->planned.revision;
   }
   // A span's part is named by its place in the query: its range may have a part before and after it is split.
-  order.part = q.spec.id + (p.planned ? ".r" + std::to_string(index) : "." + std::to_string(p.spec.shard));
+  order.part = q.spec.id + (p.span ? ".r" + std::to_string(index) : "." + std::to_string(p.spec.shard));
   carrier_->launch(order);
 }
 
@@ -386,7 +415,7 @@
   attempt_ends_.erase({a.until, attempt});
   QueryState& q = queries_.at(a.query);
   --q.out;
-  --q.parts[a.part].out;
+  if (q.coverage) --q.parts[a.part].span->out;
   bool open = static_cast<bool>(q.sink), ok = r.outcome == Outcome::ok;
   if (q.coverage && open) ok = spans_ended(q, a, r);
   if (ok && open) {
@@ -394,27 +423,39 @@
     q.parts[a.part].values = std::move(r.values);
   }
   bool denies = q.coverage && open && r.outcome == Outcome::not_mine;
-  if (denies) denied(a.query, a.part, r, false);
+  if (denies && !r.denial) r.denial = std::make_shared<const ranges::NotMine>();
+  if (denies)
+    denied(a.query, a.part, r, false);
+  else if (q.coverage && q.parts[a.part].span->held_back && open && !ok)
+    holders(a.query, a.part, true);  // nothing more goes out under a plan that is void
   handle(AttemptEnded{part_id(a.query, a.part), a.count, a.server, r.outcome, clock_() - a.sent, ok || !open,
                       report(r.load)});
+  if (q.coverage) spans_settled(q, a, denies, r);
+  settle(a.query);
+}
+
+// The module has heard of it: what takes the part's place now.
+void Exchange::spans_settled(QueryState& q, const AttemptState& a, bool denies, const Result& r) {
   const PartState& p = q.parts[a.part];
-  if (denies && q.sink && p.out == 0) denied(a.query, a.part, r, true);
+  if (!q.sink || p.in || p.span->replaced) return;
+  if (denies && p.span->out == 0) return denied(a.query, a.part, r, true);
   // Its range was split or merged while it was out: now that it has no answer, its successors are asked.
-  if (p.held_back && !p.replaced && !denies && q.sink) replan(a.query);
-  settle(a.query);
+  if (p.span->held_back) replan(a.query);
 }
 
 // True where the answer counts.
 bool Exchange::spans_ended(QueryState& q, const AttemptState& a, Result& r) {
-  PartState& p = q.parts[a.part];
+  SpanPart& p = *q.parts[a.part].span;
   if (r.outcome != Outcome::ok) {
-    if (p.out == 0) q.coverage->back(p.planned->span);
+    if (p.out == 0) q.coverage->back(p.planned.span);
     return false;
   }
-  p.answered = a.revision;
-  if (q.coverage->take(p.planned->span)) return true;
+  if (q.coverage->take(p.planned.span)) return true;
   ++moves_.dropped;
-  log_("an answer dropped: some of its accounts are in already");
+  std::string in;
+  for (const ranges::Span& span : q.coverage->in().spans()) in += " " + ranges::text_of(span);
+  log_("an answer dropped: some of its accounts are in already: query " + q.spec.id + " part " +
+       std::to_string(a.part) + " " + ranges::text_of(p.planned.span) + ", in are" + in);
   r.outcome = Outcome::error;
   return false;
 }
@@ -425,9 +466,9 @@
     if (p.in) {
       v.share += p.spec.weight;
       v.rows.push_back({p.spec.shard, p.values, {}, {}});
-      if (!p.planned) continue;
-      v.rows.back().span = p.planned->span;
-      v.rows.back().revision = p.answered;
+      if (!p.span) continue;
+      v.rows.back().span = p.span->planned.span;
+      v.rows.back().revision = p.span->asked;
     }
   if (!q.coverage) return v;
   // Shares of accounts are counted on accounts. The module's sums say the same; this is the last look.
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -88,7 +88,7 @@
   Outcome outcome = Outcome::ok;
   std::vector<std::string> values{};
   Load load{};
-  ranges::NotMine denial{};  // Outcome::not_mine
+  std::shared_ptr<const ranges::NotMine> denial{};  // Outcome::not_mine
 };
 
 // Guards against a connection that fell silent without a sign: its server is sound on a new one, and every
@@ -196,17 +196,20 @@
   const Moves& moves() const { return moves_; }
 
  private:
+  // What a part of a span has besides. Apart from the others: on the platform no part has it.
+  struct SpanPart {
+    ranges::PlannedPart planned{};
+    ranges::Revision asked{};  // of the map that its last attempt was made under
+    int out = 0;
+    bool replaced = false;   // by others: nothing more is asked or heard of it
+    bool held_back = false;  // its range is no more, or a server's word on it is awaited
+  };
   struct PartState {
     QueryPart spec{};
     bool in = false;
     std::vector<std::string> values{};
     std::vector<AttemptNumber> attempts{};
-    // Of a span's part:
-    std::optional<ranges::PlannedPart> planned{};
-    ranges::Revision answered{};  // of the map that its answer was asked under
-    int out = 0;
-    bool replaced = false;   // by others: nothing more is asked or heard of it
-    bool held_back = false;  // the module has it without holders
+    std::unique_ptr<SpanPart> span{};
   };
   struct QueryState {
     QuerySpec spec;
@@ -216,6 +219,7 @@
     std::vector<PartState> parts;
     int out = 0;
     std::size_t held = 0;  // of the site's limit
+    bool arrived_at_module = false;
     std::optional<ranges::Coverage> coverage;
   };
   struct AttemptState {
@@ -224,7 +228,6 @@
     int count = 0;  // which attempt of its part
     std::string server;
     Millis sent = 0, until = 0;
-    ranges::Revision revision;
   };
   struct Known {
     std::string endpoint;
@@ -239,6 +242,8 @@
   void finish(QueryNumber number, Verdict verdict);
   void settle(QueryNumber number);
   bool spans_ended(QueryState& query, const AttemptState& attempt, Result& result);
+  void spans_settled(QueryState& query, const AttemptState& attempt, bool denies, const Result& result);
+  static PartState span_part(ranges::PlannedPart planned);
   Verdict answer(const QueryState& query, bool whole) const;
   // Empty, or why these spans can't be planned; `later`: it may go in a while.
   std::string plan(QueryState& query, bool& later);
--- /dev/null
+++ b/src/files/folder.cpp
@@ -0,0 +1,151 @@
+#include "files/folder.hpp"
+
+#include <fcntl.h>
+#include <sys/inotify.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
+namespace winchhall::files {
+namespace {
+
+using generations::Kind;
+
+constexpr std::uint32_t kInside = IN_CLOSE_WRITE | IN_MODIFY | IN_MOVED_TO | IN_MOVED_FROM | IN_CREATE |
+                                  IN_DELETE | IN_ATTRIB | IN_DELETE_SELF | IN_MOVE_SELF | IN_ONLYDIR;
+// Of a folder on the way: only that names come and go matters.
+constexpr std::uint32_t kAbove = IN_MOVED_TO | IN_MOVED_FROM | IN_CREATE | IN_DELETE | IN_ONLYDIR;
+constexpr int kLinksMost = 16;  // symbolic links on the way; a loop of them ends there
+
+// What tells one state of a file from another. The time of change is in it: a rewrite of the same size within
+// one tick of the clock still moves it or the inode, and where it doesn't, the event of the write does.
+struct Stamp {
+  bool there = false;
+  ino_t inode = 0;
+  off_t size = 0;
+  timespec modified{}, changed{};
+  bool operator==(const Stamp& o) const {
+    auto same = [](const timespec& a, const timespec& b) {
+      return a.tv_sec == b.tv_sec && a.tv_nsec == b.tv_nsec;
+    };
+    return there == o.there && inode == o.inode && size == o.size && same(modified, o.modified) &&
+           same(changed, o.changed);
+  }
+};
+
+Stamp stamp(int folder, const char* name) {
+  struct stat info {};
+  if (fstatat(folder, name, &info, AT_SYMLINK_NOFOLLOW) != 0) return {};
+  return {true, info.st_ino, info.st_size, info.st_mtim, info.st_ctim};
+}
+
+}  // namespace
+
+FolderWatch::FolderWatch(net::Loop& loop, std::string folder, std::function<void()> changed)
+    : loop_(loop),
+      folder_(std::move(folder)),
+      changed_(std::move(changed)),
+      fd_(inotify_init1(IN_NONBLOCK | IN_CLOEXEC)) {
+  if (!fd_) return;
+  loop_.add(fd_.get(), POLLIN, [this](short) { heard(); });
+  rearm();
+}
+
+FolderWatch::~FolderWatch() {
+  if (fd_) loop_.remove(fd_.get());
+}
+
+void FolderWatch::watch(const std::string& path, std::uint32_t events, std::map<int, std::string>& now) {
+  int id = inotify_add_watch(fd_.get(), path.c_str(), events | IN_MASK_ADD);
+  if (id >= 0) now.emplace(id, path);
+}
+
+void FolderWatch::rearm() {
+  if (!fd_) return;
+  namespace fs = std::filesystem;
+  std::map<int, std::string> now;
+  std::error_code ignored;
+  watch(folder_, kInside, now);
+  // Each folder that holds a link on the way, and the nearest one above that is there: where the folder
+  // itself is gone, its return shows there.
+  fs::path path = fs::path(folder_).lexically_normal();
+  if (!path.has_filename()) path = path.parent_path();
+  for (int links = 0; links < kLinksMost; ++links) {
+    fs::path above = path.parent_path();
+    for (;;) {
+      if (above.empty()) above = ".";
+      if (fs::is_directory(above, ignored)) break;
+      if (above == above.parent_path()) break;
+      above = above.parent_path();
+    }
+    watch(above.string(), kAbove, now);
+    if (!fs::is_symlink(path, ignored)) break;
+    fs::path to = fs::read_symlink(path, ignored);
+    path = to.is_absolute() ? to : path.parent_path() / to;
+  }
+  for (const auto& [id, old] : watched_)
+    if (!now.count(id)) inotify_rm_watch(fd_.get(), id);
+  watched_ = std::move(now);
+}
+
+void FolderWatch::heard() {
+  alignas(inotify_event) char buffer[16384];
+  bool any = false;
+  // All that is there, or a flood of writes would wake us once for each.
+  while (::read(fd_.get(), buffer, sizeof buffer) > 0) any = true;
+  if (any) changed_();
+}
+
+Look look_at(const std::string& folder, std::size_t most_bytes) {
+  Look look;
+  net::UniqueFd dir(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (!dir) return look;
+  look.there = true;
+  std::map<Kind, Stamp> before;
+  for (Kind kind : generations::kKinds) before[kind] = stamp(dir.get(), file_of(kind));
+  for (Kind kind : generations::kKinds) {
+    if (!before[kind].there) continue;
+    auto fault = [&](const std::string& what) { look.faults.push_back({kind, 0, what}); };
+    // Guards against a name that leads out of the folder, or to what never ends: a pipe is not waited for.
+    net::UniqueFd file(::openat(dir.get(), file_of(kind), O_RDONLY | O_NOFOLLOW | O_NONBLOCK | O_CLOEXEC));
+    struct stat info {};
+    if (!file || fstat(file.get(), &info) != 0) {
+      if (errno == ENOENT)
+        look.disturbed = true;
+      else
+        fault(errno == ELOOP ? "is a symbolic link, which is not followed out of the folder"
+                             : std::string("cannot be read: ") + std::strerror(errno));
+      continue;
+    }
+    if (!S_ISREG(info.st_mode)) {
+      fault("is no file");
+      continue;
+    }
+    std::string& text = look.bytes[kind];
+    char buffer[65536];
+    ssize_t n = 0;
+    while ((n = ::read(file.get(), buffer, sizeof buffer)) > 0) {
+      text.append(buffer, static_cast<std::size_t>(n));
+      if (text.size() > most_bytes) break;
+    }
+    if (n < 0) fault(std::string("cannot be read: ") + std::strerror(errno));
+    if (text.size() > most_bytes) {
+      fault("is larger than " + std::to_string(most_bytes) + " bytes");
+      text.clear();
+    }
+  }
+  for (Kind kind : generations::kKinds)
+    if (!(stamp(dir.get(), file_of(kind)) == before[kind])) look.disturbed = true;
+  // The folder that the path leads to may be another one by now: then this was the old one's set.
+  struct stat opened {
+  }, named{};
+  if (fstat(dir.get(), &opened) != 0 || ::stat(folder.c_str(), &named) != 0 ||
+      opened.st_ino != named.st_ino || opened.st_dev != named.st_dev)
+    look.disturbed = true;
+  return look;
+}
+
+}  // namespace winchhall::files
--- a/src/flight/flight_pool.cpp
+++ b/src/flight/flight_pool.cpp
@@ -202,7 +202,7 @@
     } else if (!call.span.empty() && call.size == 0 &&
                *status == std::to_string(static_cast<int>(Status::failed_precondition))) {
       r.outcome = Outcome::not_mine;
-      r.denial = read_denial(call.headers);
+      r.denial = std::make_shared<const ranges::NotMine>(read_denial(call.headers));
     } else if (*status == std::to_string(static_cast<int>(Status::deadline_exceeded))) {
       r.outcome = Outcome::timeout;
     }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,11 +1,12 @@
 // The program's begin: its command, its log, its exit code.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <exception>
 
-#include "app/command_line.hpp"
+#include "app/beside.hpp"
 #include "app/serve.hpp"
 
 int main(int argc, char** argv) {
@@ -13,9 +14,13 @@
   spdlog::set_default_logger(spdlog::stderr_logger_st("winchhall"));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
   if (const char* level = std::getenv("WINCHHALL_LOG")) spdlog::set_level(spdlog::level::from_str(level));
+  if (argc > 1) {
+    execv(app::beside_program("winchhall-tool").c_str(), argv);
+    spdlog::critical("no winchhall-tool beside this program, which has its commands");
+    return EXIT_FAILURE;
+  }
   try {
-    if (argc > 1) return app::run_command(argc, argv);
-    app::serve({});
+    app::serve();
   } catch (const std::exception& error) {
     spdlog::critical("{}", error.what());
     return EXIT_FAILURE;
--- a/src/platform/leaf_pool.cpp
+++ b/src/platform/leaf_pool.cpp
@@ -206,7 +206,8 @@
                 : answer.end == 503      ? Outcome::full
                 : answer.end == kNotMine ? Outcome::not_mine
                                          : Outcome::error;
-    if (r.outcome == Outcome::not_mine) r.denial = read_denial(answer.value);
+    if (r.outcome == Outcome::not_mine)
+      r.denial = std::make_shared<const ranges::NotMine>(read_denial(answer.value));
     if (r.outcome == Outcome::ok) r.values.push_back(std::move(answer.value));
     r.load = answer.load;
     pool_.exchange_.attempt_ended(attempt, std::move(r));
--- a/src/ranges/planner.cpp
+++ b/src/ranges/planner.cpp
@@ -4,6 +4,8 @@
 
 namespace winchhall::ranges {
 namespace {
+constexpr double kLeastShare = 1e-6;  // of what is divided: far above what sums are off by
+
 Span cut(const Span& range, const Span& span) {
   return {std::max(range.from, span.from), std::min(range.to, span.to)};
 }
@@ -17,7 +19,6 @@
   }
   Plan made;
   std::vector<Piece> pieces;
-  double sum = 0;
   bool fits = true;
   for (const Span& span : spans) {
     map.visit(span, [&](const Place& place) {
@@ -26,7 +27,6 @@
       double weight = place.weight * (static_cast<double>(s.size()) / static_cast<double>(place.span.size()));
       made.parts.push_back({s, place.id, map.revision(), *place.holders, weight, std::nullopt});
       pieces.push_back({s, weight});
-      sum += weight;
       return true;
     });
   }
@@ -34,25 +34,35 @@
     fault = "spans over more than " + std::to_string(most) + " ranges";
     return std::nullopt;
   }
-  for (PlannedPart& p : made.parts) {
-    p.weight = sum > 0 ? p.weight / sum : 1.0 / static_cast<double>(made.parts.size());
-    if (hint) p.hint = *hint * p.weight;
-  }
+  divide(made.parts, hint, 1);
   made.coverage = Coverage(std::move(pieces));
   return made;
 }
 
-std::vector<PlannedPart> plan_again(const RangeMap& map, const Span& span, const Coverage& coverage,
-                                    std::optional<double> hint, double share) {
+std::vector<PlannedPart> plan_again(const RangeMap& map, const std::vector<Span>& pieces,
+                                    const Coverage& coverage, std::optional<double> hint, double weight) {
   std::vector<PlannedPart> parts;
-  map.visit(span, [&](const Place& place) {
-    Span s = cut(place.span, span);
-    double weight = coverage.share(s);
-    parts.push_back({s, place.id, map.revision(), *place.holders, weight, std::nullopt});
-    if (hint && share > 0) parts.back().hint = *hint * weight / share;
-    return true;
-  });
+  for (const Span& span : pieces)
+    map.visit(span, [&](const Place& place) {
+      Span s = cut(place.span, span);
+      parts.push_back({s, place.id, map.revision(), *place.holders, coverage.share(s), std::nullopt});
+      return true;
+    });
+  divide(parts, hint, weight);
   return parts;
 }
 
+void divide(std::vector<PlannedPart>& parts, std::optional<double> hint, double weight) {
+  double sum = 0, all = 0;
+  for (const PlannedPart& p : parts) sum += p.weight;
+  for (PlannedPart& p : parts) {
+    p.weight = std::max(sum > 0 ? p.weight / sum : 0, kLeastShare);
+    all += p.weight;
+  }
+  for (PlannedPart& p : parts) {
+    p.weight *= weight / all;
+    if (hint && weight > 0) p.hint = *hint * p.weight / weight;
+  }
+}
+
 }  // namespace winchhall::ranges
--- a/src/ranges/planner.hpp
+++ b/src/ranges/planner.hpp
@@ -15,7 +15,9 @@
   RangeId range = 0;
   Revision revision{};  // of the map it was planned under
   HoldersPtr holders{};
-  double weight = 0;             // share of the whole query
+  // Share of the whole query, but never next to nothing: a part that weighs less than what sums may be off by
+  // would be one that nobody misses. Coverage has the exact shares.
+  double weight = 0;
   std::optional<double> hint{};  // expected work, ms
 };
 
@@ -30,8 +32,12 @@
 std::optional<Plan> plan(const RangeMap& map, const std::vector<Span>& spans, std::optional<double> hint,
                          std::size_t most, std::string& fault);
 
-// The same for a piece of a query under way, whose shares are those of its coverage: for successors.
-std::vector<PlannedPart> plan_again(const RangeMap& map, const Span& span, const Coverage& coverage,
-                                    std::optional<double> hint, double share);
+// The same for a piece of a query under way: its weight and hint are divided among the successors by the
+// shares that the query's coverage has.
+std::vector<PlannedPart> plan_again(const RangeMap& map, const std::vector<Span>& pieces,
+                                    const Coverage& coverage, std::optional<double> hint, double weight);
+
+// Divides weight and hint by the parts' weights so far, which are shares of any sum.
+void divide(std::vector<PlannedPart>& parts, std::optional<double> hint, double weight);
 
 }  // namespace winchhall::ranges
--- a/src/ranges/replan.cpp
+++ b/src/ranges/replan.cpp
@@ -24,15 +24,16 @@
     SpanSet rest;
     rest.add(old.span);
     rest = rest.minus(coverage.in());
-    for (const Span& s : rest.spans())
-      for (PlannedPart& p : plan_again(map, s, coverage, old.hint, old.weight))
-        d.successors.push_back(std::move(p));
+    double left = 0, all = std::max(coverage.share(old.span), 1e-300);
+    for (const Span& s : rest.spans()) left += coverage.share(s) / all;
+    auto hint = old.hint ? std::optional(*old.hint * left) : std::nullopt;
+    d.successors = plan_again(map, rest.spans(), coverage, hint, old.weight * left);
     return d;
   }
-  auto now = plan_again(map, old.span, coverage, old.hint, old.weight);
+  auto now = plan_again(map, {old.span}, coverage, old.hint, old.weight);
   if (now.size() != 1) {
     d.kind = part.out ? Decision::Kind::hold_back : Decision::Kind::replace;
-    if (!part.out) d.successors = std::move(now);
+    d.successors = std::move(now);
     return d;
   }
   bool same = now[0].range == old.range && (now[0].holders == old.holders || *now[0].holders == *old.holders);
@@ -94,9 +95,9 @@
     reached = p.span.to;
     p.revision = word.revision;
     p.weight = coverage.share(p.span);
-    p.hint = old.hint && old.weight > 0 ? std::optional(*old.hint * p.weight / old.weight) : std::nullopt;
   }
   if (reached != old.span.to) return a;
+  divide(next, old.hint, old.weight);
   a.decision = Decision{
       next.size() == 1 ? Decision::Kind::elsewhere : Decision::Kind::replace, {part.number}, std::move(next)};
   return a;
--- a/src/ranges/replan.hpp
+++ b/src/ranges/replan.hpp
@@ -20,7 +20,8 @@
 struct Decision {
   enum class Kind {
     keep,       // nothing changes
-    hold_back,  // its attempt may still be answered; no further one under this plan: its range is no more
+    hold_back,  // its attempt may still be answered; no further one under this plan: its range is no more,
+                // and these would be asked in its place
     elsewhere,  // other holders, the same keys
     replace,    // by successors, which cover the same keys but for those that are in already
     join,       // several neighbours by one successor, that covers all their keys
--- /dev/null
+++ b/src/tool_main.cpp
@@ -0,0 +1,19 @@
+// winchhall's commands but for serving. `winchhall COMMAND` becomes this program.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <exception>
+
+#include "app/command_line.hpp"
+
+int main(int argc, char** argv) {
+  spdlog::set_default_logger(spdlog::stderr_logger_st("winchhall"));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  try {
+    return winchhall::app::run_command(argc, argv);
+  } catch (const std::exception& error) {
+    spdlog::critical("{}", error.what());
+    return EXIT_FAILURE;
+  }
+}
--- a/tests/core_stories.cpp
+++ b/tests/core_stories.cpp
@@ -7,63 +7,12 @@
 
 #include "app/lifecycle.hpp"
 #include "core/exchange.hpp"
-#include "stage.hpp"
+#include "desk.hpp"
 
 using namespace winchhall;
 using core::Outcome;
 using core::Verdict;
-
-namespace {
-
-struct Desk : core::Carrier, core::MembershipSource {
-  explicit Desk(pewterrill::Settings settings = testing::two_classes())
-      : exchange(
-            std::move(settings), 3, [this] { return now; }, [](const std::string&) {}) {
-    exchange.attach(*this, *this);
-    exchange.start({testing::member("a", 1, 0), testing::member("b", 2, 1)});
-  }
-  void launch(const core::Order& o) override { out[o.attempt] = o; }
-  void flush() override {}
-  void abandon(core::AttemptNumber n) override {
-    out.erase(n);
-    ++abandoned;
-  }
-  void probe(const std::string&, const std::string&) override {}
-  void close_idle(const std::string&) override {}
-  void retire(const std::string&) override {}
-  void watch(bool) override {}
-  void fetch() override {}
-
-  void ask(int query_class, core::Millis lasts, int parts = 4) {
-    core::QuerySpec q{
-        .id = "q" + std::to_string(asked++), .query_class = query_class, .give_up_at = now + lasts};
-    for (int i = 0; i < parts; ++i) q.parts.push_back({i, 1.0 / parts, 10.0});
-    last = exchange.submit(q, [this](Verdict v) {
-      verdicts.push_back(v);
-      decided_at = now;
-    });
-    exchange.run();
-  }
-  void end(core::AttemptNumber n, Outcome outcome, const std::string& value = "v") {
-    core::Result r{.outcome = outcome};
-    if (outcome == Outcome::ok) r.values = {value};
-    exchange.attempt_ended(n, r);
-    exchange.run();
-  }
-  void pass(core::Millis time) {
-    for (core::Millis until = now + time; now < until; now += 5) exchange.run();
-  }
-
-  core::Millis now = 1000;
-  core::Exchange exchange;
-  std::map<core::AttemptNumber, core::Order> out;
-  std::vector<Verdict> verdicts;
-  core::QueryNumber last = 0;
-  core::Millis decided_at = 0;
-  int asked = 0, abandoned = 0;
-};
-
-}  // namespace
+using testing::Desk;
 
 TEST_CASE("servers that stay silent: one final answer, before the client's time is up") {
   Desk d;
@@ -124,6 +73,22 @@
   for (const auto& [n, order] : d.out) CHECK(order.server == "b");
 }
 
+TEST_CASE("weights count where an installation states them, and nowhere else") {
+  for (bool count : {false, true}) {
+    pewterrill::Settings settings = testing::two_classes();
+    settings.weights_count = count;
+    Desk d(settings);
+    core::Member heavy = testing::member("a", 1, 0);
+    heavy.entry.size = 4;
+    d.exchange.list(pewterrill::ServerList::Kind::changes, {heavy});
+    for (int i = 0; i < 20; ++i) d.ask(0, 5000, 2);
+    std::size_t to_heavy = 0;
+    for (const auto& [n, order] : d.out) to_heavy += order.server == "a";
+    REQUIRE(d.out.size() == 40);
+    CHECK(to_heavy == (count ? 32 : 20));
+  }
+}
+
 TEST_CASE("what is over the limit is refused at once, with a time to come back") {
   pewterrill::Settings settings = testing::two_classes();
   settings.max_open = 5;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 #include "stage.hpp"
@@ -51,9 +52,12 @@
       dup2(ends[1], 2);
       close(ends[0]);
       setenv("LB_CONFIG", config_.c_str(), 1);
-      for (const char* name : {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "WINCHHALL_FLIGHT"}) unsetenv(name);
+      for (const char* name :
+           {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "WINCHHALL_FLIGHT", "WINCHHALL_OPERATOR"})
+        unsetenv(name);
       if (!discovery.empty()) setenv("LB_DISCOVERY", discovery.c_str(), 1);
-      if (!flight_.empty()) setenv("WINCHHALL_FLIGHT", flight_.c_str(), 1);
+      bool xml = flight.find('<') == 0;
+      if (!flight_.empty()) setenv(xml ? "WINCHHALL_OPERATOR" : "WINCHHALL_FLIGHT", flight_.c_str(), 1);
       rlimit limit{files, files};
       if (files > 0) setrlimit(RLIMIT_NOFILE, &limit);
       execl(WINCHHALL_PROGRAM, WINCHHALL_PROGRAM, nullptr);
@@ -240,6 +244,198 @@
   CHECK(analyst->text[3] == 4);  // the server's settings
 }
 
+TEST_CASE("an operator's file turns moving ranges on; a change while the program drains; SIGHUP meanwhile") {
+  net::Loop loop;
+  ScriptedLeaf leaf(loop);
+  ScriptedDiscovery directory(loop);
+  auto tell = [&](const std::string& line) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+    for (auto& peer : directory.peers) peer->stream->write(size + line + "\n\r\n");
+  };
+  Program p(loop, configuration(leaf.listener.port()),
+            "<winchhall xmlns=\"urn:winchhall:operator:1\"><ranges directory=\"" + directory.address() +
+                "\"/></winchhall>");
+  int port = p.port("listens on port ");
+  p.until([&] { return !directory.calls.empty(); });
+  CHECK(has(directory.calls[0], "GET /v1/ranges?watch=1 "));
+  auto client = p.dial(port);
+  CHECK(has(p.ask(*client, kReady), "503"));  // no map yet
+  const std::string end = "9007199254740992";
+  tell(R"({"incarnation":1,"revision":5,"ranges":[{"id":0,"from":0,"to":)" + end +
+       R"(,"holders":["s-1"]}]})");
+  p.until([&] { return has(p.ask(*client, kReady), "200 OK"); });
+  std::vector<ScriptedLeaf::Part> held;
+  leaf.on_part = [&](const ScriptedLeaf::Part& part) { held.push_back(part); };
+  std::string body = R"({"spans":[{"from":0,"to":100}],"expr":"c41e"})";
+  client->text.clear();
+  client->stream->write("POST /lookup HTTP/1.1\r\nX-Request-ID: q1\r\nX-Timeout: 20000m\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body);
+  p.until([&] { return held.size() == 1; });
+  REQUIRE(kill(p.pid, SIGTERM) == 0);
+  p.until([&] { return has(p.log, "phase draining"); });
+  REQUIRE(kill(p.pid, SIGHUP) == 0);
+  tell(
+      R"({"incarnation":1,"revision":6,"changes":[{"op":"split","range":0,"from":0,"at":40,"left":1,"right":2,)"
+      R"("left_weight":1,"right_weight":1}]})");
+  p.until([&] { return has(p.log, "configuration read again"); });
+  ScriptedLeaf::answer(held[0], 500);  // its children are asked while the program drains
+  p.until([&] { return held.size() == 3; });
+  for (std::size_t i = 1; i < 3; ++i) ScriptedLeaf::answer(held[i]);
+  p.until([&] { return has(client->text, "\"exact\":true"); });
+  CHECK(has(client->text, R"("from":40,"rev":"1.6","to":100)"));
+  CHECK(p.exit_code() == 0);
+}
+
+TEST_CASE("an operator's file with faults ends the program with each of them and its line") {
+  net::Loop loop;
+  Program p(
+      loop, configuration(1),
+      "<winchhall xmlns=\"urn:winchhall:operator:1\">\n  <flight listen=\"127.0.0.1:0\" nodes=\"smoke\"/>\n"
+      "  <ranges directory=\"127.0.0.1:99999\" most=\"0\"/>\n</winchhall>");
+  CHECK(p.exit_code() == 1);
+  p.until([&] { return has(p.log, "critical"); });
+  CHECK(has(p.log, ":2: "));
+  CHECK(has(p.log, "'frames', 'flight'"));
+  CHECK(has(p.log, ":3: "));
+}
+
+TEST_CASE("without an operator's file the XML library is not even loaded") {
+  net::Loop loop;
+  Program p(loop, configuration(1));
+  p.port("listens on port ");
+  std::ifstream maps("/proc/" + std::to_string(p.pid) + "/maps");
+  std::string all((std::istreambuf_iterator<char>(maps)), std::istreambuf_iterator<char>());
+  CHECK(!all.empty());
+  CHECK(!has(all, "libxml2"));
+  CHECK(!has(all, "winchhall_operator"));
+}
+
+TEST_CASE("check and ranges: exit codes, lines, and a map from a file") {
+  auto run = [](const std::string& words, std::string& out) {
+    FILE* pipe = popen((std::string(WINCHHALL_PROGRAM) + " " + words + " 2>&1").c_str(), "r");
+    REQUIRE(pipe);
+    char buffer[4096];
+    out.clear();
+    for (std::size_t n; (n = fread(buffer, 1, sizeof buffer, pipe)) > 0;) out.append(buffer, n);
+    return WEXITSTATUS(pclose(pipe));
+  };
+  std::string out, map = temporary(R"({"incarnation":1,"revision":4,
+"ranges":[
+ {"id":1,"from":0,"to":100,"weight":2,"holders":["a"]},
+ {"id":2,"from":100,"to":9007199254740992,"holders":["b"]}]})");
+  std::string gap = temporary(R"({"incarnation":1,"revision":5,
+"ranges":[
+ {"id":1,"from":0,"to":90,"holders":["a"]},
+ {"id":2,"from":100,"to":9007199254740992,"holders":["b"]}]})");
+  std::string broken = temporary("{\n\"ranges\": [,]}");
+  std::string settings = temporary(configuration(1)), none = temporary("");
+  CHECK(run("--version", out) == 0);
+  CHECK(has(out, "winchhall "));
+  CHECK(run("check " + map + " " + settings, out) == 0);
+  CHECK(run("check " + map + " " + gap + " " + broken + " " + none, out) == 1);
+  CHECK(has(out, gap + ":4: range 2 [100, 9007199254740992): a gap before it, from 90"));
+  CHECK(has(out, broken + ":2: "));
+  CHECK(has(out, none + ": is empty"));
+  CHECK(run("ranges show " + map, out) == 0);
+  CHECK(has(out, "1 [0, 100) weight 2 a\n"));
+  CHECK(run("ranges plan " + map + " --span 50:150", out) == 0);
+  CHECK(has(out, "part of range 1 [50, 100)"));
+  CHECK(run("ranges plan " + map + " --span 150:50", out) == 2);
+  CHECK(run("ranges diff " + map + " " + map, out) == 0);
+  CHECK(run("ranges show " + gap, out) == 1);
+  CHECK(run("frobnicate", out) == 2);
+  for (const auto& path : {map, gap, broken, settings, none}) unlink(path.c_str());
+}
+
+namespace {
+
+std::string nodes_file(const std::vector<int>& ports) {
+  std::string all = "<nodes xmlns=\"urn:winchhall:files:1\">\n";
+  for (std::size_t i = 0; i < ports.size(); ++i)
+    all +=
+        "<node id=\"f" + std::to_string(i) + "\" address=\"127.0.0.1:" + std::to_string(ports[i]) + "\"/>\n";
+  return all + "</nodes>\n";
+}
+
+}  // namespace
+
+TEST_CASE(
+    "nodes from files: followed while it serves, an operator's word, and a return from the store alone") {
+  namespace fs = std::filesystem;
+  net::Loop loop;
+  ScriptedLeaf leaf(loop);
+  int port = leaf.listener.port();
+  std::string root = temporary("");
+  fs::remove(root);
+  fs::create_directories(root + "/files");
+  std::ofstream(root + "/files/nodes.xml") << nodes_file({port});
+  std::string ops = "<winchhall xmlns=\"urn:winchhall:operator:1\"><files folder=\"" + root +
+                    "/files\" store=\"" + root + "/store.db\"/></winchhall>";
+  std::string config = configuration(1);
+  config.replace(config.find("\"members\":["), config.find("]},") - config.find("\"members\":["),
+                 "\"members\":[");
+  {
+    Program p(loop, config, ops);
+    int at = p.port("listens on port ");
+    auto client = p.dial(at);
+    p.until([&] { return has(p.ask(*client, kReady), "200 OK"); });
+    CHECK(has(p.ask(*client, Stage::query("q1", kTwoParts)), "\"exact\":true"));
+    // Half a file, then a whole one.
+    std::ofstream(root + "/files/nodes.xml") << nodes_file({port, 1}).substr(0, 60);
+    p.until([&] { return has(p.log, "files refused: "); });
+    CHECK(has(p.ask(*client, Stage::query("q2", kTwoParts)), "\"exact\":true"));
+    std::ofstream(root + "/files/nodes.xml") << nodes_file({port, 1, 2});
+    p.until([&] { return has(p.log, "number 2, 3 nodes"); });
+    // It takes away two of three: an operator's word is awaited, and given.
+    std::ofstream(root + "/files/nodes.xml") << nodes_file({port});
+    p.until([&] { return has(p.log, "files held: generation "); });
+    std::size_t word = p.log.find("files held: generation ") + 23;
+    std::string digest = p.log.substr(word, 16);
+    pid_t tool = fork();
+    if (tool == 0) {
+      int null = open("/dev/null", O_WRONLY);
+      dup2(null, 1);
+      std::string store = root + "/store.db";
+      execl(WINCHHALL_PROGRAM, WINCHHALL_PROGRAM, "files", "accept", store.c_str(), digest.c_str(), nullptr);
+      _exit(127);
+    }
+    int status = 0;
+    p.until([&] { return waitpid(tool, &status, WNOHANG) == tool; });
+    CHECK(WEXITSTATUS(status) == 0);
+    CHECK(has(p.log, "an operator's word: accept " + digest + ": done"));
+    p.until([&] { return has(p.log, "kept 3") || has(p.ask(*client, kReady), "200 OK"); });
+    REQUIRE(kill(p.pid, SIGKILL) == 0);
+  }
+  // Files and discovery are away: it serves by the store.
+  fs::remove_all(root + "/files");
+  Program p(loop, config, ops);
+  int at = p.port("listens on port ");
+  auto client = p.dial(at);
+  p.until([&] { return has(p.ask(*client, kReady), "200 OK"); });
+  CHECK(has(p.log, "files restored: generation "));
+  CHECK(has(p.ask(*client, Stage::query("q9", kTwoParts)), "\"exact\":true"));
+  fs::remove_all(root);
+}
+
+TEST_CASE("on the platform no store is opened and no file is watched") {
+  net::Loop loop;
+  Program p(loop, configuration(1));
+  p.port("listens on port ");
+  std::ifstream maps("/proc/" + std::to_string(p.pid) + "/maps");
+  std::string all((std::istreambuf_iterator<char>(maps)), std::istreambuf_iterator<char>());
+  CHECK(!has(all, "sqlite"));
+  std::size_t threads = 0;
+  for ([[maybe_unused]] const auto& entry :
+       std::filesystem::directory_iterator("/proc/" + std::to_string(p.pid) + "/task"))
+    ++threads;
+  CHECK(threads == 1);
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(p.pid) + "/fd")) {
+    std::error_code gone;
+    CHECK(!has(std::filesystem::read_symlink(entry.path(), gone).string(), "inotify"));
+  }
+}
+
 TEST_CASE("a configuration that cannot be used ends the program with a plain message") {
   net::Loop loop;
   for (const char* text : {"{", "{}", R"({"settings":{"services":[{"name":"a"}]},"listen":"nowhere"})"}) {
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -307,13 +307,16 @@
           RC_ASSERT(it != open.end());
           if (d.kind == Decision::Kind::replace || d.kind == Decision::Kind::join) RC_ASSERT(!it->out);
           before.add(it->planned.span);
+          SpanSet rest(std::vector<Span>{it->planned.span});
+          rest = rest.minus(p.coverage.in());
+          double left = 0;
+          for (const Span& s : rest.spans()) left += p.coverage.share(s);
+          weight += it->planned.weight * left / p.coverage.share(it->planned.span);
           if (d.kind == Decision::Kind::elsewhere) it->planned = d.successors[0];
           if (d.kind == Decision::Kind::replace || d.kind == Decision::Kind::join) open.erase(it);
         }
         if (d.kind == Decision::Kind::keep || d.kind == Decision::Kind::hold_back) continue;
         before = before.minus(p.coverage.in());
-        weight = 0;
-        for (const Span& s : before.spans()) weight += p.coverage.share(s);
         for (const PlannedPart& s : d.successors) {
           RC_ASSERT(!later.overlaps(s.span));
           later.add(s.span);
--- /dev/null
+++ b/tests/store_stories.cpp
@@ -0,0 +1,210 @@
+// The store by itself and under the program: what is kept is whole, whatever ends the process or spoils the
+// file.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "generations/digest.hpp"
+#include "store/store.hpp"
+
+using namespace winchhall;
+using generations::Kind;
+using store::Kept;
+namespace fs = std::filesystem;
+
+namespace {
+
+struct Place {
+  Place() {
+    const char* dir = std::getenv("TMPDIR");
+    std::string made = std::string(dir ? dir : "/tmp") + "/winchhall-store-XXXXXX";
+    REQUIRE(mkdtemp(made.data()));
+    root = made;
+    path = root / "store.db";
+  }
+  ~Place() { fs::remove_all(root); }
+  fs::path root, path;
+};
+
+Kept kept(int number, std::size_t size = 2000, const std::string& verdict = "taken") {
+  Kept k;
+  k.bytes[Kind::nodes] = std::string(size, static_cast<char>('a' + number % 26)) + std::to_string(number);
+  k.bytes[Kind::ranges] = "ranges of " + std::to_string(number);
+  k.digest = generations::digest_of(k.bytes);
+  k.verdict = verdict;
+  k.at = number;
+  return k;
+}
+
+store::Opened opened(const Place& p) {
+  auto o = store::open(p.path);
+  REQUIRE_MESSAGE(o.store, o.why);
+  return o;
+}
+
+}  // namespace
+
+TEST_CASE("what is kept is there again, newest first, and only what was taken counts as a beginning") {
+  Place p;
+  {
+    auto o = opened(p);
+    CHECK_FALSE(o.store->newest_taken());
+    CHECK(o.store->put(kept(1)));
+    CHECK(o.store->put(kept(2)));
+    Kept refused = kept(3, 10, "refused");
+    refused.bytes.clear();
+    CHECK(o.store->put(refused));
+    CHECK(o.store->put(kept(4, 10, "held")));
+  }
+  auto o = opened(p);
+  CHECK(o.store->newest_taken()->bytes == kept(2).bytes);
+  auto list = o.store->history(10);
+  REQUIRE(list.size() == 4);
+  CHECK(list[0].verdict == "held");
+  CHECK(list[3].digest == kept(1).digest);
+  CHECK(o.store->find(kept(4, 10).digest)->bytes == kept(4, 10).bytes);
+  CHECK_FALSE(o.store->find(12345));
+}
+
+TEST_CASE("old sets go by count; a clock that steps back changes no order") {
+  Place p;
+  auto o = opened(p);
+  for (int i = 0; i < 60; ++i) {
+    Kept k = kept(i);
+    k.at = -i;
+    CHECK(o.store->put(k));
+  }
+  CHECK(o.store->history(1000).size() == store::Store::kKeptMost);
+  CHECK(o.store->newest_taken()->digest == kept(59).digest);
+}
+
+TEST_CASE("an operator's word is left, found, answered and read") {
+  Place p;
+  auto program = opened(p);
+  auto tool = store::open(p.path, true);
+  REQUIRE(tool.store);
+  auto id = tool.store->leave("accept", 77);
+  REQUIRE(id);
+  auto open = program.store->open_orders();
+  REQUIRE(open.size() == 1);
+  CHECK(open[0].word == "accept");
+  CHECK(open[0].digest == 77);
+  CHECK(program.store->answer(*id, "done"));
+  CHECK(program.store->open_orders().empty());
+  CHECK(tool.store->order(*id)->answer == "done");
+}
+
+TEST_CASE(
+    "a store that is cut off or full of noise is set aside, and a new one begun; looking moves nothing") {
+  Place p;
+  std::mt19937 dice(7);
+  for (int round = 0; round < 12; ++round) {
+    fs::remove(p.path);
+    {
+      auto o = opened(p);
+      for (int i = 0; i < 6; ++i) CHECK(o.store->put(kept(i, 5000)));
+    }
+    auto size = fs::file_size(p.path);
+    if (round % 3 == 0) {
+      fs::resize_file(p.path, size * (1 + round % 5) / 8);
+    } else {
+      std::fstream file(p.path, std::ios::in | std::ios::out | std::ios::binary);
+      if (round % 3 == 1)
+        file.seekp(0);
+      else
+        file.seekp(static_cast<long>(dice() % size));
+      for (int i = 0; i < 4000; ++i) file.put(static_cast<char>(dice()));
+    }
+    auto seen = store::open(p.path, true);
+    CHECK(seen.set_aside.empty());
+    seen.store.reset();
+    auto o = store::open(p.path);
+    REQUIRE_MESSAGE(o.store, o.why);
+    if (!o.set_aside.empty()) CHECK(fs::exists(o.set_aside));
+    // Whatever is found is a set that was kept; noise is never taken for one.
+    if (auto found = o.store->newest_taken()) CHECK(generations::digest_of(found->bytes) == found->digest);
+    CHECK(o.store->put(kept(100)));
+    CHECK(o.store->newest_taken()->digest == kept(100).digest);
+  }
+}
+
+TEST_CASE("a store of a later version is left alone") {
+  Place p;
+  { auto o = opened(p); }
+  std::fstream file(p.path, std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(60);  // user_version in SQLite's header, most significant byte first
+  for (char c : {0, 0, 0, 9}) file.put(c);
+  file.close();
+  auto o = store::open(p.path);
+  CHECK_FALSE(o.store);
+  CHECK(o.why.find("later version (9)") != std::string::npos);
+  CHECK(o.set_aside.empty());
+}
+
+TEST_CASE("a full disk costs durability and nothing else") {
+  Place p;
+  auto o = opened(p);
+  CHECK(o.store->put(kept(1)));
+  pid_t child = fork();
+  if (child == 0) {
+    // A limit on the size of files stands for the disk: writes beyond it fail.
+    signal(SIGXFSZ, SIG_IGN);
+    rlimit limit{100'000, 100'000};
+    setrlimit(RLIMIT_FSIZE, &limit);
+    auto full = store::open(p.path);
+    bool failed = full.store && !full.store->put(kept(2, 3'000'000)) && !full.store->fault().empty();
+    bool still = failed && full.store->newest_taken() && full.store->newest_taken()->digest == kept(1).digest;
+    _exit(still ? 0 : 1);
+  }
+  int status = 0;
+  waitpid(child, &status, 0);
+  CHECK(WIFEXITED(status));
+  CHECK(WEXITSTATUS(status) == 0);
+  CHECK(o.store->newest_taken()->digest == kept(1).digest);
+  CHECK(o.store->put(kept(3)));
+}
+
+TEST_CASE(
+    "killed 200 times at any step of keeping: what is there is whole, and no less than what was said kept") {
+  Place p;
+  std::mt19937 dice(20261201);
+  int acknowledged = -1, number = 0;
+  for (int round = 0; round < 200; ++round) {
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    pid_t child = fork();
+    if (child == 0) {
+      auto o = store::open(p.path);
+      if (!o.store) _exit(3);
+      for (int i = number;; ++i) {
+        if (!o.store->put(kept(i, 1000 + static_cast<std::size_t>(i % 50) * 400))) _exit(4);
+        if (write(ends[1], &i, sizeof i) != sizeof i) _exit(5);
+      }
+    }
+    close(ends[1]);
+    usleep(2000 + dice() % 9000);
+    kill(child, SIGKILL);
+    int status = 0;
+    waitpid(child, &status, 0);
+    CHECK(WIFSIGNALED(status));
+    for (int i = 0; read(ends[0], &i, sizeof i) == sizeof i;) acknowledged = std::max(acknowledged, i);
+    close(ends[0]);
+    auto o = opened(p);
+    CHECK(o.set_aside.empty());
+    auto found = o.store->newest_taken();
+    if (acknowledged >= 0) REQUIRE(found);
+    if (!found) continue;
+    CHECK(generations::digest_of(found->bytes) == found->digest);
+    CHECK(found->at >= acknowledged);
+    number = static_cast<int>(found->at) + 1;
+  }
+  CHECK(number > 200);
+}
