Fuzz the readers of sets, words and the store, and keep the sanitizer build free of warnings

Need: files, a directory's words and the store's file come from outside and may hold anything; and the compiler's false alarm over std::regex under the sanitizers ended that build.

The look-up of a fault's line does without std::regex.

--- a/src/app/check_files.cpp
+++ b/src/app/check_files.cpp
@@ -1,9 +1,10 @@
 #include "app/check_files.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <regex>
+#include <optional>
 #include <sstream>
 #include <stdexcept>
 
@@ -19,27 +20,48 @@
   return 1 + std::count(text.begin(), text.begin() + static_cast<long>(std::min(at, text.size())), '\n');
 }
 
-long line_of(const std::string& text, const std::string& pattern) {
-  std::smatch match;
-  if (!std::regex_search(text, match, std::regex(pattern))) return 0;
-  return line_at(text, static_cast<std::size_t>(match.position()));
+// The first place behind `from` where the text has this key, with its value behind the colon.
+struct KeyPlace {
+  std::size_t at = std::string::npos, value = std::string::npos;
+};
+KeyPlace find_key(const std::string& text, const std::string& key, std::size_t from = 0) {
+  std::string quoted = "\"" + key + "\"";
+  for (std::size_t at = from; (at = text.find(quoted, at)) != std::string::npos; ++at) {
+    std::size_t colon = text.find_first_not_of(" \t\r\n", at + quoted.size());
+    if (colon != std::string::npos && text[colon] == ':')
+      return {at, text.find_first_not_of(" \t\r\n", colon + 1)};
+  }
+  return {};
+}
+
+// The number behind these words.
+std::optional<unsigned long long> number_behind(const std::string& text, const std::string& words) {
+  std::size_t at = text.find(words);
+  if (at == std::string::npos) return std::nullopt;
+  const char* from = text.c_str() + at + words.size();
+  char* end = nullptr;
+  unsigned long long n = std::strtoull(from, &end, 10);
+  return end == from ? std::nullopt : std::optional(n);
 }
 
-// Our own faults name a key or a range's id; the line is where the file has it first.
+// Our own faults name a key in quotes, a range by its id, or a place in a list; the line is where the file
+// has it.
 long line_of_fault(const std::string& text, const std::string& what) {
-  std::smatch match;
-  if (std::regex_search(what, match, std::regex("'([A-Za-z_]+)'")))
-    if (long line = line_of(text, "\"" + match[1].str() + "\"\\s*:")) return line;
-  if (std::regex_search(what, match, std::regex("range ([0-9]+) ")))
-    return line_of(text, "\"id\"\\s*:\\s*" + match[1].str() + "\\b");
-  if (std::regex_search(what, match, std::regex("ranges\\[([0-9]+)\\]"))) {
-    std::size_t at = 0;
-    for (long n = std::stol(match[1].str()); n >= 0; --n) {
-      std::size_t next = text.find("\"id\"", at);
-      if (next == std::string::npos) break;
-      at = next + 1;
-    }
-    return line_at(text, at);
+  if (std::size_t open = what.find('\''); open != std::string::npos) {
+    std::size_t close = what.find('\'', open + 1);
+    if (close != std::string::npos)
+      if (auto key = find_key(text, what.substr(open + 1, close - open - 1)); key.at != std::string::npos)
+        return line_at(text, key.at);
+  }
+  if (auto id = number_behind(what, "range "))
+    for (KeyPlace key = find_key(text, "id"); key.value != std::string::npos;
+         key = find_key(text, "id", key.at + 1))
+      if (std::strtoull(text.c_str() + key.value, nullptr, 10) == *id) return line_at(text, key.at);
+  if (auto place = number_behind(what, "ranges[")) {
+    KeyPlace key = find_key(text, "id");
+    for (unsigned long long n = 0; n < *place && key.at != std::string::npos; ++n)
+      key = find_key(text, "id", key.at + 1);
+    if (key.at != std::string::npos) return line_at(text, key.at);
   }
   return 0;
 }
--- /dev/null
+++ b/tests/fuzz/store_fuzz.cpp
@@ -0,0 +1,40 @@
+// Whatever the bytes of a store's file are: it is opened, or set aside, without a crash; what it gives is a
+// set that still has its digest; and a set can be kept in what is there then.
+#include <unistd.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "generations/digest.hpp"
+#include "store/store.hpp"
+
+extern "C" void winchhall_open_store(const std::string&, bool, winchhall::store::Opened&);
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace winchhall;
+  namespace fs = std::filesystem;
+  if (size > 256 * 1024) return 0;
+  static const fs::path folder = fs::temp_directory_path() / ("winchhall-fuzz-" + std::to_string(getpid()));
+  fs::remove_all(folder);
+  fs::create_directories(folder);
+  std::string path = folder / "store.db";
+  std::ofstream(path, std::ios::binary).write(reinterpret_cast<const char*>(data), static_cast<long>(size));
+  store::Opened opened;
+  winchhall_open_store(path, false, opened);
+  if (opened.store) {
+    if (auto kept = opened.store->newest_taken())
+      if (generations::digest_of(kept->bytes) != kept->digest) std::abort();
+    opened.store->history(10);
+    opened.store->open_orders();
+    store::Kept k;
+    k.bytes[generations::Kind::nodes] = "x";
+    k.digest = generations::digest_of(k.bytes);
+    k.verdict = "taken";
+    opened.store->put(k);
+  }
+  opened.store.reset();
+  fs::remove_all(folder);
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/words_fuzz.cpp
@@ -0,0 +1,30 @@
+// Whatever a directory or a node says: read without a crash, taken whole or refused with a reason.
+#include <cstdint>
+#include <cstdlib>
+
+#include "platform/range_words.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace winchhall;
+  std::string text(reinterpret_cast<const char*>(data), size);
+  std::string fault;
+  platform::read_denial(text);
+  auto update = platform::read_update(text, fault);
+  if (!update) {
+    if (fault.empty()) std::abort();
+    return 0;
+  }
+  ranges::Follower follower(1000);
+  ranges::Update first;
+  first.revision = {1, 1};
+  first.complete = true;
+  first.ranges.push_back(
+      {0, {0, ranges::kKeyEnd}, 1, std::make_shared<const ranges::Holders>(ranges::Holders{{"a"}})});
+  follower.take(first, 0);
+  auto before = follower.map().revision();
+  auto taken = follower.take(*update, 1);
+  if (taken != ranges::Taken::taken && follower.map().revision() != before) std::abort();
+  std::string why;
+  if (!ranges::RangeMap::build({1, 1}, follower.map().all(), why)) std::abort();
+  return 0;
+}
