--- a/tests/desk.hpp
+++ b/tests/desk.hpp
@@ -7,6 +7,16 @@
 
 namespace winchhall::testing {
 
+// A carrier for stories in which nothing is sent.
+struct Nobody : core::Carrier {
+  void launch(const core::Order&) override {}
+  void flush() override {}
+  void abandon(core::AttemptNumber) override {}
+  void probe(const std::string&, const std::string&) override {}
+  void close_idle(const std::string&) override {}
+  void retire(const std::string&) override {}
+};
+
 // The exchange by itself, on a clock that the test sets; the test is carrier, roster and directory of ranges.
 struct Desk : core::Carrier, core::MembershipSource, core::RangeSource {
   explicit Desk(pewterrill::Settings settings = two_classes())
--- a/tests/files_stories.cpp
+++ b/tests/files_stories.cpp
@@ -52,15 +52,6 @@
   fs::path root, path;
 };
 
-struct Nobody : core::Carrier {
-  void launch(const core::Order&) override {}
-  void flush() override {}
-  void abandon(core::AttemptNumber) override {}
-  void probe(const std::string&, const std::string&) override {}
-  void close_idle(const std::string&) override {}
-  void retire(const std::string&) override {}
-};
-
 struct FilesStage {
   explicit FilesStage(const Folder& folder, std::size_t most = 1 << 20)
       : exchange(
--- a/tests/spans_stories.cpp
+++ b/tests/spans_stories.cpp
@@ -728,15 +728,6 @@
 
 namespace {
 
-struct Nobody : core::Carrier {
-  void launch(const core::Order&) override {}
-  void flush() override {}
-  void abandon(core::AttemptNumber) override {}
-  void probe(const std::string&, const std::string&) override {}
-  void close_idle(const std::string&) override {}
-  void retire(const std::string&) override {}
-};
-
 struct DirectoryStage {
   DirectoryStage()
       : exchange(
