--- a/tests/store_stories.cpp
+++ b/tests/store_stories.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <signal.h>
+#include <sqlite3.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -172,6 +173,22 @@
   CHECK(o.store->put(kept(3)));
 }
 
+TEST_CASE("held locked by somebody else: not kept and said so, and kept again once it is free") {
+  Place p;
+  auto o = opened(p);
+  CHECK(o.store->put(kept(1)));
+  sqlite3* other = nullptr;
+  REQUIRE(sqlite3_open(p.path.c_str(), &other) == SQLITE_OK);
+  REQUIRE(sqlite3_exec(other, "BEGIN IMMEDIATE", nullptr, nullptr, nullptr) == SQLITE_OK);
+  CHECK_FALSE(o.store->put(kept(2)));
+  CHECK(o.store->fault().find("locked") != std::string::npos);
+  CHECK(o.store->newest_taken()->digest == kept(1).digest);  // what is there is read all the while
+  CHECK(sqlite3_exec(other, "ROLLBACK", nullptr, nullptr, nullptr) == SQLITE_OK);
+  sqlite3_close(other);
+  CHECK(o.store->put(kept(3)));
+  CHECK(o.store->newest_taken()->digest == kept(3).digest);
+}
+
 TEST_CASE(
     "killed 200 times at any step of keeping: what is there is whole, and no less than what was said kept") {
   Place p;
