Spread calls for the list by the size of the fleet, with full jitter

The log did not tell how calls end; now it does: 503 after exactly 2 s in the queue, or 503 at once where the queue is full. Raw bytes on the watch show nothing malformed; the watches that survive are told of every change, so neither the reading nor the watch is at fault. All instances asked again within 125 to 250 ms and at the latest every 2.5 s (on(ServerList), ask_wait_), 30 to 100 calls a second for a service that serves fewer: none of them in time.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -49,8 +49,9 @@
 constexpr double kUnservedFew = 0.2;   // up to here single servers are to blame; two steps on, overload is
 constexpr Millis kPulse = 10;          // ms between checks of what is open, or two ticks where that is longer
 constexpr Millis kForgetGone = 30000;  // ms after which nothing is owed on account of a server that is gone
-constexpr double kLogLines = 200;      // log lines at once: enough for a bad hour, never a flood ...
-constexpr double kLogPerSecond = 1;    // ... and so many a second again, or a long day ends without a word
+constexpr Millis kAskEach = 30;      // ms of the list service for each broker: all are spread over their sum
+constexpr double kLogLines = 200;    // log lines at once: enough for a bad hour, never a flood ...
+constexpr double kLogPerSecond = 1;  // ... and so many a second again, or a long day ends without a word
 
 constexpr double kNever = -std::numeric_limits<double>::infinity();
 constexpr double kWeightSlack = 5e-5;  // sums of weights may fall short by rounding ...
@@ -64,14 +65,9 @@
   int seen = 0;
   void add(double x) {
     if (!sound(x)) return;
-    if (seen++ == 0) {
-      mean = x;
-      dev = x / 2;
-      return;
-    }
-    double gain = std::max(kMeanGain, 1.0 / seen);
-    dev += std::max(kDevGain, 1.0 / seen) * (std::abs(x - mean) - dev);
-    mean += gain * (x - mean);
+    double off = seen++ == 0 ? x / 2 : std::abs(x - mean);
+    dev += std::max(kDevGain, 1.0 / seen) * (off - dev);
+    mean += std::max(kMeanGain, 1.0 / seen) * (x - mean);
   }
   double high() const { return mean + kDevs * dev; }
 };
@@ -212,10 +208,13 @@
       watching_ = set_.list_on_request;
     }
     if (list.kind == ServerList::Kind::failed) {
-      // Ask again soon, each time a little later: the list service may be overloaded by all of us at once.
+      // Exponential backoff with full jitter (Brooker 2015) over a time that grows with the fleet: all fail
+      // in one moment, and a service that all of them ask again at once answers none in time.
       watching_ = false;
-      ask_wait_ = ask_wait_ > 0 ? std::min(2 * ask_wait_, set_.must_ask_in / 4) : set_.must_ask_in / 40;
-      ask_at_ = now_ + ask_wait_ * std::uniform_real_distribution<>(0.5, 1)(random_);
+      Millis first = std::max(set_.must_ask_in / 40, kAskEach * set_.brokers);
+      Millis most = std::max(set_.must_ask_in / 4, 4 * first);
+      ask_wait_ = ask_wait_ > 0 ? std::min(2 * ask_wait_, most) : first;
+      ask_at_ = now_ + ask_wait_ * std::uniform_real_distribution<>(0, 1)(random_);
       log("list call failed");
       return;
     }
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -27,13 +27,16 @@
   void connected() override {
     std::string target = "/v1/endpoints";
     if (watch_) target += "?watch=1&after=" + std::to_string(owner_.revision_);
+    asked_ = true;
     stream_->write("GET " + target + " HTTP/1.1\r\nHost: " + owner_.address_ + "\r\n\r\n");
     expect(kFirstAnswer);
   }
   void received(std::string& in) override {
     parser_.feed(in);
     HttpMessage& m = parser_.message();
-    if (parser_.failed() || (parser_.head_done() && m.status != 200)) return owner_.over(*this, true);
+    if (parser_.failed()) return owner_.over(*this, "an answer that cannot be read");
+    if (parser_.head_done() && m.status != 200)
+      return owner_.over(*this, "status " + std::to_string(m.status));
     if (!parser_.head_done()) return;
     if (watch_) expect(kSilence);
     std::size_t end;
@@ -43,27 +46,28 @@
       if (watch_ && (!trim(line).empty() || !answered_)) owner_.told(*this, line);
       if (!watch_) whole_ += line;
     }
-    if (m.body.size() + whole_.size() > kLineMost) return owner_.over(*this, true);
-    if (stream_->open() && parser_.done()) finish();
+    if (m.body.size() + whole_.size() > kLineMost) return owner_.over(*this, "a list too long");
+    if (stream_->open() && parser_.done()) finish("the watch ended");
   }
   void ended() override {
+    // Before the head was written nobody is there, or nobody takes us in; after that it hung up.
+    const char* how = !asked_ ? "no connection" : answered_ ? "the watch ended" : "closed without an answer";
     parser_.ended();
-    finish();
+    finish(how);
   }
 
   bool watch_call() const { return watch_; }
   bool answered_ = false;
 
  private:
-  void finish() {
+  void finish(const std::string& how) {
     if (!watch_ && parser_.done()) owner_.told(*this, whole_ + parser_.message().body);
-    owner_.over(*this, watch_ || !answered_);
+    owner_.over(*this, watch_ || !answered_ ? how : "");
   }
   void expect(net::Millis within) {
     owner_.loop_.cancel(timer_);
     timer_ = owner_.loop_.at(owner_.loop_.now() + within, [this] {
-      spdlog::warn("discovery silent for {} ms", timed_);
-      owner_.over(*this, true);
+      owner_.over(*this, "silent for " + std::to_string(static_cast<int>(timed_)) + " ms");
     });
     timed_ = within;
   }
@@ -74,7 +78,8 @@
   std::shared_ptr<net::Stream> stream_;
   std::string whole_;
   net::TimerId timer_{};
-  net::Millis timed_ = 0;
+  net::Millis timed_ = 0, begun_at_ = owner_.loop_.now();
+  bool asked_ = false;
 
   friend class Discovery;
 };
@@ -102,7 +107,7 @@
 void Discovery::start(std::shared_ptr<Call>& slot, bool watch) {
   stop(slot);
   slot = std::make_shared<Call>(*this, watch);
-  if (!slot->begin()) over(*slot, true);
+  if (!slot->begin()) over(*slot, "no socket");
 }
 
 void Discovery::watch(bool on) {
@@ -124,12 +129,13 @@
 void Discovery::fetch() { start(fetching_, false); }
 
 // The list that is held stays; the module asks again, each time a little later.
-void Discovery::over(Call& call, bool failed) {
+void Discovery::over(Call& call, const std::string& why) {
   auto& slot = call.watch_call() ? watching_ : fetching_;
   if (slot.get() != &call) return;
+  net::Millis lasted = loop_.now() - call.begun_at_;
   stop(slot);
-  if (!failed) return;
-  spdlog::warn("discovery call failed");
+  if (why.empty()) return;
+  spdlog::warn("discovery call failed: {}, after {:.0f} ms", why, lasted);
   exchange_.list(Kind::failed, {});
 }
 
@@ -137,7 +143,7 @@
   MemberList list;
   if (!trim(text).empty()) {
     auto read = read_members(text);
-    if (!read) return over(call, true);
+    if (!read) return over(call, "a list that cannot be read");
     list = std::move(*read);
     revision_ = list.revision;
     spdlog::info("discovery revision {}: {} {}", list.revision, list.members.size(),
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -25,7 +25,7 @@
   class Call;
   void start(std::shared_ptr<Call>& slot, bool watch);
   void stop(std::shared_ptr<Call>& slot);
-  void over(Call& call, bool failed);
+  void over(Call& call, const std::string& why);  // empty: it ended as it should
   void told(Call& call, const std::string& text);
 
   net::Loop& loop_;
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -642,6 +642,41 @@
             2 * 0.25 * 1000 * 2);  // multiple x cold share x span, for the two cores that such servers have
 }
 
+TEST(Sparse, CallsForTheListAfterACommonFailureAreSpreadByTheSizeOfTheFleet) {
+  // 100 brokers lose their watch in one moment, and every call for a new one fails after 2 s in the queue.
+  // The service is never asked by more than half of them in a second, and within 12 s each has asked again.
+  Settings s = plain_settings();
+  s.brokers = 100;
+  s.list_on_request = true;
+  s.must_ask_in = 10000;
+  std::vector<int> calls(60);
+  for (int broker = 0; broker < s.brokers; ++broker) {
+    Driver d(s, 500 + static_cast<std::uint64_t>(broker));
+    d.servers({"a"});
+    d.now = 1000;
+    d.event(ServerList{ServerList::Kind::failed, {}});
+    Millis fails_at = 0;
+    int asked = 0;
+    while (d.now < 30000) {
+      d.pass(10);
+      if (!d.of<WatchList>().empty()) {
+        ++calls[static_cast<std::size_t>(d.now / 1000)];
+        fails_at = d.now + 2000;
+        ++asked;
+      } else if (fails_at > 0 && d.now >= fails_at) {
+        fails_at = 0;
+        d.event(ServerList{ServerList::Kind::failed, {}});
+      }
+      if (d.now >= 13000 && asked == 0) ADD_FAILURE() << "broker " << broker << " never asked again";
+    }
+  }
+  for (std::size_t second = 0; second < calls.size(); ++second) EXPECT_LE(calls[second], 50) << second;
+  int later = 0;  // once each has failed a few times
+  for (std::size_t second = 15; second < 30; ++second) later += calls[second];
+  EXPECT_LE(later, 15 * 20);
+  EXPECT_GE(later, 15 * 5);
+}
+
 TEST(Sparse, MovesOfLatePartsArePaidForByFirstAttempts) {
   // One of two servers falls silent with many parts: a few are moved, not all of them at once.
   Driver d(plain_settings());
