Send copies of late parts, and let parts that are turned away always go on

A query of 60 parts waits for the slowest. The module moved a part only later than mean + 4 deviations (up to 375 of 750 ms, growing with the very tail it should cut), by cancelling the first attempt, and saved up five moves at most (move_overdue, kMoveMost): one query's parts, as its comment says, but queries here have 60. A part turned away without a saved move was dead, and 59 others with it (on(AttemptEnded)); clients then ask all 60 again (1.3 to 1.5 tries). Ruled out: load in all (0.4 of capacity), the hot shards (work by leaf differs by a third), the clock.

Now, where copies are allowed, a part later than three usual responses (a median followed by steps) gets a copy on a trusted replica and the first answer counts (hedged requests, Dean and Barroso 2013); moves are saved up for the parts of the largest query; what was turned away never ran and goes on.

--- a/include/pewterrill/coordinator.hpp
+++ b/include/pewterrill/coordinator.hpp
@@ -53,7 +53,7 @@
   Millis must_ask_in = 0;        // ... at least this often while there is no watch
   bool may_cancel = false;
   bool may_probe = false;
-  bool may_hedge = false;  // two attempts of a part at once; pewterrill never needs it
+  bool may_hedge = false;  // two attempts of a part at once: late parts of classes that are safe get a copy
   bool retry_after_heard = false;
   Millis max_retry_after = 0;
   bool weights_count = false;  // a server's size says how much it takes beside others
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,7 +40,9 @@
 constexpr double kLeastCores = 1;    // work ms per ms: what any warm server does at the least
 constexpr double kMoveShare = 0.1;  // of first attempts may be repeated for lateness: it must not feed itself
 constexpr double kMoveMost = 5;     // saved up at most: one query's parts
-constexpr double kLeastFit = 0.5;   // x mean response: with less time left a part is not sent any more
+constexpr double kHedgeAfter = 3;   // x the usual response: later than that a second copy is sent
+constexpr double kMedianStep = 1.05;  // x a sample: how fast the usual response is followed
+constexpr double kLeastFit = 0.5;     // x mean response: with less time left a part is not sent any more
 constexpr Millis kMoment = 60;  // ms: one that has not what it was asked for may have heard of a change then
 constexpr Millis kRestart = 1500;      // ms: a process that fell does not answer again sooner
 constexpr std::size_t kFellMany = 2;   // servers lost under one query before its parts go one at a time
@@ -53,7 +55,7 @@
 constexpr double kLogLines = 200;    // log lines at once: enough for a bad hour, never a flood ...
 constexpr double kLogPerSecond = 1;  // ... and so many a second again, or a long day ends without a word
 
-constexpr double kNever = -std::numeric_limits<double>::infinity();
+constexpr double kEver = std::numeric_limits<double>::infinity(), kNever = -kEver;
 constexpr double kWeightSlack = 5e-5;  // sums of weights may fall short by rounding ...
 constexpr double kLeastSlack = 1e-9;   // ... and by so much however they were made
 
@@ -69,7 +71,6 @@
     dev += std::max(kDevGain, 1.0 / seen) * (off - dev);
     mean += std::max(kMeanGain, 1.0 / seen) * (x - mean);
   }
-  double high() const { return mean + kDevs * dev; }
 };
 
 // Mean over the last moments, by time and not by count: with many brokers each sees little, and what it saw
@@ -96,7 +97,6 @@
   double ahead = 0;        // the sum it was placed at, itself included
   bool out = true;         // no outcome yet
   bool moving = false;     // cancelled by us
-  bool started = false;    // its stream belongs to the client
   Millis denied = kNever;  // when the server said that it has not what was asked for
 };
 
@@ -111,10 +111,11 @@
   bool done = false;
   bool dead = false;  // no further attempt is possible
   int resets = 0;
-  bool may_have_run = false;
-  Millis first_maybe = 0;  // sending time of the first attempt that may have run
+  Millis first_maybe = kEver;  // sending time of the first attempt that may have run
   std::vector<Attempt> attempts;
-  bool out() const { return !attempts.empty() && attempts.back().out; }
+  bool out() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
+  }
   int tries() const { return used + static_cast<int>(attempts.size()); }
 };
 
@@ -197,6 +198,7 @@
   struct ClassLearned {
     Estimate hint;      // cost hints
     Estimate response;  // time from sending to answer
+    Millis usual = 0;   // its median
     Millis wary_until = kNever;
   };
 
@@ -215,8 +217,7 @@
       Millis most = std::max(set_.must_ask_in / 4, 4 * first);
       ask_wait_ = ask_wait_ > 0 ? std::min(2 * ask_wait_, most) : first;
       ask_at_ = now_ + ask_wait_ * std::uniform_real_distribution<>(0, 1)(random_);
-      log("list call failed");
-      return;
+      return log("list call failed");
     }
     if (watching_) ask_wait_ = 0;
     std::set<std::string> named;
@@ -253,19 +254,15 @@
     retry_waiting();
   }
 
-  // Guards against a table that grows for ever: one gone for good that no open query names makes room.
+  // Guards against a table that grows for ever: one gone for good with nothing out makes room.
   void forget_gone() {
-    std::set<int> wanted;
-    for (const auto& [id, p] : parts_)
-      for (const Attempt& a : p.attempts) wanted.insert(a.server);
-    for (const auto& [number, q] : queries_) wanted.insert(q.fell.begin(), q.fell.end());
     for (int i = 0; i < static_cast<int>(servers_.size()); ++i) {
       Server& s = servers_[i];
       if (s.state != ServerState::gone) {
         s.gone_at = kNever;
       } else if (s.gone_at == kNever) {
         s.gone_at = now_;
-      } else if (!s.id.empty() && now_ - s.gone_at > kForgetGone && !wanted.count(i)) {
+      } else if (!s.id.empty() && now_ - s.gone_at > kForgetGone && s.out_since.empty()) {
         by_name_.erase(s.id);
         s = {.id = {}, .state = ServerState::gone, .gone_at = s.gone_at, .by_class = {}};
         free_.push_back(i);
@@ -277,7 +274,7 @@
     act(WatchList{true});
     asked_open_ = true;
     asked_at_ = now_;
-    ask_at_ = std::numeric_limits<double>::infinity();
+    ask_at_ = kEver;
   }
 
   void keep_list() {
@@ -407,14 +404,15 @@
     taken_in_window_ += taken_.back().second;
   }
 
-  // Guards against lateness that feeds itself: a part moved because late, or sent on from a full queue, adds
-  // load when there is too much. First attempts pay for those; broken connections are owed to outages.
+  // Guards against lateness that feeds itself: a part moved or copied because late adds load when there is
+  // too much. First attempts pay for those. What was turned away never ran, and the rest of its query would
+  // be lost.
   bool spare_load() { return moves_saved_ >= 1 && moves_saved_-- > 0; }
 
   // Rule: no effect twice. May this part be sent (again) now?
   bool repeat_allowed(const Part& p, const ClassSettings& c) const {
     if (p.out() || p.tries() >= std::max(1, set_.max_attempts)) return false;
-    if (!p.may_have_run || c.repeat == Repeat::safe) return true;
+    if (p.first_maybe == kEver || c.repeat == Repeat::safe) return true;
     return c.repeat == Repeat::keyed && now_ + set_.tick < p.first_maybe + c.repeat_window;
   }
 
@@ -427,7 +425,12 @@
   Millis patience(int c) const {
     const Estimate& r = learned_[c].response;
     Millis most = kPatienceOfAim * set_.classes[c].aim;
-    return r.seen < kTrusted ? most : std::min(r.high(), most);
+    return r.seen < kTrusted ? most : std::min(r.mean + kDevs * r.dev, most);
+  }
+
+  Millis hedge_after(int c) const {
+    const ClassLearned& l = learned_[c];
+    return l.response.seen < kTrusted ? patience(c) : std::min(kHedgeAfter * l.usual, patience(c));
   }
 
   // Reserves the best replica for a part; the sum includes it from here on.
@@ -460,7 +463,7 @@
     Server& s = servers_[a.server];
     const ClassSettings& c = set_.classes[q.query_class];
     if (p.tries() > 1 && set_.budget) further_.push_back(now_);
-    if (p.tries() == 1) moves_saved_ = std::min(moves_saved_ + kMoveShare, kMoveMost);
+    if (p.tries() == 1) moves_saved_ = std::min(moves_saved_ + kMoveShare, std::max(kMoveMost, most_parts_));
     if (s.started && now_ - *s.started < set_.cold_time)
       s.cold_sent.emplace_back(now_, std::max(p.hint, mean_hint(q.query_class)));
     Millis timeout = useful_until(q) - now_;
@@ -520,20 +523,25 @@
 
   void take_parts(int number, const std::vector<PartSpec>& specs) {
     Query& q = queries_[number];
+    most_parts_ = std::max(most_parts_, static_cast<double>(specs.size()));
     for (const PartSpec& spec : specs) {
       Part p;
-      p.id = spec.part;
       p.query = number;
-      p.shard = spec.shard;
       p.step = q.step;
-      p.weight = sound(spec.weight) ? spec.weight : 0;
-      p.hint = take_hint(q.query_class, spec.hint);
-      p.holders = spec.holders;
-      q.slack = std::min(q.slack, std::max(p.weight / 2, kLeastSlack));
-      if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
+      add_part(q, p, spec, take_hint(q.query_class, spec.hint));
     }
   }
 
+  void add_part(Query& q, Part p, const PartSpec& spec, double hint) {
+    p.id = spec.part;
+    p.shard = spec.shard;
+    p.weight = sound(spec.weight) ? spec.weight : 0;
+    p.hint = hint;
+    p.holders = spec.holders;
+    q.slack = std::min(q.slack, std::max(p.weight / 2, kLeastSlack));
+    if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
+  }
+
   // Rule: three attempts a part at most. Ranges that split or merge don't give their parts new ones.
   void on(const PartsReplaced& e) {
     Part heir;
@@ -547,9 +555,7 @@
       heir.resets = std::max(heir.resets, p.resets);
       heir.spare = p.spare;
       heir.dead |= p.dead;
-      if (p.may_have_run && (!heir.may_have_run || p.first_maybe < heir.first_maybe))
-        heir.first_maybe = p.first_maybe;
-      heir.may_have_run |= p.may_have_run;
+      heir.first_maybe = std::min(heir.first_maybe, p.first_maybe);
     }
     auto found = queries_.find(heir.query);
     if (found == queries_.end() || found->second.ended || found->second.step != heir.step) return;
@@ -558,15 +564,8 @@
       parts_.erase(id);
       std::erase(q.parts, id);
     }
-    for (const PartSpec& spec : e.successors) {
-      Part p = heir;
-      p.id = spec.part;
-      p.weight = sound(spec.weight) ? spec.weight : 0;
-      p.hint = spec.hint && sound(*spec.hint) ? *spec.hint : mean_hint(q.query_class);
-      p.holders = spec.holders;
-      q.slack = std::min(q.slack, std::max(p.weight / 2, kLeastSlack));
-      if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
-    }
+    for (const PartSpec& spec : e.successors)
+      add_part(q, heir, spec, spec.hint && sound(*spec.hint) ? *spec.hint : mean_hint(q.query_class));
     for (const PartSpec& spec : e.successors)
       if (Part& p = parts_.at(spec.part); !p.spare && !q.awaiting_step) try_part(q, p);
     settle(heir.query);
@@ -706,7 +705,7 @@
     unserved_.add(1, now_);
     for (const std::string& id : q.parts) {
       const Part& p = parts_.at(id);
-      if (c.repeat != Repeat::safe && (p.may_have_run || p.out() || p.done)) harmless = false;
+      if (c.repeat != Repeat::safe && (p.first_maybe < kEver || p.out() || p.done)) harmless = false;
     }
     bool past = sent && now_ >= q.aim_at - margin() - pulse_;
     if (harmless && !past)
@@ -722,14 +721,15 @@
     q.awaiting_step = false;
     for (const std::string& id : q.parts) {
       Part& p = parts_.at(id);
-      if (p.out() && set_.may_cancel && !p.attempts.back().started && !p.attempts.back().moving) cancel(p);
+      if (set_.may_cancel) cancel(p);
     }
     closed_.push_back(query_numbers_.at(q.id));
   }
 
   void cancel(Part& p) {
-    p.attempts.back().moving = true;
-    act(CancelAttempt{p.id, static_cast<int>(p.attempts.size()) - 1});
+    for (Attempt& a : p.attempts)
+      if (a.out && !std::exchange(a.moving, true))
+        act(CancelAttempt{p.id, static_cast<int>(&a - p.attempts.data())});
   }
 
   void forget_closed() {
@@ -764,10 +764,7 @@
     bool never_ran = e.outcome == Outcome::full || e.outcome == Outcome::connect_failed ||
                      e.outcome == Outcome::unsent || e.outcome == Outcome::not_mine;
     if (e.outcome == Outcome::not_mine) a.denied = servers_[a.server].last_answer = now_;
-    if (!never_ran && !p.may_have_run) {
-      p.may_have_run = true;
-      p.first_maybe = a.sent;
-    }
+    if (!never_ran) p.first_maybe = std::min(p.first_maybe, a.sent);
     judge(servers_[a.server], e.outcome, a, q.query_class, p.hint);
     if (q.ended) return;
     if (e.outcome == Outcome::reset && falls_.mean(now_, 1) > 0.5 && fells_servers(q, p, a.server))
@@ -775,11 +772,13 @@
     if (e.outcome == Outcome::ok) {
       p.done = q.served = true;
       q.cautious = false;
-    } else if (e.part_closed ||
-               ((e.outcome == Outcome::full || (e.outcome == Outcome::timeout)) && !spare_load()))
-      p.dead = true;
-    else if (!q.awaiting_step && p.step == q.step)
-      try_part(q, p);
+      if (set_.may_cancel) cancel(p);
+    } else if (!p.done && !p.out()) {  // else a copy of it counts
+      if (e.part_closed || (e.outcome == Outcome::timeout && !spare_load()))
+        p.dead = true;
+      else if (!q.awaiting_step && p.step == q.step)
+        try_part(q, p);
+    }
     settle(p.query);
   }
 
@@ -839,8 +838,9 @@
         return learn(s, took, a, c, hint);
       case Outcome::cancelled:
       case Outcome::timeout:
-        if (!late) return;  // no longer needed, or short of time: says nothing
+        if (took <= hedge_after(c)) return;  // no longer needed, or short of time: says nothing
         learn(s, took, a, c, hint);
+        if (!late) return;
         // Silence is judged by class like errors: a server may swallow one class and serve another. Nothing
         // at all from a server often heard of is the server's; one seldom heard of is struck for both.
         if (s.by_class[c].last_answer >= a.sent) return;
@@ -860,8 +860,7 @@
       case Outcome::connect_failed:
         explain_cut(s, true);
         return strike(s, s.health, kStrikes, "no connection: ", true);
-      case Outcome::not_mine:
-      case Outcome::unsent:
+      default:  // it never ran, through no fault of the server
         return;
     }
   }
@@ -875,6 +874,8 @@
 
   void learn(Server& s, Millis took, const Attempt& a, int c, double hint) {
     learned_[c].response.add(took);
+    Millis& usual = learned_[c].usual;
+    usual = usual <= 0 ? took : took > usual ? usual * kMedianStep : usual / kMedianStep;
     // Only what waited behind others tells how fast a queue is worked off; a part alone takes its own time.
     // By its logarithm: a few slow servers don't speak for the tier.
     if (a.ahead > 2 * hint) {
@@ -935,23 +936,27 @@
     std::erase_if(condemned_, [&](const auto& key) { return now_ - key.second > kSuspectFor; });
   }
 
-  // An attempt later than nearly all others, at a server that has answered nothing since it was sent, is
-  // taken from there while a trusted replica is left: silence, a stall, a swallowed part. A server that goes
-  // on answering others is only busy, and moving its work would double the load.
+  // Guards against one slow server that keeps a whole query waiting. Where copies are allowed, a part late by
+  // the usual response gets one on a trusted replica (hedged requests, Dean and Barroso 2013): heard of too
+  // seldom, slow looks like silent. Elsewhere it leaves a server that has answered nothing since.
   void move_overdue(Query& q) {
-    const ClassSettings& c = set_.classes[q.query_class];
+    int c = q.query_class;
+    bool safe = set_.classes[c].repeat == Repeat::safe;
     for (Part* p : step_parts(q)) {
-      if (!p->out() || p->attempts.back().moving || p->attempts.back().started) continue;
-      Attempt& a = p->attempts.back();
-      if (now_ - a.sent <= patience(q.query_class)) continue;
-      if (start_spare(q) || !set_.may_cancel || c.repeat == Repeat::unsafe) continue;
+      if (!p->out() || p->attempts.back().moving) continue;
+      const Attempt& a = p->attempts.back();
+      bool copy = set_.may_hedge && safe && !p->holders;
+      if (now_ - a.sent <= (copy ? hedge_after(c) : patience(c)) || start_spare(q)) continue;
+      if (!set_.may_cancel || set_.classes[c].repeat == Repeat::unsafe) continue;
       if (p->tries() >= set_.max_attempts || !budget_allows()) continue;
       const Server& s = servers_[a.server];
-      if (s.last_answer >= a.sent && !s.by_class[q.query_class].aside) continue;
-      if (useful_until(q) - now_ < learned_[q.query_class].response.mean) continue;
-      int other = choose(*p, q.query_class);
-      if (other < 0 || distrust(servers_[other], *p, q.query_class) > 0 || !spare_load()) continue;
-      cancel(*p);
+      if (!copy && s.last_answer >= a.sent && !s.by_class[c].aside) continue;
+      if (!copy && useful_until(q) - now_ < learned_[c].response.mean) continue;
+      if (choose(*p, c, 0) < 0 || !spare_load()) continue;
+      if (!copy)
+        cancel(*p);
+      else if (place(*p, c, 0))
+        send(q, *p);
     }
   }
 
@@ -975,11 +980,7 @@
     }
   }
 
-  // ---- Events that ask for nothing ----------------------------------------------------------------------
-
-  void on(const AttemptStarted& e) {
-    if (Attempt* a = find_attempt(e.part, e.attempt)) a->started = true;
-  }
+  void on(const AttemptStarted&) {}
   void on(const ProbeEnded& e) { take_report(e.server, e.report); }
   void on(const PeerMessage&) {}
   void act(Action a) { actions_.push_back(std::move(a)); }
@@ -1003,6 +1004,7 @@
   Recent heard_;       // attempts ended
   double sparse_ = 1;  // mean seconds between two of them at one server, at least 1
   double moves_saved_ = kMoveMost;
+  double most_parts_ = 0;       // of any query so far
   Recent unserved_;             // share of recent queries that earned nothing
   Recent spread_, spread_dev_;  // log of response time over the sum it was placed at, and its deviation
   Recent tier_load_;            // items reported by any server
