--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -97,6 +97,7 @@
   double ahead = 0;        // the sum it was placed at, itself included
   bool out = true;         // no outcome yet
   bool moving = false;     // cancelled by us
+  bool started = false;    // its stream belongs to the client
   Millis denied = kNever;  // when the server said that it has not what was asked for
 };
 
@@ -728,7 +729,7 @@
 
   void cancel(Part& p) {
     for (Attempt& a : p.attempts)
-      if (a.out && !std::exchange(a.moving, true))
+      if (a.out && !a.started && !std::exchange(a.moving, true))
         act(CancelAttempt{p.id, static_cast<int>(&a - p.attempts.data())});
   }
 
@@ -941,22 +942,19 @@
   // seldom, slow looks like silent. Elsewhere it leaves a server that has answered nothing since.
   void move_overdue(Query& q) {
     int c = q.query_class;
-    bool safe = set_.classes[c].repeat == Repeat::safe;
     for (Part* p : step_parts(q)) {
-      if (!p->out() || p->attempts.back().moving) continue;
+      if (!p->out() || p->attempts.back().moving || p->attempts.back().started) continue;
       const Attempt& a = p->attempts.back();
-      bool copy = set_.may_hedge && safe && !p->holders;
+      bool copy = set_.may_hedge && set_.classes[c].repeat == Repeat::safe && !p->holders;
       if (now_ - a.sent <= (copy ? hedge_after(c) : patience(c)) || start_spare(q)) continue;
       if (!set_.may_cancel || set_.classes[c].repeat == Repeat::unsafe) continue;
       if (p->tries() >= set_.max_attempts || !budget_allows()) continue;
       const Server& s = servers_[a.server];
       if (!copy && s.last_answer >= a.sent && !s.by_class[c].aside) continue;
       if (!copy && useful_until(q) - now_ < learned_[c].response.mean) continue;
-      if (choose(*p, c, 0) < 0 || !spare_load()) continue;
-      if (!copy)
-        cancel(*p);
-      else if (place(*p, c, 0))
-        send(q, *p);
+      if (moves_saved_ < 1 || (copy ? !place(*p, c, 0) : choose(*p, c, 0) < 0)) continue;
+      --moves_saved_;
+      copy ? send(q, *p) : cancel(*p);
     }
   }
 
@@ -980,7 +978,9 @@
     }
   }
 
-  void on(const AttemptStarted&) {}
+  void on(const AttemptStarted& e) {
+    if (Attempt* a = find_attempt(e.part, e.attempt)) a->started = true;
+  }
   void on(const ProbeEnded& e) { take_report(e.server, e.report); }
   void on(const PeerMessage&) {}
   void act(Action a) { actions_.push_back(std::move(a)); }
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -703,6 +703,20 @@
   EXPECT_TRUE(d.of<AnswerQuery>().empty()) << "one final answer";
 }
 
+TEST(Sparse, AnAttemptWhoseStreamHasBegunIsNeitherCopiedNorCalledOff) {
+  Settings s = plain_settings();
+  s.may_hedge = true;
+  Driver d(s);
+  d.servers({"a", "b"});
+  teach(d, 20, 30);
+  d.query("q", {10});
+  d.event(AttemptStarted{"q/0", 0});
+  d.pass(140);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.event(QueryWithdrawn{"q"});
+  EXPECT_TRUE(d.of<CancelAttempt>().empty());
+}
+
 TEST(Sparse, ACopyThatFailsLeavesTheFirstAttemptToCount) {
   Settings s = plain_settings();
   s.may_hedge = true;
