Need no more of a query than its parts' rounded shares make together

Checked with a probe in the exchange (not kept): the shares of those queries are 186 x 0.005376, summing to 0.999936. The module's slack for rounding is 5e-5 (kWeightSlack), so `whole = need - slack` (1 - 5e-5) was above what all parts together weigh: settle() found the query hopeless at once and end() refused it as harmless. Ruled out: the exchange's limit on held queries and its check of shares (|sum - 1| <= 0.01 is accepted there), and lateness (too_late refuses before sending; these were sent).

At fault: need() in src/choice.cpp, which asked for the class's share whatever the parts came with. It now asks for no more than the shares the step's parts were given (Query::given): all parts in is whole, and nothing short of all of them is called whole, since the slack stays under half the least share.

Test: Answer.ManyPartsWhoseRoundedSharesFallShortOfOneAreStillWhole, seen to fail before (refused at once, no answer) and to pass after.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -107,12 +107,10 @@
   int shard = 0, step = 1;
   double weight = 0, hint = 0;
   std::optional<std::vector<std::string>> holders;  // by name, where stated
-  int used = 0;                                     // attempts of the parts that this one came from
+  int used = 0, resets = 0;                         // used: attempts of the parts that this one came from
   bool spare = false;                               // not needed as things stand
-  bool done = false;
-  bool dead = false;  // no further attempt is possible
-  int resets = 0;
-  Millis first_maybe = kEver;  // sending time of the first attempt that may have run
+  bool done = false, dead = false;                  // dead: no further attempt is possible
+  Millis first_maybe = kEver;                       // sending time of the first attempt that may have run
   std::vector<Attempt> attempts;
   bool out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
@@ -126,15 +124,15 @@
   Millis aim_at = 0, give_up_at = 0;
   int step = 1;
   bool first_whole = true;
-  bool shortened = false;      // asked for a part of its parts only
-  bool awaiting_step = false;  // answered the first step, second step's parts not in yet
-  bool served = false;         // a part has come back
-  bool ended = false;
-  std::optional<std::uint64_t> key;  // its subject
-  std::set<int> fell;                // servers whose connections broke under its parts
-  bool cautious = false;             // one part at a time, until one has come back
-  int outstanding = 0;               // attempts still owed an outcome
-  double slack = kWeightSlack;       // no whole part is lost in it, however little it weighs
+  bool shortened = false;              // asked for a part of its parts only
+  bool awaiting_step = false;          // answered the first step, second step's parts not in yet
+  bool served = false, ended = false;  // served: a part has come back
+  std::optional<std::uint64_t> key;    // its subject
+  std::set<int> fell;                  // servers whose connections broke under its parts
+  bool cautious = false;               // one part at a time, until one has come back
+  int outstanding = 0;                 // attempts still owed an outcome
+  double slack = kWeightSlack;         // no whole part is lost in it, however little it weighs
+  double given[2] = {0, 0};  // shares its parts came with, by step: rounded, they may fall short of 1
   std::vector<std::string> parts;
 };
 
@@ -143,8 +141,7 @@
   double strikes = 0;
   bool aside = false;
   bool at_once = false;  // it failed at once, without work; else it was silent or full
-  Millis last_answer = kNever;
-  Millis aside_until = kNever, rest = kRest;
+  Millis last_answer = kNever, aside_until = kNever, rest = kRest;
 };
 
 struct Server {
@@ -540,6 +537,7 @@
     p.hint = hint;
     p.holders = spec.holders;
     q.slack = std::min(q.slack, std::max(p.weight / 2, kLeastSlack));
+    q.given[p.step == 2] += p.weight;
     if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
   }
 
@@ -588,7 +586,9 @@
     return list;
   }
 
-  double need(const Query& q) const { return q.step == 2 ? 1.0 : set_.classes[q.query_class].need; }
+  double need(const Query& q) const {  // all parts in is whole, however rounded: no more than they make
+    return std::min(q.step == 2 ? 1.0 : set_.classes[q.query_class].need, q.given[q.step == 2]);
+  }
 
   // The ordinary path.
   void place_step(int number) {
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -151,6 +151,34 @@
   EXPECT_TRUE(d.of<AnswerQuery>().empty() && d.of<FailQuery>().empty() && d.of<SendPart>().empty());
 }
 
+// Shares are sent rounded: 186 parts of 0.005376 make 0.999936. All of them in is the whole answer, and a
+// query that can be whole is neither refused nor failed at once for a shortfall that rounding made.
+TEST(Answer, ManyPartsWhoseRoundedSharesFallShortOfOneAreStillWhole) {
+  constexpr int kParts = 186;
+  constexpr double kRounded = 0.005376;  // 1/186 to six places
+  Driver d(plain_settings());
+  d.servers({"a", "b", "c"});
+  QueryArrived q;
+  q.query = "q";
+  q.give_up_at = d.now + 3000;
+  for (int i = 0; i < kParts; ++i) q.parts.push_back({"q/" + std::to_string(i), 0, kRounded, 10.0});
+  d.event(q);
+  EXPECT_TRUE(d.of<RefuseQuery>().empty() && d.of<FailQuery>().empty());
+  ASSERT_EQ(d.of<SendPart>().size(), static_cast<std::size_t>(kParts));
+  std::vector<SendPart> sends = d.of<SendPart>();
+  std::size_t answers = 0;
+  for (const SendPart& s : sends) {
+    d.ended(s.part, s.server, Outcome::ok);
+    EXPECT_TRUE(d.of<RefuseQuery>().empty() && d.of<FailQuery>().empty());
+    answers += d.of<AnswerQuery>().size();
+    if (&s != &sends.back()) {
+      EXPECT_EQ(answers, 0u);  // nothing is called whole before the last part
+    }
+  }
+  ASSERT_EQ(answers, 1u);
+  EXPECT_TRUE(d.of<AnswerQuery>()[0].whole);
+}
+
 TEST(Answer, NobodyToAskStillEndsInTime) {
   Driver d(plain_settings());
   d.query("q", {10});
