--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <spdlog/spdlog.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 
 #include <algorithm>
@@ -23,6 +24,12 @@
 namespace winchhall::app {
 namespace {
 
+// The largest resident size of the process so far, in KiB (getrusage(2), ru_maxrss); -1 where it is not told.
+long peak_resident_kib() {
+  rusage usage{};
+  return getrusage(RUSAGE_SELF, &usage) == 0 ? usage.ru_maxrss : -1;
+}
+
 sockaddr_in address(const std::string& text, const char* what) {
   auto a = net::parse_address(text);
   if (!a) throw std::runtime_error(std::string("no address to ") + what + ": '" + text + "'");
@@ -194,9 +201,9 @@
                      exchange.settings().classes[i].name, f.taken, f.whole, f.partial, f.refused, f.failed,
                      f.withdrawn, f.attempts);
       }
-      spdlog::info("open: queries {} attempts {} clients {} leafs {}", exchange.open_queries(),
+      spdlog::info("open: queries {} attempts {} clients {} leafs {} peak {} KiB", exchange.open_queries(),
                    exchange.attempts_out(), front.connections(),
-                   leafs ? leafs->connections() : nodes->connections());
+                   leafs ? leafs->connections() : nodes->connections(), peak_resident_kib());
       if (directory) log_ranges(exchange, *directory);
       if (files) log_files(*files);
     }
