Foresee a part's time in the refusal guard from work ahead at the tier's pace

A server's pace is learned as its time over a part's hint, its queue of then included, and the guard multiplied it into the work ahead once more. Two other estimates were measured first and gave nothing (own time over work ahead; the larger of queue at the tier's pace and hint at the server's pace), so the server's pace in the guard is what refused.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -603,10 +603,8 @@
       return (a->out() ? a->attempts.back().ahead : kNever) > (b->out() ? b->attempts.back().ahead : kNever);
     });
     const ClassSettings& c = set_.classes[q.query_class];
-    auto time_for = [&](const Part& p) {
-      const Attempt& a = p.attempts.back();
-      return a.ahead * pace(servers_[a.server]) * queue_pace();
-    };
+    // Work ahead at the tier's pace alone: a server's pace was learned with its queue of then in it.
+    auto time_for = [&](const Part& p) { return p.attempts.back().ahead * queue_pace(); };
     if (c.floor < need(q) && !list.empty() && list[0]->out() &&
         time_for(*list[0]) > kPressed * (useful_until(q) - now_))
       placed = shorten(q, list, placed);
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -529,6 +529,30 @@
   EXPECT_TRUE(d.of<SendPart>().empty());
 }
 
+// Seen on a day of many slow leafs: a server's pace, learned as its time over a part's hint with its queue of
+// then in it, was multiplied into the work ahead once more, and parts that its server would answer in time
+// were refused.
+TEST(Overload, APartItsServerAnsweredInTimeAloneOfLateIsNotRefused) {
+  Driver d(plain_settings());
+  d.servers({"a", "b", "c"});
+  auto only = [&](const std::vector<std::string>& ready) {
+    for (const char* name : {"a", "b", "c"}) {
+      bool is = std::find(ready.begin(), ready.end(), name) != ready.end();
+      d.change(Driver::entry(name, is ? ServerState::ready : ServerState::draining));
+    }
+  };
+  only({"a"});
+  teach(d, 8, 400);  // alone, 400 ms a part
+  only({"b", "c"});
+  teach(d, 8, 50);
+  only({"a", "b", "c"});
+  d.pass(10);  // the peers' median pace is now b's and c's, an eighth of a's
+  only({"a"});
+  d.query("q", {100}, 0, 600);
+  EXPECT_TRUE(d.of<RefuseQuery>().empty());
+  EXPECT_EQ(d.sent_to("q/0"), "a");
+}
+
 TEST(Overload, UnderPressureThePartsThatWeighLeastForTheirWorkAreLeftOut) {
   Settings s = plain_settings();
   s.classes.push_back(s.classes[0]);
