Keep one clock for the list: silent watches are asked anew before their news counts as told

Ruled out: sends to servers known to drain (choose() skips them), calls that failed (none did).

Now src/fleet/list_clock, without I/O, decides when the list is asked for and until when it may be gone by: silence after 2.4 s, the call spread within two fifths of what is left, so that one more fits in after a failure; calls that reach nobody again within 1 s. Past that time a server is sent to only within the grace of a part that it took. Watches may come indented; where lists are pushed a watch is held as well, which the program never opened.

--- a/include/pewterrill/coordinator.hpp
+++ b/include/pewterrill/coordinator.hpp
@@ -50,6 +50,7 @@
   int reach = 1;
   Millis tick = 1;               // events may be this late
   bool list_on_request = false;  // the server list must be asked for
+  bool list_watched = false;     // ... or comes on a watch that must be held all the same
   Millis must_ask_in = 0;        // ... at least this often while there is no watch
   bool may_cancel = false;
   bool may_probe = false;
@@ -90,8 +91,15 @@
 struct ServerList {
   enum class Kind { cached, complete, changes, failed } kind = Kind::complete;
   std::vector<ServerEntry> servers{};
+  bool reached = true;  // failed: somebody was there to fail it
 };
 
+// The watch wrote something, if only its empty line. Where this is never told, its silence means nothing.
+struct ListHeard {};
+
+// The service that is asked for the list is at another address; what was open to the old one is void.
+struct ListMoved {};
+
 struct PartSpec {
   std::string part{};
   int shard = 0;
@@ -173,8 +181,9 @@
   std::string query{};
 };
 
-using Event = std::variant<ServerList, QueryArrived, PartsAdded, AttemptEnded, HoldersChanged, PartsReplaced,
-                           AttemptStarted, ProbeEnded, PeerMessage, TimerFired, QueryWithdrawn>;
+using Event =
+    std::variant<ServerList, ListHeard, ListMoved, QueryArrived, PartsAdded, AttemptEnded, HoldersChanged,
+                 PartsReplaced, AttemptStarted, ProbeEnded, PeerMessage, TimerFired, QueryWithdrawn>;
 
 // ---- Actions
 // ------------------------------------------------------------------------------------------------
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -99,6 +99,7 @@
   s.brokers = whole(from, "balancers", 1);
   s.tick = number(from, "tick", 1);
   s.list_on_request = text(from, "membership_mode", "pushed") == "on_request";
+  s.list_watched = true;
   s.cells = whole(extra, "positions", 1);
   s.reach = whole(extra, "reach", 1);
   s.may_cancel = flag(permits, "cancel");
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -96,7 +96,7 @@
   ConfigFile file;
   Config config = file.config();
   // Files tell of themselves; nobody has to be asked for the list.
-  if (config.ops.files.enabled) config.settings.list_on_request = false;
+  if (config.ops.files.enabled) config.settings.list_on_request = config.settings.list_watched = false;
   config.settings.weights_count = config.ops.files.enabled;
   if (!config.known_read) spdlog::warn("the configuration's last list of servers cannot be read");
   Lifecycle life;
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -174,7 +174,10 @@
   // Server side.
   void attempt_ended(AttemptNumber attempt, Result result);
   void probe_ended(const std::string& server, Outcome outcome, Millis elapsed, const Load& load);
-  void list(pewterrill::ServerList::Kind kind, const std::vector<Member>& members);
+  // `reached`, of a call that failed: there was somebody to fail it.
+  void list(pewterrill::ServerList::Kind kind, const std::vector<Member>& members, bool reached = true);
+  void list_heard();  // the watch wrote something, if only its empty line
+  void list_moved();  // the service is asked elsewhere from now on; the watch of before is void
   // The map from now on. Queries that are open are planned again where it touches them.
   void remap(ranges::RangeMap map);
 
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -7,9 +7,8 @@
 namespace winchhall::platform {
 namespace {
 using Kind = pewterrill::ServerList::Kind;
-constexpr net::Millis kFirstAnswer =
-    3000;                               // ms until a call's first line: discovery gives up after 1 s itself
-constexpr net::Millis kSilence = 4500;  // ms: an empty line comes every 2 s, so two are missing
+// ms until a call's first line: a call waits in its turn for 2 s at the most before the service fails it.
+constexpr net::Millis kFirstAnswer = 2200;
 constexpr std::size_t kLineMost = 4 * 1024 * 1024;
 }  // namespace
 
@@ -38,16 +37,10 @@
     if (parser_.head_done() && m.status != 200)
       return owner_.over(*this, "status " + std::to_string(m.status));
     if (!parser_.head_done()) return;
-    if (watch_) expect(kSilence);
-    std::size_t end;
-    while (stream_->open() && (end = m.body.find('\n')) != std::string::npos) {
-      std::string line = m.body.substr(0, end);
-      m.body.erase(0, end + 1);
-      if (watch_ && (!trim(line).empty() || !answered_)) owner_.told(*this, line);
-      if (!watch_) whole_ += line;
-    }
-    if (m.body.size() + whole_.size() > kLineMost) return owner_.over(*this, "a list too long");
-    if (stream_->open() && parser_.done()) finish("the watch ended");
+    if (watch_) return read_watch(m.body);
+    whole_ += std::exchange(m.body, {});
+    if (whole_.size() > kLineMost) return owner_.over(*this, "a list too long");
+    if (stream_->open() && parser_.done()) finish("");
   }
   void ended() override {
     // Before the head was written nobody is there, or nobody takes us in; after that it hung up.
@@ -60,6 +53,21 @@
   bool answered_ = false;
 
  private:
+  // Objects, each on a line of its own or indented over several, and an empty line every 2 s.
+  void read_watch(std::string& body) {
+    cutter_.feed(std::exchange(body, {}));
+    std::string object;
+    for (ObjectCutter::Piece piece;
+         stream_->open() && (piece = cutter_.next(object)) != ObjectCutter::Piece::none;) {
+      if (piece == ObjectCutter::Piece::bad) return owner_.over(*this, "what is no list");
+      owner_.exchange_.list_heard();
+      if (!answered_ || piece == ObjectCutter::Piece::object) owner_.told(*this, object);
+      // From here on the module minds the watch: it knows when silence is one.
+      if (stream_->open()) owner_.loop_.cancel(timer_);
+    }
+    if (cutter_.held() > kLineMost) return owner_.over(*this, "a list too long");
+    if (stream_->open() && parser_.done()) finish("the watch ended");
+  }
   void finish(const std::string& how) {
     if (!watch_ && parser_.done()) owner_.told(*this, whole_ + parser_.message().body);
     owner_.over(*this, watch_ || !answered_ ? how : "");
@@ -77,6 +85,7 @@
   HttpParser parser_;
   std::shared_ptr<net::Stream> stream_;
   std::string whole_;
+  ObjectCutter cutter_;
   net::TimerId timer_{};
   net::Millis timed_ = 0, begun_at_ = owner_.loop_.now();
   bool asked_ = false;
@@ -113,8 +122,12 @@
 void Discovery::watch(bool on) {
   wanted_ = on;
   if (!on) return stop(watching_);
-  // A call without an answer yet, as after a move, is this call too.
-  if (!watching_ || watching_->answered_) start(watching_, true);
+  // A call without an answer yet is this call too.
+  if (watching_ && !watching_->answered_) return;
+  if (watching_)
+    spdlog::warn("discovery watch silent or moved, asked anew after {:.0f} ms",
+                 loop_.now() - watching_->begun_at_);
+  start(watching_, true);
 }
 
 // Guards against drains that are missed: the old service goes on holding its watch for a while and tells
@@ -122,7 +135,8 @@
 void Discovery::move(const std::string& address) {
   if (address == address_) return;
   address_ = address;
-  if (wanted_) start(watching_, true);
+  stop(watching_);
+  if (wanted_) exchange_.list_moved();
   if (fetching_) start(fetching_, false);
 }
 
@@ -133,10 +147,11 @@
   auto& slot = call.watch_call() ? watching_ : fetching_;
   if (slot.get() != &call) return;
   net::Millis lasted = loop_.now() - call.begun_at_;
+  bool reached = call.asked_;
   stop(slot);
   if (why.empty()) return;
   spdlog::warn("discovery call failed: {}, after {:.0f} ms", why, lasted);
-  exchange_.list(Kind::failed, {});
+  exchange_.list(Kind::failed, {}, reached);
 }
 
 void Discovery::told(Call& call, const std::string& text) {
--- a/src/platform/members.cpp
+++ b/src/platform/members.cpp
@@ -7,6 +7,41 @@
 using nlohmann::json;
 using pewterrill::ServerState;
 
+ObjectCutter::Piece ObjectCutter::next(std::string& object) {
+  object.clear();
+  for (; at_ < held_.size(); ++at_) {
+    char c = held_[at_];
+    if (in_text_) {
+      in_text_ = escaped_ || c != '"';
+      escaped_ = !escaped_ && c == '\\';
+    } else if (c == '{' || c == '[') {
+      ++depth_;
+    } else if (c == '}' || c == ']') {
+      if (--depth_ > 0) continue;
+      if (depth_ < 0) return Piece::bad;
+      std::size_t end = at_ + 1;
+      // The line's end belongs to its object: it is no empty line.
+      if (held_.compare(end, 2, "\r\n") == 0)
+        end += 2;
+      else if (end < held_.size() && held_[end] == '\n')
+        ++end;
+      object = held_.substr(0, end);
+      held_.erase(0, end);
+      at_ = 0;
+      return Piece::object;
+    } else if (depth_ > 0) {
+      in_text_ = c == '"';
+    } else if (c == '\n') {
+      held_.erase(0, at_ + 1);
+      at_ = 0;
+      return Piece::empty_line;
+    } else if (c != ' ' && c != '\t' && c != '\r') {
+      return Piece::bad;
+    }
+  }
+  return Piece::none;
+}
+
 std::optional<MemberList> read_members(const std::string& text) {
   json from = json::parse(text, nullptr, false);
   if (!from.is_object()) return std::nullopt;
--- /dev/null
+++ b/tests/list_clock_test.cpp
@@ -0,0 +1,182 @@
+// When the list is asked for and until when it may be gone by, at its limits and over whole fleets.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fleet/list_clock.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "platform/members.hpp"
+
+using namespace winchhall;
+using fleet::ListClock;
+using fleet::ListTerms;
+using fleet::Millis;
+
+namespace {
+
+ListTerms on_request(int brokers = 1) { return {true, false, brokers, 10000, 2000}; }
+
+// The watch is open, its first line came at `now` and then nothing.
+ListClock watching(const ListTerms& terms, Millis now, std::uint64_t seed = 1) {
+  ListClock c(terms, seed);
+  c.start(now);
+  REQUIRE(c.ask(now));
+  c.heard(now);
+  c.told(now);
+  return c;
+}
+
+// When the clock next asks, looked for in steps of the module's pulse; 0 if not by then.
+Millis asks_at(ListClock& c, Millis from, Millis until) {
+  for (Millis now = from; now < until; now += 10)
+    if (c.ask(now)) return now;
+  return 0;
+}
+
+}  // namespace
+
+TEST_CASE("a watch that says nothing after its first line is asked for anew, and the list overdue in time") {
+  ListClock c = watching(on_request(), 1000);
+  CHECK(asks_at(c, 1000, 3400) == 0);
+  CHECK(c.believable(8700));
+  // 6 s after it fell silent what it missed counts as told; 2 s of grace for sends, less our own slack.
+  CHECK(c.overdue_at() < 1000 + 6000 + 2000);
+  CHECK(c.overdue_at() > 1000 + 6000 + 1500);
+  CHECK_FALSE(c.believable(9000));
+  Millis asked = asks_at(c, 3400, 9000);
+  CHECK(asked > 3400);
+  CHECK(asked < 4000);
+  CHECK_FALSE(c.believable(9000));  // a call alone tells nothing
+  c.told(9100);
+  CHECK(c.believable(9200));
+}
+
+TEST_CASE("an empty line every 2 s keeps the list, however long") {
+  ListClock c = watching(on_request(), 0);
+  for (Millis now = 10; now < 100000; now += 10) {
+    if (static_cast<int>(now) % 2000 == 0) c.heard(now);
+    REQUIRE_FALSE(c.ask(now));
+    REQUIRE(c.believable(now));
+  }
+}
+
+TEST_CASE("a source that never says that it hears has no silence: its watch lasts until it fails") {
+  ListClock c(on_request(), 1);
+  c.start(0);
+  REQUIRE(c.ask(0));
+  c.told(5);
+  CHECK(asks_at(c, 10, 60000) == 0);
+  CHECK(c.believable(60000));
+}
+
+TEST_CASE(
+    "300 instances whose watches fall silent in one moment all have called twice before the list is "
+    "overdue") {
+  std::vector<Millis> first;
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    ListClock c = watching(on_request(300), 0, seed);
+    Millis a = asks_at(c, 10, 8000);
+    REQUIRE(a > 0);
+    first.push_back(a);
+    c.failed(a + 1000, true);  // it waited for its turn, in vain
+    Millis b = asks_at(c, a + 1000, 8000);
+    REQUIRE(b > 0);
+    // The second one still has its turn before the list is overdue.
+    CHECK(b + 500 < c.overdue_at());
+  }
+  // Spread evenly: in no half second more than a third of them call.
+  std::sort(first.begin(), first.end());
+  std::size_t most = 0;
+  for (std::size_t i = 0, j = 0; i < first.size(); ++i) {
+    while (first[i] - first[j] > 500) ++j;
+    most = std::max(most, i - j + 1);
+  }
+  CHECK(most < 100);
+}
+
+TEST_CASE("a watch that ends before our eyes leaves the list; calls that fail spread further and further") {
+  ListClock c = watching(on_request(300), 0);
+  c.failed(100, true);
+  CHECK(c.believable(1e9));
+  Millis total = 0, now = 100;
+  for (int i = 0; i < 6; ++i) {
+    Millis at = asks_at(c, now, now + 100000);
+    REQUIRE(at > 0);
+    total += at - now;
+    now = at + 1000;
+    c.failed(now, true);
+  }
+  CHECK(total > 30 * 300);  // six calls of each of 300: far above what the service takes in a moment
+}
+
+TEST_CASE(
+    "calls that reach nobody go on every second at the latest, and are answered soon after the cut is over") {
+  ListClock c = watching(on_request(300), 0);
+  Millis now = asks_at(c, 10, 8000);
+  while (now < 6000) {
+    c.failed(now + 1000, false);
+    Millis next = asks_at(c, now + 1000, now + 5000);
+    REQUIRE(next > 0);
+    CHECK(next - now <= 2010);
+    now = next;
+  }
+  CHECK(now < c.overdue_at());
+}
+
+TEST_CASE(
+    "where lists are pushed, what the agent has is told at once: from the start, and when the watch ends") {
+  ListClock c({true, true, 300, 10000, 2000}, 1);
+  c.start(0);
+  CHECK(c.believable(1700));
+  CHECK_FALSE(c.believable(2000));
+  REQUIRE(c.ask(0));
+  c.heard(100);
+  c.told(100);
+  CHECK(c.believable(7000));
+  c.failed(3000, true);
+  CHECK(c.believable(4700));
+  CHECK_FALSE(c.believable(5000));
+  CHECK(asks_at(c, 3000, 5000) <= 3210);  // nobody else calls the agent beside us
+}
+
+TEST_CASE("a move of the service: what it tells counts 4 s later, and the call is spread but soon") {
+  ListClock c = watching(on_request(300), 0);
+  c.heard(2000);
+  c.moved(3000);
+  CHECK_FALSE(c.believable(3000 + 4000 + 2000));
+  Millis at = asks_at(c, 3000, 6000);
+  CHECK(at > 0);
+  CHECK(at <= 4010);
+  c.heard(at + 10);
+  c.told(at + 10);
+  CHECK(c.believable(at + 7000));
+}
+
+TEST_CASE("objects of a watch are cut whole, in lines or indented, whatever pieces they come in") {
+  const std::string text =
+      "\n{\"revision\":1,\"members\":[{\"id\":\"a}]\\\"{\"}]}\n\r\n{\n  \"revision\": 2,\n\n  \"members\": "
+      "[\n  ]\n}\n\n";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    platform::ObjectCutter cutter;
+    std::vector<std::string> objects;
+    int empty = 0;
+    for (std::size_t at = 0; at < text.size(); at += piece) {
+      cutter.feed(text.substr(at, piece));
+      std::string object;
+      for (auto p = cutter.next(object); p != platform::ObjectCutter::Piece::none; p = cutter.next(object)) {
+        REQUIRE(p != platform::ObjectCutter::Piece::bad);
+        p == platform::ObjectCutter::Piece::object ? objects.push_back(object) : void(++empty);
+      }
+    }
+    REQUIRE(objects.size() == 2);
+    CHECK(platform::read_members(objects[0])->revision == 1);
+    CHECK(platform::read_members(objects[1])->revision == 2);
+    CHECK(empty >= 3);
+  }
+  platform::ObjectCutter bad;
+  bad.feed("<html>");
+  std::string object;
+  CHECK(bad.next(object) == platform::ObjectCutter::Piece::bad);
+}
