Open a door for operators, send clients away and back, take new settings while serving

Design. src/app/lifecycle is one table of phases and orders. src/door has a thread of its own, joined to the loop by bounded rings (readerwriterqueue): it answers beside callers that hold half a line and a loop that is held up; not taken: the door on the loop, which owes an answer in 1 s whatever else it does. Sending away: each answer is the last on its connection at once, what stands idle is closed 0.5 s later after what has come on it is read; not taken: closing all idle ones at once, which crosses requests of a front that has not asked yet. Settings: a file is checked whole against the one the program began with (keys, kinds, values), then what is safe under both acts for 1.6 s, as clients go by the new ones from 1.2 s after SIGHUP, then the new ones alone; not taken: the new ones at once, which turns away a dropped class that clients still name. An index of a class is a generation (core/class_table): queries that are open keep theirs; the module takes settings as an event and keeps what it knows of servers.

--- a/include/pewterrill/coordinator.hpp
+++ b/include/pewterrill/coordinator.hpp
@@ -32,11 +32,13 @@
   double floor = 1;           // least share of weight for any answer
   double partial_worth = 0;   // a partial answer earns this x share / need
   int second_step_parts = 0;  // above 0: the first answer brings a second step of so many parts
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
   std::string name{};
   double quota_per_s = 0;  // queries a second within its share, all brokers together; 0: none stated
+  bool operator==(const TenantSettings&) const = default;
 };
 
 enum class ReportField { queued, in_flight, service_ms, other };
@@ -72,6 +74,7 @@
   Millis budget_window = 0;    // ... in any window of this length
   bool reports = false;
   std::vector<ReportField> report_fields{};  // the order of values in a report
+  bool operator==(const Settings&) const = default;
 };
 
 // ---- Events
@@ -181,9 +184,16 @@
   std::string query{};
 };
 
-using Event =
-    std::variant<ServerList, ListHeard, ListMoved, QueryArrived, PartsAdded, AttemptEnded, HoldersChanged,
-                 PartsReplaced, AttemptStarted, ProbeEnded, PeerMessage, TimerFired, QueryWithdrawn>;
+// Other settings from now on. Queries that are open keep their class, by its index, and their number of
+// attempts.
+struct SettingsChanged {
+  Settings settings{};
+  std::vector<int> from{};  // by class: the index of before whose learned figures hold for it, or -1
+};
+
+using Event = std::variant<ServerList, SettingsChanged, ListHeard, ListMoved, QueryArrived, PartsAdded,
+                           AttemptEnded, HoldersChanged, PartsReplaced, AttemptStarted, ProbeEnded,
+                           PeerMessage, TimerFired, QueryWithdrawn>;
 
 // ---- Actions
 // ------------------------------------------------------------------------------------------------
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "app/settings_check.hpp"
 #include "net/stream.hpp"
 #include "platform/members.hpp"
 
@@ -136,6 +137,7 @@
 void check(const Config& c) {
   require(c.sockets >= kSocketsLeast && c.sockets <= 1'000'000, "limit of sockets is of no use");
   require(c.discovery.empty() || is_address(c.discovery), "'discovery' is no address");
+  require(c.control.empty() || is_address(c.control), "'control' is no address");
   require(c.settings.cells >= 1 && c.settings.reach >= 1 && c.shards >= 0, "layout of shards is of no use");
   require(c.settings.max_open >= 0 && c.settings.max_attempts >= 1, "permissions are of no use");
   require(c.conn_idle > 0 && c.connect_timeout > 0, "times for connections are of no use");
@@ -172,6 +174,7 @@
   c.name = text(from, "name");
   c.listen = text(from, "listen");
   c.discovery = text(from, "discovery");
+  c.control = text(from, "control");
   c.seed = read_seed(from);
   c.sockets = static_cast<std::size_t>(std::max(0, whole(child(from, "limits"), "sockets", 1024)));
   if (!child(from, "known").is_null()) {
@@ -213,11 +216,13 @@
 
 ConfigFile::ConfigFile() : path_(environment("LB_CONFIG")) {
   if (path_.empty()) throw std::runtime_error("LB_CONFIG is not set");
-  config_ = parse_config(read_file(path_));
+  text_ = read_file(path_);
+  config_ = parse_config(text_);
   discovery_in_file_ = config_.discovery;
   if (auto v = environment("LB_NAME"); !v.empty()) config_.name = v;
   if (auto v = environment("LB_LISTEN"); !v.empty()) config_.listen = v;
   if (auto v = environment("LB_DISCOVERY"); !v.empty()) config_.discovery = v;
+  if (auto v = environment("LB_CONTROL"); !v.empty()) config_.control = v;
   std::string ops = environment("WINCHHALL_OPERATOR");
   if (!ops.empty()) read_operator(ops);
   if (auto v = environment("WINCHHALL_FLIGHT"); !v.empty()) {
@@ -235,13 +240,22 @@
 }
 
 void ConfigFile::reload() {
-  Config fresh = parse_config(read_file(path_));
-  if (!fresh.known_read) throw std::runtime_error("the configuration's 'known' is no list");
+  std::string all = read_file(path_);
+  if (std::string wrong = unfit_to_replace(text_, all); !wrong.empty())
+    throw std::runtime_error(path_ + ": " + wrong);
+  Config fresh = parse_config(all);
+  if (!fresh.known_read) throw std::runtime_error(path_ + ": 'known' is no list");
   // LB_DISCOVERY is as old as the process: a file that names another address than it did is the later word.
   if (!fresh.discovery.empty() && fresh.discovery != discovery_in_file_) {
     discovery_in_file_ = fresh.discovery;
     config_.discovery = fresh.discovery;
   }
+  config_.settings = fresh.settings;
+  config_.shards = fresh.shards;
+  config_.batch = fresh.batch;
+  config_.streams_per_conn = fresh.streams_per_conn;
+  config_.conn_idle = fresh.conn_idle;
+  config_.connect_timeout = fresh.connect_timeout;
 }
 
 }  // namespace winchhall::app
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -12,6 +12,7 @@
 
 struct Config {
   std::string name{}, listen{}, discovery{};
+  std::string control{};  // the operators' door; empty: none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::vector<core::Member> known{};
@@ -36,14 +37,14 @@
  public:
   ConfigFile();  // throws std::runtime_error
   const Config& config() const { return config_; }
-  // Takes over what may change in a running program, which is discovery's address. Throws std::runtime_error
-  // and leaves all as it was where any of the file cannot be used.
+  // Takes over what may change in a running program: discovery's address, and the settings with what belongs
+  // to them. Throws std::runtime_error and leaves all as it was where any of the file cannot be used.
   void reload();
 
  private:
   void read_operator(const std::string& path);
 
-  std::string path_, discovery_in_file_;
+  std::string path_, text_, discovery_in_file_;  // text_: as the program began
   Config config_;
 };
 
--- a/src/app/lifecycle.cpp
+++ b/src/app/lifecycle.cpp
@@ -1,33 +1,138 @@
 #include "app/lifecycle.hpp"
 
 namespace winchhall::app {
+namespace {
 
-const char* Lifecycle::name() const {
-  switch (phase_) {
-    case Phase::Starting:
-      return "starting";
-    case Phase::Ready:
-      return "ready";
-    case Phase::Draining:
-      return "draining";
-    case Phase::Stopped:
-      return "stopped";
-  }
-  return "";
-}
+// What an order does in a phase.
+enum class Move : char {
+  none,   // nothing, and that is right: ACK
+  no,     // refused: NAK
+  away,   // -> SendingAway
+  back,   // -> where it would be had it never been sent away
+  leave,  // -> Leaving
+  able,   // notes that it can serve, -> Ready or HandingOver where it waited for that
+  elder,  // notes that another serves, -> TakingOver where it had not served yet
+  heir,   // notes that a later one serves, -> HandingOver where it serves
+  alone,  // notes that no other is left, -> Ready where it handed over, Starting where it took over
+  stop,   // -> Stopped
+};
 
-void Lifecycle::serving() {
-  if (phase_ == Phase::Starting) phase_ = Phase::Ready;
-}
+struct Cell {
+  Move move;
+  const char* word;
+};
 
-void Lifecycle::terminate(Millis now) {
-  if (phase_ == Phase::Draining || phase_ == Phase::Stopped) return;
-  phase_ = Phase::Draining;
-  drain_since_ = now;
+constexpr Cell kTable[kPhases][kOrders] = {
+    // drain, resume, terminate, able, elder, heir, alone, emptied
+    {{Move::away, "sent away before it served"},
+     {Move::none, "starting"},
+     {Move::leave, "leaving"},
+     {Move::able, "able"},
+     {Move::elder, "another serves"},
+     {Move::heir, "a later one serves"},
+     {Move::alone, "alone"},
+     {Move::none, "starting"}},
+    {{Move::away, "sent away before it served"},
+     {Move::none, "taking over"},
+     {Move::leave, "leaving"},
+     {Move::able, "able"},
+     {Move::elder, "another serves"},
+     {Move::heir, "a later one serves"},
+     {Move::alone, "alone"},
+     {Move::none, "taking over"}},
+    {{Move::away, "sending clients away"},
+     {Move::none, "serving"},
+     {Move::leave, "leaving"},
+     {Move::able, "serving"},
+     {Move::elder, "another serves"},
+     {Move::heir, "a later one serves"},
+     {Move::alone, "alone"},
+     {Move::none, "serving"}},
+    {{Move::away, "sending clients away"},
+     {Move::none, "serving"},
+     {Move::leave, "leaving"},
+     {Move::able, "serving"},
+     {Move::elder, "another serves"},
+     {Move::heir, "a later one serves"},
+     {Move::alone, "alone"},
+     {Move::none, "serving"}},
+    {{Move::none, "sending clients away"},
+     {Move::back, "back to work"},
+     {Move::leave, "leaving"},
+     {Move::able, "able"},
+     {Move::elder, "another serves"},
+     {Move::heir, "a later one serves"},
+     {Move::alone, "alone"},
+     {Move::none, "empty"}},
+    {{Move::none, "leaving"},
+     {Move::no, "leaving for good"},
+     {Move::none, "leaving"},
+     {Move::none, "leaving"},
+     {Move::none, "leaving"},
+     {Move::none, "leaving"},
+     {Move::none, "leaving"},
+     {Move::stop, "stopped"}},
+    {{Move::none, "stopped"},
+     {Move::no, "stopped"},
+     {Move::none, "stopped"},
+     {Move::none, "stopped"},
+     {Move::none, "stopped"},
+     {Move::none, "stopped"},
+     {Move::none, "stopped"},
+     {Move::none, "stopped"}},
+};
+
+}  // namespace
+
+const char* name_of(Phase phase) {
+  constexpr const char* kNames[kPhases] = {"starting",     "taking over", "ready",  "handing over",
+                                           "sending away", "leaving",     "stopped"};
+  return kNames[static_cast<int>(phase)];
 }
 
-void Lifecycle::idle(Millis now) {
-  if (closing(now)) phase_ = Phase::Stopped;
+Lifecycle::Result Lifecycle::give(Order order, Millis now) {
+  const Cell& cell = kTable[static_cast<int>(phase_)][static_cast<int>(order)];
+  Phase before = phase_;
+  bool away = phase_ == Phase::SendingAway;
+  switch (cell.move) {
+    case Move::none:
+    case Move::no:
+      break;
+    case Move::away:
+      phase_ = Phase::SendingAway;
+      away_since_ = now;
+      break;
+    case Move::leave:
+      // Who was sent away before goes on counting from then.
+      if (!away) away_since_ = now;
+      phase_ = Phase::Leaving;
+      break;
+    case Move::stop:
+      phase_ = Phase::Stopped;
+      break;
+    case Move::able:
+      able_ = true;
+      break;
+    case Move::elder:
+      elder_ = true;
+      break;
+    case Move::heir:
+      heir_ = true;
+      break;
+    case Move::alone:
+      elder_ = heir_ = false;
+      break;
+    case Move::back:
+      away = false;
+      break;
+  }
+  bool notes = cell.move == Move::able || cell.move == Move::elder || cell.move == Move::heir ||
+               cell.move == Move::alone || cell.move == Move::back;
+  if (notes && !away)
+    phase_ = able_    ? (heir_ ? Phase::HandingOver : Phase::Ready)
+             : elder_ ? Phase::TakingOver
+                      : Phase::Starting;
+  return {cell.move != Move::no, cell.word, phase_ != before};
 }
 
 }  // namespace winchhall::app
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -12,6 +12,8 @@
 
 #include "app/lifecycle.hpp"
 #include "core/exchange.hpp"
+#include "core/retuning.hpp"
+#include "door/door.hpp"
 #include "files/files_source.hpp"
 #include "flight/flight_pool.hpp"
 #include "flight/flight_server.hpp"
@@ -36,21 +38,48 @@
   return *a;
 }
 
-void reload(ConfigFile& file, platform::Discovery* discovery) {
+platform::LeafLimits leaf_limits(const Config& config, bool spans) {
+  platform::LeafLimits limits;
+  limits.batch = static_cast<std::size_t>(config.batch);
+  limits.streams = static_cast<std::size_t>(config.streams_per_conn);
+  limits.connect_timeout = config.connect_timeout;
+  limits.idle = config.conn_idle;
+  limits.connections = config.sockets * 2 / 5;
+  limits.spans = spans;
+  return limits;
+}
+
+// Files tell of themselves; nobody has to be asked for the list.
+pewterrill::Settings settings_of(const Config& config) {
+  pewterrill::Settings s = config.settings;
+  if (config.ops.files.enabled) s.list_on_request = s.list_watched = false;
+  s.weights_count = config.ops.files.enabled;
+  return s;
+}
+
+// False where nothing was taken over.
+bool reload(ConfigFile& file, platform::Discovery* discovery) {
   try {
     file.reload();
-    if (!discovery)
-      return spdlog::info(
-          "configuration read again: the nodes come from files, the rest counts from the next start");
-    discovery->move(file.config().discovery);
-    spdlog::info("configuration read again: discovery at {}, the rest counts from the next start",
-                 file.config().discovery);
+    if (discovery) discovery->move(file.config().discovery);
+    spdlog::info("configuration read again: discovery at {}, {} classes of query",
+                 discovery ? file.config().discovery : "none (files)", file.config().settings.classes.size());
+    return true;
   } catch (const std::exception& error) {
     // Guards against a file that is half there, or spoilt: an aggregator that runs is never ended by it.
     spdlog::error("configuration not taken over, the old one stays: {}", error.what());
+    return false;
   }
 }
 
+// The door's calls as orders to the phases.
+door::Answer obey(Lifecycle& life, door::Call call, Millis now) {
+  if (call == door::Call::ready) return {life.admits(), life.name()};
+  Lifecycle::Result r = life.give(call == door::Call::drain ? Order::drain : Order::resume, now);
+  if (r.changed) spdlog::info("phase {}, by the operators' door: {}", life.name(), r.word);
+  return {r.taken, r.word};
+}
+
 void log_ranges(const core::Exchange& exchange, const platform::RangeDirectory& directory) {
   const auto& moves = exchange.moves();
   const auto& asked = directory.figures();
@@ -95,9 +124,7 @@
   net::UniqueFd signal_fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
   ConfigFile file;
   Config config = file.config();
-  // Files tell of themselves; nobody has to be asked for the list.
-  if (config.ops.files.enabled) config.settings.list_on_request = config.settings.list_watched = false;
-  config.settings.weights_count = config.ops.files.enabled;
+  config.settings = settings_of(config);
   if (!config.known_read) spdlog::warn("the configuration's last list of servers cannot be read");
   Lifecycle life;
   net::Loop loop;
@@ -108,16 +135,10 @@
   // One set of decisions, whatever wire the nodes speak: an operator's file says which.
   std::unique_ptr<platform::LeafPool> leafs;
   std::unique_ptr<flight::FlightPool> nodes;
-  platform::LeafLimits limits;
-  limits.batch = static_cast<std::size_t>(config.batch);
-  limits.streams = static_cast<std::size_t>(config.streams_per_conn);
-  limits.connect_timeout = config.connect_timeout;
-  limits.idle = config.conn_idle;
-  limits.connections = config.sockets * 2 / 5;
   const FlightConfig& flight_config = config.ops.flight;
   const FilesConfig& files_config = config.ops.files;
   const bool spans = config.ops.ranges.enabled || files_config.enabled;
-  limits.spans = spans;
+  const platform::LeafLimits limits = leaf_limits(config, spans);
   if (flight_config.enabled && flight_config.nodes)
     nodes = std::make_unique<flight::FlightPool>(
         loop, exchange,
@@ -133,15 +154,16 @@
   else
     discovery = std::make_unique<platform::Discovery>(loop, exchange, config.discovery, config.known_revision,
                                                       config.connect_timeout);
+  core::Retuning retuning(config.settings);
+  bool retuned = false;
   loop.add(signal_fd.get(), POLLIN, [&](short) {
     signalfd_siginfo info;
     while (read(signal_fd.get(), &info, sizeof info) == sizeof info) {
       if (info.ssi_signo == SIGHUP) {
-        reload(file, discovery.get());
+        retuned |= reload(file, discovery.get());
         continue;
       }
-      life.terminate(loop.now());
-      spdlog::info("phase {}", life.name());
+      if (life.give(Order::terminate, loop.now()).changed) spdlog::info("phase {}", life.name());
     }
   });
   std::unique_ptr<platform::RangeDirectory> directory;
@@ -170,36 +192,61 @@
   spdlog::info("{} listens on port {} of {}, {} servers known", config.name, front.port(), config.listen,
                config.known.size());
 
+  std::unique_ptr<door::Door> door;
+  if (!config.control.empty()) {
+    door = std::make_unique<door::Door>(loop, address(config.control, "open the operators' door at"),
+                                        [&](door::Call call) { return obey(life, call, loop.now()); });
+    spdlog::info("operators' door on port {} of {}", door->port(), config.control);
+  }
+
+  // What acts from now on, in all that goes by settings.
+  auto act_by = [&](const pewterrill::Settings& settings) {
+    exchange.retune(settings);
+    front.shards(file.config().shards);
+    if (leafs) leafs->limit(leaf_limits(file.config(), spans));
+  };
   constexpr net::Millis kFiguresEvery = 10000;
   net::Millis figures_at = loop.now() + kFiguresEvery;
-  bool winding = false;
+  bool door_closed = false, analysts_away = false;
   while (life.phase() != Phase::Stopped) {
     net::Millis now = loop.now();
-    loop.turn(std::clamp(exchange.next_due() - now, 0.0, 500.0));
+    loop.turn(std::clamp(std::min(exchange.next_due(), retuning.due()) - now, 0.0, 500.0));
+    now = loop.now();
+    if (std::exchange(retuned, false)) {
+      act_by(retuning.order(settings_of(file.config()), now));
+      spdlog::info("new settings: safe under old and new from now on");
+    }
+    if (auto settled = retuning.settle(now)) {
+      act_by(*settled);
+      spdlog::info("new settings: alone from now on");
+    }
     exchange.run();
     now = loop.now();
     // Where ranges move, a map is wanted as well: a query without one can only be refused.
-    if (life.phase() == Phase::Starting && exchange.known_servers() > 0 &&
-        (!directory || !exchange.map().empty())) {
-      life.serving();
+    if (exchange.known_servers() > 0 && (!directory || !exchange.map().empty()) &&
+        life.give(Order::able, now).changed)
       spdlog::info("phase {}", life.name());
+    if (door) door->serving(life.admits());
+    front.last_answers(life.sends_away());
+    if (life.closes_idle(now)) front.close_idle();
+    if (analysts && life.closes_idle(now) != analysts_away) {
+      analysts_away = !analysts_away;
+      analysts_away ? analysts->wind_down() : analysts->take_again();
     }
-    if (!winding && life.closing(now)) {
-      front.wind_down();
+    if (!door_closed && life.closes_door(now)) {
       front.stop_listening();
-      if (analysts) analysts->wind_down();
       if (analysts) analysts->stop_listening();
-      winding = true;
+      door_closed = true;
     }
-    if (winding && exchange.open_queries() == 0 && !front.busy() && !(analysts && analysts->busy()))
-      life.idle(now);
+    if (door_closed && exchange.open_queries() == 0 && !front.busy() && !(analysts && analysts->busy()))
+      life.give(Order::emptied, now);
     if (now >= figures_at) {
       figures_at = now + kFiguresEvery;
       for (std::size_t i = 0; i < exchange.figures().size(); ++i) {
         const core::Figures& f = exchange.figures()[i];
         spdlog::info("figures {}: taken {} whole {} partial {} refused {} failed {} withdrawn {} attempts {}",
-                     exchange.settings().classes[i].name, f.taken, f.whole, f.partial, f.refused, f.failed,
-                     f.withdrawn, f.attempts);
+                     exchange.figures_name(i), f.taken, f.whole, f.partial, f.refused, f.failed, f.withdrawn,
+                     f.attempts);
       }
       spdlog::info("open: queries {} attempts {} clients {} leafs {} peak {} KiB", exchange.open_queries(),
                    exchange.attempts_out(), front.connections(),
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -17,7 +17,34 @@
       clock_(std::move(clock)),
       log_(std::move(log)),
       coordinator_(settings_, seed, clock_()),
-      figures_(settings_.classes.size()) {}
+      classes_(settings_.classes) {
+  name_figures();
+}
+
+void Exchange::name_figures() {
+  figures_of_.resize(settings_.classes.size());
+  for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
+    const std::string& name = settings_.classes[i].name;
+    if (name.empty()) continue;  // queries of it are open still: they count where they began
+    std::size_t at = 0;
+    while (at < figures_names_.size() && figures_names_[at] != name) ++at;
+    if (at == figures_names_.size()) {
+      figures_names_.push_back(name);
+      figures_.emplace_back();
+    }
+    figures_of_[i] = at;
+  }
+}
+
+void Exchange::retune(const Settings& settings) {
+  inbox_.push_back([this, settings] {
+    ClassTable::Change change = classes_.change(settings.classes);
+    settings_ = settings;
+    settings_.classes = std::move(change.classes);
+    name_figures();
+    handle(SettingsChanged{settings_, std::move(change.from)});
+  });
+}
 
 void Exchange::attach(Carrier& carrier, MembershipSource& members, RangeSource* range_source) {
   carrier_ = &carrier;
@@ -44,10 +71,11 @@
   q.parts.reserve(spec.parts.size());
   for (const QueryPart& p : spec.parts) q.parts.push_back({.spec = p});
   q.spec = std::move(spec);
-  Figures& f = figures_[q.spec.query_class];
+  Figures& f = figures_for(q.spec.query_class);
   ++f.taken;
   f.worth_asked += settings_.classes[q.spec.query_class].worth;
   ++open_;
+  classes_.opened(q.spec.query_class);
   // The site's limit on what is held: one more is turned away before the module sees it.
   bool full = settings_.max_open > 0 && held_ >= static_cast<std::size_t>(settings_.max_open);
   bool later = true;
@@ -95,7 +123,7 @@
   inbox_.push_back([this, number] {
     auto it = queries_.find(number);
     if (it == queries_.end() || !it->second.sink) return;
-    ++figures_[it->second.spec.query_class].withdrawn;
+    ++figures_for(it->second.spec.query_class).withdrawn;
     it->second.sink = nullptr;
     --open_;
     held_ -= it->second.held;
@@ -253,7 +281,7 @@
   AttemptState state{number, index, static_cast<int>(p.attempts.size()), a.server, now, now + a.timeout};
   p.attempts.push_back(attempt);
   ++q.out;
-  ++figures_[q.spec.query_class].attempts;
+  ++figures_for(q.spec.query_class).attempts;
   if (p.span) {
     ++p.span->out;
     p.span->asked = p.span->planned.revision;
@@ -306,7 +334,7 @@
   if (it == queries_.end() || !it->second.sink) return;
   QueryState& q = it->second;
   const ClassSettings& c = settings_.classes[q.spec.query_class];
-  Figures& f = figures_[q.spec.query_class];
+  Figures& f = figures_for(q.spec.query_class);
   if (v.kind == Verdict::Kind::refused) ++f.refused;
   if (v.kind == Verdict::Kind::failed) ++f.failed;
   if (v.kind == Verdict::Kind::answered) {
@@ -329,7 +357,9 @@
   if (it == queries_.end() || it->second.sink || it->second.out > 0) return;
   inbox_.push_back([this, number] {
     auto late = queries_.find(number);
-    if (late != queries_.end() && !late->second.sink && late->second.out == 0) queries_.erase(late);
+    if (late == queries_.end() || late->second.sink || late->second.out > 0) return;
+    classes_.closed(late->second.spec.query_class);
+    queries_.erase(late);
   });
 }
 
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/class_table.hpp"
 #include "pewterrill/coordinator.hpp"
 #include "ranges/replan.hpp"
 
@@ -181,12 +182,18 @@
   // The map from now on. Queries that are open are planned again where it touches them.
   void remap(ranges::RangeMap map);
 
+  // Other settings from now on, of classes as of all else; queries that are open keep the class they came
+  // under.
+  void retune(const pewterrill::Settings& settings);
+
   // Carries events to the module and its actions out, until nothing is due. Call whenever the above were.
   void run();
   Millis next_due() const;
 
   const pewterrill::Settings& settings() const { return settings_; }
+  // By class as the settings of the start have them, and then by the order in which other names came.
   const std::vector<Figures>& figures() const { return figures_; }
+  const std::string& figures_name(std::size_t i) const { return figures_names_[i]; }
   std::size_t open_queries() const { return open_; }
   std::size_t attempts_out() const { return attempts_.size(); }
   std::size_t known_servers() const { return servers_.size(); }
@@ -238,6 +245,10 @@
     std::size_t named = 0;  // number of the last list that named it
   };
 
+  void name_figures();
+  Figures& figures_for(int query_class) {
+    return figures_[figures_of_[static_cast<std::size_t>(query_class)]];
+  }
   void handle(const pewterrill::Event& event);
   void act(const pewterrill::Action& action);
   void send(const pewterrill::SendPart& action);
@@ -282,7 +293,10 @@
   ranges::RangeMap map_;
   Moves moves_;
   std::size_t open_ = 0, held_ = 0, lists_told_ = 0;
-  std::vector<Figures> figures_;
+  ClassTable classes_;
+  std::vector<Figures> figures_;            // a class keeps its counters whatever its settings become
+  std::vector<std::string> figures_names_;  // of the same order
+  std::vector<std::size_t> figures_of_;     // by class: its place there
 };
 
 }  // namespace winchhall::core
--- a/src/fleet/list_clock.cpp
+++ b/src/fleet/list_clock.cpp
@@ -64,8 +64,8 @@
   if (ended) overdue_at_ = terms_.pushed ? std::min(overdue_at_, now + safe_after_proof()) : kEver;
   if (terms_.pushed) return plan(now, kPushedAgain);
   Millis first = spread(now), most = std::max(terms_.must_ask_in / 4, 4 * first);
-  if (!reached) return plan(now, std::min(first, kUnreached), std::min(first, kUnreached) / 2);
-  wait_ = wait_ > 0 ? std::min(2 * wait_, most) : first;
+  wait_ = wait_ > 0 ? std::min(2 * wait_, reached ? most : std::max(first, kUnreached)) : first;
+  if (!reached) return plan(now, std::min(wait_, kUnreached), std::min(wait_, kUnreached) / 2);
   plan(now, overdue_at_ == kEver || now >= overdue_at_ ? wait_ : std::min(wait_, first));
 }
 
--- a/src/flight/flight_server.cpp
+++ b/src/flight/flight_server.cpp
@@ -26,7 +26,7 @@
 template <class T>
 int index_of(const std::vector<T>& list, const std::string& name) {
   for (std::size_t i = 0; i < list.size(); ++i)
-    if (list[i].name == name) return static_cast<int>(i);
+    if (!name.empty() && list[i].name == name) return static_cast<int>(i);
   return -1;
 }
 
--- a/src/flight/flight_server.hpp
+++ b/src/flight/flight_server.hpp
@@ -18,7 +18,8 @@
                std::uint64_t seed, std::size_t connections, bool spans = false);
   ~FlightServer();
 
-  void wind_down();  // calls that are here are finished, no new ones are taken
+  void wind_down();                             // calls that are here are finished, no new ones are taken
+  void take_again() { winding_down_ = false; }  // on new connections; those of before are told to go
   void stop_listening() { listener_.close(); }
   bool busy() const;
   int port() const { return listener_.port(); }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -13,7 +13,6 @@
 constexpr std::size_t kPiece = 32 * 1024;      // bytes shown to the owner at a time
 constexpr std::size_t kTurnMost = 256 * 1024;  // bytes read in one turn: others come to their turn too
 constexpr std::size_t kKeep = 16 * 1024;       // bytes of an empty buffer that are kept for the next use
-constexpr Millis kAcceptPause = 50;            // ms without accepting once descriptors have run out
 
 // Guards against memory held by connections that were busy once: hundreds of them stand idle.
 void let_go(std::string& buffer) {
@@ -172,46 +171,4 @@
   fd_.reset();
 }
 
-Listener::Listener(Loop& loop, const sockaddr_in& address, std::function<void(UniqueFd)> accepted)
-    : loop_(loop),
-      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
-      accepted_(std::move(accepted)) {
-  int on = 1;
-  sockaddr_in bound = address;
-  socklen_t size = sizeof bound;
-  if (!fd_ || ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0 ||
-      ::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) < 0 ||
-      ::listen(fd_.get(), 512) < 0 ||
-      ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&bound), &size) < 0)
-    throw std::system_error(errno, std::generic_category(), "listen");
-  port_ = ntohs(bound.sin_port);
-  loop_.add(fd_.get(), POLLIN, [this](short) { accept_all(); });
-}
-
-void Listener::accept_all() {
-  for (int i = 0; i < 64 && fd_; ++i) {
-    UniqueFd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (fd) {
-      accepted_(std::move(fd));
-      continue;
-    }
-    // Guards against a busy loop when descriptors run out: the queue stays readable all the while.
-    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) return pause(kAcceptPause);
-    if (errno != EINTR && errno != ECONNABORTED) return;
-  }
-}
-
-void Listener::pause(Millis time) {
-  if (!fd_) return;
-  loop_.set_events(fd_.get(), 0);
-  loop_.cancel(resume_);
-  resume_ = loop_.at(loop_.now() + time, [this] { loop_.set_events(fd_.get(), POLLIN); });
-}
-
-void Listener::close() {
-  loop_.cancel(resume_);
-  if (fd_) loop_.remove(fd_.get());
-  fd_.reset();
-}
-
 }  // namespace winchhall::net
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -65,9 +65,14 @@
 class Listener {
  public:
   // Throws std::system_error if the address cannot be had.
-  Listener(Loop& loop, const sockaddr_in& address, std::function<void(UniqueFd)> accepted);
+  // `shared`: other processes of this user may listen there as well (SO_REUSEPORT).
+  Listener(Loop& loop, const sockaddr_in& address, std::function<void(UniqueFd)> accepted,
+           bool shared = false);
   ~Listener() { close(); }
   void close();
+  // Where it is shared with `others` that listened before: new connections all come here from now on. False
+  // where the kernel does not do it; then they come to each in turn.
+  bool steer_here(int others);
   void pause(Millis time);  // takes nothing from the queue for so long
   int port() const { return port_; }
 
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -71,7 +71,10 @@
     front_.drop(*this);
   }
 
-  bool idle() const { return query_ == 0 && !parser_.begun() && stream_->unsent() == 0; }
+  // Between requests. One that has not asked yet is about to, or goes when its time for that is over.
+  bool used_and_idle() const {
+    return asked_ && query_ == 0 && !closing_ && !parser_.begun() && stream_->unsent() == 0;
+  }
   // Which goes first where another one needs the place; 0: none of it.
   int worth_shedding(net::Millis now, bool full) const {
     if (lingering_) return 4;
@@ -99,7 +102,7 @@
 
  private:
   void serve(const HttpMessage& m) {
-    bool keep = m.keep_alive() && !front_.winding_down_;
+    bool keep = m.keep_alive() && !front_.last_answers_;
     if (m.target == "/ready" || m.target == "/health") {
       if (m.method != "GET" && m.method != "HEAD")
         return reply(error_answer(405, "Allow: GET\r\n", "method " + m.method + ", wanted is GET", keep),
@@ -121,7 +124,7 @@
     id_ = d.query.id;
     query_ = front_.exchange_.submit(std::move(d.query), [this, keep](core::Verdict v) {
       release();
-      bool still = keep && !front_.winding_down_;
+      bool still = keep && !front_.last_answers_;
       reply(verdict_answer(v, still), still);
     });
   }
@@ -155,13 +158,14 @@
 };
 
 ClientFront::ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address,
-                         ClientNames names, std::size_t connections, std::function<bool()> ready)
+                         ClientNames names, std::size_t connections, std::function<bool()> ready, bool shared)
     : loop_(loop),
       exchange_(exchange),
       names_(names),
       most_(connections),
       ready_(std::move(ready)),
-      listener_(loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }) {
+      listener_(
+          loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }, shared) {
   sweep();
 }
 
@@ -215,11 +219,13 @@
   loop_.bury(std::move(c));
 }
 
-void ClientFront::wind_down() {
-  winding_down_ = true;
+// Guards against a request that crosses the closing: what has come by now is read and answered first.
+void ClientFront::close_idle() {
   auto copy = connections_;
   for (const auto& c : copy)
-    if (c->idle()) drop(*c);
+    if (c->used_and_idle()) c->look();
+  for (const auto& c : copy)
+    if (c->used_and_idle()) drop(*c);
 }
 
 bool ClientFront::busy() const {
--- a/src/platform/client_front.hpp
+++ b/src/platform/client_front.hpp
@@ -14,11 +14,16 @@
 class ClientFront {
  public:
   ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, ClientNames names,
-              std::size_t connections, std::function<bool()> ready);
+              std::size_t connections, std::function<bool()> ready, bool shared = false);
   ~ClientFront();
 
-  // From now on an answer is the last one on its connection, and what stands idle is closed.
-  void wind_down();
+  // While `on`, an answer is the last one on its connection.
+  void last_answers(bool on) { last_answers_ = on; }
+  void close_idle();  // what stands between requests, once what has come on it is read
+  // `shared` with another process: new connections come here from now on, though `others` listen as well.
+  bool steer_here(int others) { return listener_.steer_here(others); }
+  void room(std::size_t connections) { most_ = connections; }
+  void shards(int count) { names_.shards = count; }  // of other settings
   void stop_listening() { listener_.close(); }
   bool busy() const;  // a request is unanswered, or bytes of an answer wait
   int port() const { return listener_.port(); }
@@ -39,7 +44,7 @@
   ClientNames names_;
   std::size_t most_;
   std::function<bool()> ready_;
-  bool winding_down_ = false;
+  bool last_answers_ = false;
   std::set<std::shared_ptr<Connection>> connections_;
   std::set<std::string> live_ids_;
   net::TimerId sweep_{};
--- a/src/platform/leaf_pool.hpp
+++ b/src/platform/leaf_pool.hpp
@@ -34,6 +34,7 @@
   void retire(const std::string& server) override;
 
   std::size_t connections() const { return connections_.size(); }
+  void limit(const LeafLimits& limits) { limits_ = limits; }  // from the next call on
 
  private:
   class Connection;
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -18,7 +18,7 @@
 template <class T>
 int index_of(const std::vector<T>& list, const std::string& name) {
   for (std::size_t i = 0; i < list.size(); ++i)
-    if (list[i].name == name) return static_cast<int>(i);
+    if (!name.empty() && list[i].name == name) return static_cast<int>(i);
   return -1;
 }
 
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -37,6 +37,7 @@
       const Part& p = it->second;
       heir.query = p.query;
       heir.step = p.step;
+      heir.most = p.most;
       heir.used = std::max(heir.used, p.tries());
       heir.resets = std::max(heir.resets, p.resets);
       heir.spare = p.spare;
@@ -66,6 +67,20 @@
     if (!p.spare && !q.awaiting_step && p.step == q.step) try_part(q, p);
   }
 
+  void on(const SettingsChanged& e) {
+    set_ = e.settings;
+    bound_settings();
+    list_clock_.change(list_terms());
+    auto carry = [&](auto& figures) {
+      auto before = std::exchange(figures, {});
+      figures.resize(set_.classes.size());
+      for (std::size_t i = 0; i < std::min(e.from.size(), figures.size()); ++i)
+        if (e.from[i] >= 0) figures[i] = before.at(static_cast<std::size_t>(e.from[i]));
+    };
+    carry(learned_);
+    for (Server& s : servers_) carry(s.by_class);
+  }
+
   void keep_list() {
     if (list_clock_.ask(now_)) act(WatchList{true});
   }
@@ -76,8 +91,6 @@
     retry_waiting();
   }
 
-  // ---- Outcomes and health ------------------------------------------------------------------------------
-
   void on(const AttemptEnded& e) {
     take_report(e.server, e.report);
     heard_.add(0, now_);
@@ -129,8 +142,6 @@
     return known ? &it->second.attempts[attempt] : nullptr;
   }
 
-  // ---- The pulse ----------------------------------------------------------------------------------------
-
   void on(const TimerFired&) {
     act(SetTimer{now_ + pulse_, 0});
     keep_list();
@@ -178,7 +189,7 @@
       bool copy = set_.may_hedge && set_.classes[c].repeat == Repeat::safe && !p->holders;
       if (now_ - a.sent <= (copy ? hedge_after(c) : patience(c)) || start_spare(q)) continue;
       if (!set_.may_cancel || set_.classes[c].repeat == Repeat::unsafe) continue;
-      if (p->tries() >= set_.max_attempts || !budget_allows()) continue;
+      if (p->tries() >= p->most || !budget_allows()) continue;
       const Server& s = servers_[a.server];
       if (!copy && s.last_answer >= a.sent && !s.by_class[c].aside) continue;
       if (!copy && useful_until(q) - now_ < learned_[c].response.mean) continue;
--- a/src/policy/queries.hpp
+++ b/src/policy/queries.hpp
@@ -9,8 +9,6 @@
  protected:
   using Tier::Tier;
 
-  // ---- Attempts -----------------------------------------------------------------------------------------
-
   // Rule: the budget of further attempts, over an exact sliding window.
   bool budget_allows() {
     if (!set_.budget) return true;
@@ -35,7 +33,7 @@
 
   // Rule: no effect twice. May this part be sent (again) now?
   bool repeat_allowed(const Part& p, const ClassSettings& c) const {
-    if (p.out() || p.tries() >= std::max(1, set_.max_attempts)) return false;
+    if (p.out() || p.tries() >= p.most) return false;
     if (p.first_maybe == kEver || c.repeat == Repeat::safe) return true;
     return c.repeat == Repeat::keyed && now_ + set_.tick < p.first_maybe + c.repeat_window;
   }
@@ -104,8 +102,6 @@
     return true;
   }
 
-  // ---- A query's life -----------------------------------------------------------------------------------
-
   void on(const QueryArrived& e) {
     count_taken(1 + e.parts.size());
     if (query_numbers_.count(e.query)) return;
@@ -151,6 +147,7 @@
     p.weight = sound(spec.weight) ? spec.weight : 0;
     p.hint = hint;
     p.holders = spec.holders;
+    if (p.most == 0) p.most = std::max(1, set_.max_attempts);
     q.slack = std::min(q.slack, std::max(p.weight / 2, kLeastSlack));
     q.given[p.step == 2] += p.weight;
     if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -23,8 +23,8 @@
 
 struct Part {
   std::string id;
-  int query = -1;  // number of its query
-  int shard = 0, step = 1;
+  int query = -1;                     // number of its query
+  int shard = 0, step = 1, most = 0;  // most: attempts, by the settings it came under
   double weight = 0, hint = 0;
   std::optional<std::vector<std::string>> holders;  // by name, where stated
   int used = 0, resets = 0;                         // used: attempts of the parts that this one came from
--- a/src/policy/tier.hpp
+++ b/src/policy/tier.hpp
@@ -37,8 +37,6 @@
     Millis wary_until = kNever;
   };
 
-  // ---- The list of servers ------------------------------------------------------------------------------
-
   void take_list(const ServerList& list) {
     if (list.kind == ServerList::Kind::failed) {
       list_clock_.failed(now_, list.reached);
@@ -98,8 +96,6 @@
     return !list_clock_.believable(now_) && now_ >= s.proved_at + list_clock_.safe_after_proof();
   }
 
-  // ---- Costs and the choice of replica ------------------------------------------------------------------
-
   double mean_hint(int c) const { return learned_[c].hint.seen ? learned_[c].hint.mean : 1.0; }
 
   double take_hint(int c, const std::optional<double>& hint) {
@@ -113,7 +109,7 @@
   double load(const Server& s, int c) const {
     // Departure: a report that nothing refreshes fades to what the tier reports of late. A server once told
     // busy is not shunned for good, and where each broker hears little of each server, load is still seen.
-    double fresh = std::exp((s.reported_at - now_) / kReportStale);
+    double fresh = std::exp((s.reported_at - now_) / kFade);
     return (fresh * s.reported + (1 - fresh) * tier_load_.mean(now_, 0)) * mean_hint(c);
   }
 
--- a/src/policy/tuning.hpp
+++ b/src/policy/tuning.hpp
@@ -9,7 +9,6 @@
 constexpr int kTrusted = 12;            // samples before a learned figure replaces its starting value
 constexpr double kDevs = 4;             // mean + this many deviations: later than nearly all, likewise
 constexpr double kPatienceOfAim = 0.5;  // of the aim: patience at the most, so that one more try still fits
-constexpr Millis kReportStale = kFade;  // a report fades like what was learned of the tier
 constexpr double kSparseMost = 8;       // x: memory of servers seldom heard of stretches so far at most
 constexpr double kReportMax = 1000;     // queued items: a report above this is taken for nonsense
 constexpr double kPaceOff = 1.5;        // x the peers' median: a server's pace is clearly off from here on
