--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -6,11 +6,13 @@
 #include <sys/signalfd.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <exception>
 #include <memory>
 #include <stdexcept>
 
 #include "app/lifecycle.hpp"
+#include "app/neighbours.hpp"
 #include "core/exchange.hpp"
 #include "core/retuning.hpp"
 #include "door/door.hpp"
@@ -38,13 +40,14 @@
   return *a;
 }
 
-platform::LeafLimits leaf_limits(const Config& config, bool spans) {
+// `processes` of this aggregator have its descriptors together.
+platform::LeafLimits leaf_limits(const Config& config, bool spans, int processes) {
   platform::LeafLimits limits;
   limits.batch = static_cast<std::size_t>(config.batch);
   limits.streams = static_cast<std::size_t>(config.streams_per_conn);
   limits.connect_timeout = config.connect_timeout;
   limits.idle = config.conn_idle;
-  limits.connections = config.sockets * 2 / 5;
+  limits.connections = config.sockets * 2 / 5 / static_cast<std::size_t>(processes);
   limits.spans = spans;
   return limits;
 }
@@ -80,6 +83,25 @@
   return {r.taken, r.word};
 }
 
+// The phases, told which other processes of this name there are.
+void meet(Lifecycle& life, const takeover::Pairing& pairing, Millis now) {
+  Phase before = life.phase();
+  life.give(Order::alone, now);
+  if (pairing.elder(now)) life.give(Order::elder, now);
+  if (pairing.heir(now)) life.give(Order::heir, now);
+  if (life.phase() != before) spdlog::info("phase {}, {} other processes", life.name(), pairing.others(now));
+}
+
+// New connections come here from now on, where another process of this name listens as well.
+void open_to_clients(platform::ClientFront& front, Neighbours* neighbours, Millis now) {
+  front.listen();
+  int others = neighbours ? neighbours->pairing().listening(now) : 0;
+  if (others > 0 && !front.steer_here(others))
+    spdlog::warn("the kernel does not steer connections: they come to each process in turn");
+  if (others > 0) spdlog::info("clients taken over from {} other processes", others);
+  if (neighbours) neighbours->tell_now();
+}
+
 void log_ranges(const core::Exchange& exchange, const platform::RangeDirectory& directory) {
   const auto& moves = exchange.moves();
   const auto& asked = directory.figures();
@@ -129,8 +151,29 @@
   Lifecycle life;
   net::Loop loop;
 
+  // Where operators have a door, another process of this name may serve beside this one for a while.
+  std::function<void(takeover::State&)> fill;
+  std::function<void()> met;
+  std::unique_ptr<Neighbours> neighbours;
+  int processes = 1;
+  if (!config.control.empty()) {
+    const char* folder = std::getenv("TMPDIR");
+    neighbours = std::make_unique<Neighbours>(
+        loop, folder ? folder : "", config.name, [&](takeover::State& s) { fill(s); }, [&] { met(); });
+    const takeover::Pairing& pairing = neighbours->pairing();
+    processes += pairing.others(loop.now());
+    meet(life, pairing, loop.now());
+    if (const takeover::State* state = pairing.latest_list();
+        state && state->revision > config.known_revision) {
+      config.known = state->members;
+      config.known_revision = state->revision;
+      spdlog::info("list of process {}: revision {}, {} servers", state->who.text(), state->revision,
+                   state->members.size());
+    }
+  }
+
   core::Exchange exchange(
-      config.settings, config.seed, [&] { return loop.now(); },
+      takeover::share_of(config.settings, processes), config.seed, [&] { return loop.now(); },
       [](const std::string& line) { spdlog::info("policy: {}", line); });
   // One set of decisions, whatever wire the nodes speak: an operator's file says which.
   std::unique_ptr<platform::LeafPool> leafs;
@@ -138,7 +181,7 @@
   const FlightConfig& flight_config = config.ops.flight;
   const FilesConfig& files_config = config.ops.files;
   const bool spans = config.ops.ranges.enabled || files_config.enabled;
-  const platform::LeafLimits limits = leaf_limits(config, spans);
+  const platform::LeafLimits limits = leaf_limits(config, spans, processes);
   if (flight_config.enabled && flight_config.nodes)
     nodes = std::make_unique<flight::FlightPool>(
         loop, exchange,
@@ -178,19 +221,31 @@
   exchange.start(config.known);
   if (directory) directory->start();
   if (files) files->start();
-  platform::ClientFront front(loop, exchange, address(config.listen, "listen on"),
-                              {exchange.settings(), config.shards, spans}, config.sockets * 4 / 10,
-                              [&] { return life.admits(); });
+  const platform::ClientNames names{exchange.settings(), config.shards, spans};
+  const sockaddr_in listen = address(config.listen, "listen on");
+  auto admits = [&] { return life.admits(); };
+  auto front_room = [&] { return config.sockets * 4 / 10 / static_cast<std::size_t>(processes); };
+  auto fronts =
+      neighbours
+          ? std::make_unique<platform::ClientFront>(loop, exchange, listen, names, front_room(), admits,
+                                                    platform::ClientFront::Shared{})
+          : std::make_unique<platform::ClientFront>(loop, exchange, listen, names, front_room(), admits);
+  platform::ClientFront& front = *fronts;
+  if (neighbours && processes == 1) front.listen();
   std::unique_ptr<flight::FlightServer> analysts;
   if (flight_config.enabled) {
-    analysts =
-        std::make_unique<flight::FlightServer>(loop, exchange, address(flight_config.listen, "listen on"),
-                                               config.shards, config.seed, config.sockets / 10, spans);
+    analysts = std::make_unique<flight::FlightServer>(
+        loop, exchange, address(flight_config.listen, "listen on"), config.shards, config.seed,
+        config.sockets / 10, spans, neighbours != nullptr);
     spdlog::info("Flight on port {} of {}, nodes over {}", analysts->port(), flight_config.listen,
                  nodes ? "Flight" : "frames");
   }
-  spdlog::info("{} listens on port {} of {}, {} servers known", config.name, front.port(), config.listen,
-               config.known.size());
+  if (front.listens())
+    spdlog::info("{} listens on port {} of {}, {} servers known", config.name, front.port(), config.listen,
+                 config.known.size());
+  else
+    spdlog::info("{} does not listen yet, {} servers known: another process serves", config.name,
+                 config.known.size());
 
   std::unique_ptr<door::Door> door;
   if (!config.control.empty()) {
@@ -201,9 +256,21 @@
 
   // What acts from now on, in all that goes by settings.
   auto act_by = [&](const pewterrill::Settings& settings) {
-    exchange.retune(settings);
+    exchange.retune(takeover::share_of(settings, processes));
     front.shards(file.config().shards);
-    if (leafs) leafs->limit(leaf_limits(file.config(), spans));
+    front.room(front_room());
+    if (leafs) leafs->limit(leaf_limits(file.config(), spans, processes));
+  };
+  fill = [&](takeover::State& s) {
+    s.phase = life.name();
+    s.listens = front.listens();
+    s.revision = discovery ? discovery->revision() : 0;
+    s.members = exchange.members();
+  };
+  met = [&] {
+    meet(life, neighbours->pairing(), loop.now());
+    int now_here = 1 + neighbours->pairing().others(loop.now());
+    if (std::exchange(processes, now_here) != now_here) act_by(retuning.acting());
   };
   constexpr net::Millis kFiguresEvery = 10000;
   net::Millis figures_at = loop.now() + kFiguresEvery;
@@ -224,8 +291,9 @@
     now = loop.now();
     // Where ranges move, a map is wanted as well: a query without one can only be refused.
     if (exchange.known_servers() > 0 && (!directory || !exchange.map().empty()) &&
-        life.give(Order::able, now).changed)
+        (!neighbours || neighbours->pairing().may_begin(now)) && life.give(Order::able, now).changed)
       spdlog::info("phase {}", life.name());
+    if (life.admits() && !front.listens()) open_to_clients(front, neighbours.get(), now);
     if (door) door->serving(life.admits());
     front.last_answers(life.sends_away());
     if (life.closes_idle(now)) front.close_idle();
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -157,11 +157,13 @@
     ServerList e{kind, {}, reached};
     for (const Member& m : members) {
       auto [it, fresh] = servers_.try_emplace(m.entry.server);
-      bool later = m.entry.started && (!it->second.started || *m.entry.started > *it->second.started);
+      Member& held = it->second.member;
+      std::optional<Millis> started = held.entry.started;
+      bool later = m.entry.started && (!started || *m.entry.started > *started);
       // Guards against writing to connections of a process that died without a sign: they stay open, silent.
       if (!fresh && later) carrier_->retire(m.entry.server);
-      it->second.endpoint = m.endpoint;
-      if (later) it->second.started = m.entry.started;
+      held = m;
+      if (!later) held.entry.started = started;
       it->second.named = lists_told_;
       e.servers.push_back(m.entry);
     }
@@ -182,6 +184,13 @@
   });
 }
 
+std::vector<Member> Exchange::members() const {
+  std::vector<Member> list;
+  list.reserve(servers_.size());
+  for (const auto& [id, known] : servers_) list.push_back(known.member);
+  return list;
+}
+
 // ---- The driver
 
 void Exchange::run() {
@@ -260,7 +269,7 @@
     void operator()(const FailQuery& a) { x.finish(number(a.query), {}); }
     void operator()(const SendProbe& a) {
       auto it = x.servers_.find(a.server);
-      if (it != x.servers_.end()) x.carrier_->probe(a.server, it->second.endpoint);
+      if (it != x.servers_.end()) x.carrier_->probe(a.server, it->second.member.endpoint);
     }
     void operator()(const WatchList& a) { x.members_->watch(a.on); }
     void operator()(const FetchList&) { x.members_->fetch(); }
@@ -291,7 +300,8 @@
   attempts_[attempt] = state;
   auto known = servers_.find(a.server);
   if (known == servers_.end()) return attempt_ended(attempt, {.outcome = Outcome::unsent});
-  Order order{attempt, a.server, known->second.endpoint, {}, p.spec.shard, state.until, q.text, {}, 0, {}};
+  Order order{attempt, a.server, known->second.member.endpoint, {}, p.spec.shard, state.until, q.text, {},
+              0,       {}};
   if (p.span) {
     order.span = p.span->planned.span;
     order.range = p.span->planned.range;
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -197,6 +197,7 @@
   std::size_t open_queries() const { return open_; }
   std::size_t attempts_out() const { return attempts_.size(); }
   std::size_t known_servers() const { return servers_.size(); }
+  std::vector<Member> members() const;                    // the list as it is held
   std::size_t lists_told() const { return lists_told_; }  // to the module, failed calls included
   const ranges::RangeMap& map() const { return map_; }
 
@@ -240,8 +241,7 @@
     Millis sent = 0, until = 0;
   };
   struct Known {
-    std::string endpoint;
-    std::optional<Millis> started;
+    Member member;
     std::size_t named = 0;  // number of the last list that named it
   };
 
--- a/src/core/retuning.hpp
+++ b/src/core/retuning.hpp
@@ -20,7 +20,7 @@
   std::optional<pewterrill::Settings> settle(pewterrill::Millis now);
 
   pewterrill::Millis due() const { return settle_at_; }
-  const pewterrill::Settings& target() const { return target_; }
+  const pewterrill::Settings& acting() const { return acting_; }
 
   // ms: clients go by new settings from 1.2 s after the order (operators' page), and what they sent before
   // that is still on its way for a moment.
--- a/src/flight/flight_server.cpp
+++ b/src/flight/flight_server.cpp
@@ -270,14 +270,15 @@
 };
 
 FlightServer::FlightServer(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, int shards,
-                           std::uint64_t seed, std::size_t connections, bool spans)
+                           std::uint64_t seed, std::size_t connections, bool spans, bool shared)
     : loop_(loop),
       exchange_(exchange),
       shards_(shards),
       spans_(spans),
       seed_(seed),
       most_(connections),
-      listener_(loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }) {
+      listener_(
+          loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }, shared) {
   sweep();
 }
 
--- a/src/flight/flight_server.hpp
+++ b/src/flight/flight_server.hpp
@@ -15,7 +15,7 @@
 class FlightServer {
  public:
   FlightServer(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, int shards,
-               std::uint64_t seed, std::size_t connections, bool spans = false);
+               std::uint64_t seed, std::size_t connections, bool spans = false, bool shared = false);
   ~FlightServer();
 
   void wind_down();                             // calls that are here are finished, no new ones are taken
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -158,17 +158,30 @@
 };
 
 ClientFront::ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address,
-                         ClientNames names, std::size_t connections, std::function<bool()> ready, bool shared)
+                         ClientNames names, std::size_t connections, std::function<bool()> ready, Shared)
     : loop_(loop),
       exchange_(exchange),
       names_(names),
       most_(connections),
       ready_(std::move(ready)),
-      listener_(
-          loop, address, [this](net::UniqueFd fd) { accept(std::move(fd)); }, shared) {
+      address_(address),
+      shared_(true) {
   sweep();
 }
 
+ClientFront::ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address,
+                         ClientNames names, std::size_t connections, std::function<bool()> ready)
+    : ClientFront(loop, exchange, address, names, connections, std::move(ready), Shared{}) {
+  shared_ = false;
+  listen();
+}
+
+void ClientFront::listen() {
+  if (listener_) return;
+  listener_ = std::make_unique<net::Listener>(
+      loop_, address_, [this](net::UniqueFd fd) { accept(std::move(fd)); }, shared_);
+}
+
 ClientFront::~ClientFront() {
   loop_.cancel(sweep_);
   for (auto& c : connections_) c->close();
@@ -182,7 +195,7 @@
   // Within our descriptors: one that only stands there may be closed between requests; else no more are
   // taken.
   bool full = connections_.size() >= most_;
-  if ((full || connections_.size() > roomy()) && !shed(full) && full) listener_.pause(kCrowded);
+  if ((full || connections_.size() > roomy()) && !shed(full) && full) listener_->pause(kCrowded);
 }
 
 // Guards against clients that ask once and hold their connection for good: clients have a share of
--- a/src/platform/client_front.hpp
+++ b/src/platform/client_front.hpp
@@ -14,19 +14,25 @@
 class ClientFront {
  public:
   ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, ClientNames names,
-              std::size_t connections, std::function<bool()> ready, bool shared = false);
+              std::size_t connections, std::function<bool()> ready);
+  // With other processes of this user, and only once listen() is called.
+  struct Shared {};
+  ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address, ClientNames names,
+              std::size_t connections, std::function<bool()> ready, Shared);
   ~ClientFront();
 
   // While `on`, an answer is the last one on its connection.
   void last_answers(bool on) { last_answers_ = on; }
   void close_idle();  // what stands between requests, once what has come on it is read
   // `shared` with another process: new connections come here from now on, though `others` listen as well.
-  bool steer_here(int others) { return listener_.steer_here(others); }
+  bool steer_here(int others) { return listener_ && listener_->steer_here(others); }
   void room(std::size_t connections) { most_ = connections; }
   void shards(int count) { names_.shards = count; }  // of other settings
-  void stop_listening() { listener_.close(); }
+  void listen();
+  bool listens() const { return listener_ != nullptr; }
+  void stop_listening() { listener_.reset(); }
   bool busy() const;  // a request is unanswered, or bytes of an answer wait
-  int port() const { return listener_.port(); }
+  int port() const { return listener_ ? listener_->port() : 0; }
   std::size_t connections() const { return connections_.size(); }
 
  private:
@@ -50,7 +56,9 @@
   net::TimerId sweep_{};
   int bad_ = 0;  // requests since listed_at_
   net::Millis listed_at_ = 0;
-  net::Listener listener_;
+  sockaddr_in address_;
+  bool shared_ = false;
+  std::unique_ptr<net::Listener> listener_;
 };
 
 }  // namespace winchhall::platform
