--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -95,6 +95,7 @@
 // New connections come here from now on, where another process of this name listens as well.
 void open_to_clients(platform::ClientFront& front, Neighbours* neighbours, Millis now) {
   front.listen();
+  spdlog::info("listens on port {}", front.port());
   int others = neighbours ? neighbours->pairing().listening(now) : 0;
   if (others > 0 && !front.steer_here(others))
     spdlog::warn("the kernel does not steer connections: they come to each process in turn");
@@ -231,7 +232,6 @@
                                                     platform::ClientFront::Shared{})
           : std::make_unique<platform::ClientFront>(loop, exchange, listen, names, front_room(), admits);
   platform::ClientFront& front = *fronts;
-  if (neighbours && processes == 1) front.listen();
   std::unique_ptr<flight::FlightServer> analysts;
   if (flight_config.enabled) {
     analysts = std::make_unique<flight::FlightServer>(
@@ -240,12 +240,13 @@
     spdlog::info("Flight on port {} of {}, nodes over {}", analysts->port(), flight_config.listen,
                  nodes ? "Flight" : "frames");
   }
+  // Beside others of its name it listens once it can serve: what it takes it must be able to answer.
   if (front.listens())
     spdlog::info("{} listens on port {} of {}, {} servers known", config.name, front.port(), config.listen,
                  config.known.size());
   else
-    spdlog::info("{} does not listen yet, {} servers known: another process serves", config.name,
-                 config.known.size());
+    spdlog::info("{} does not listen yet, {} servers known, {} other processes", config.name,
+                 config.known.size(), processes - 1);
 
   std::unique_ptr<door::Door> door;
   if (!config.control.empty()) {
--- a/tests/program.hpp
+++ b/tests/program.hpp
@@ -41,7 +41,7 @@
 class Program {
  public:
   Program(net::Loop& loop, const std::string& config, const std::string& flight = "", rlim_t files = 0,
-          const std::string& discovery = "")
+          const std::string& discovery = "", const std::string& folder = "")
       : loop_(loop), config_(temporary(config)), flight_(flight.empty() ? "" : temporary(flight)) {
     int ends[2];
     REQUIRE(pipe(ends) == 0);
@@ -54,6 +54,7 @@
            {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "WINCHHALL_FLIGHT", "WINCHHALL_OPERATOR"})
         unsetenv(name);
       if (!discovery.empty()) setenv("LB_DISCOVERY", discovery.c_str(), 1);
+      if (!folder.empty()) setenv("TMPDIR", folder.c_str(), 1);
       bool xml = flight.find('<') == 0;
       if (!flight_.empty()) setenv(xml ? "WINCHHALL_OPERATOR" : "WINCHHALL_FLIGHT", flight_.c_str(), 1);
       rlimit limit{files, files};
