Count a cold server's parts as they are placed; operations experiment; winchhall control

Cause: what a cold server was sent was noted by send() (src/policy, queries.hpp), after all parts of a query had been placed, so that several parts of one query passed the share of one. Ruled out: lots drawn anew too early (turn is kept for fall_time), windows that reach past the warming time (the test's own first fault).

--- a/lab/experiments.hpp
+++ b/lab/experiments.hpp
@@ -34,6 +34,12 @@
 };
 int watched_files(const WatchedFiles& options);
 
+struct Operations {
+  Common common{};
+  std::size_t clients = 40, leafs = 8;
+};
+int operations(const Operations& options);
+
 struct PlatformCost {
   Common common{};
   std::string before{};  // the program to compare with
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -63,6 +63,13 @@
   w->add_option("--service-least", files.service_least, "of the run whose files stand still")
       ->capture_default_str();
 
+  lab::Operations ops;
+  CLI::App* o =
+      experiment->add_subcommand("operations", "drained, retuned, replaced, killed and stopped under load");
+  common_options(*o, ops.common);
+  o->add_option("--clients", ops.clients)->check(CLI::Range(1, 400))->capture_default_str();
+  o->add_option("--leafs", ops.leafs)->check(CLI::Range(3, 64))->capture_default_str();
+
   lab::PlatformCost cost;
   CLI::App* c = experiment->add_subcommand("platform-cost", "start, memory and CPU of two programs in turns");
   common_options(*c, cost.common);
@@ -81,6 +88,7 @@
   CLI11_PARSE(app, argc, argv);
   try {
     if (demo->parsed()) return lab::demo(shown);
+    if (o->parsed()) return lab::operations(ops);
     if (w->parsed()) return lab::watched_files(files);
     if (c->parsed()) return lab::platform_cost(cost);
     return lab::moving_ranges(moving);
--- a/lab/platform_cost.cpp
+++ b/lab/platform_cost.cpp
@@ -13,7 +13,7 @@
 #include "lab/experiments.hpp"
 #include "lab/histogram.hpp"
 #include "lab/process.hpp"
-#include "platform/frames.hpp"
+#include "lab/prompt_leaf.hpp"
 
 namespace winchhall::lab {
 namespace {
@@ -22,39 +22,6 @@
 constexpr int kAtOnce = 8;          // queries out at a time: a busy aggregator, no overload
 constexpr Millis kGiveUp = 120000;  // ms: only ends a run that hangs
 
-// A leaf that answers every part at once.
-class PromptLeaf {
- public:
-  explicit PromptLeaf(net::Loop& loop)
-      : loop_(loop), listener_(loop, *net::parse_address("127.0.0.1:0"), [this](net::UniqueFd fd) {
-          sides_.push_back(std::make_shared<Side>());
-          sides_.back()->stream = net::Stream::adopt(loop_, std::move(fd), *sides_.back());
-        }) {}
-  ~PromptLeaf() {
-    for (auto& side : sides_) side->stream->close();
-  }
-  int port() const { return listener_.port(); }
-
- private:
-  struct Side : net::Stream::Owner {
-    void received(std::string& in) override {
-      bool bad = false;
-      std::string out;
-      while (auto frame = platform::take_frame(in, bad)) {
-        if (frame->letter != 'D') continue;
-        out += platform::make_frame(
-            'O', frame->rest.substr(0, frame->rest.find(' ')) + " 200 1 busy_reqs=1\n5be2a07c19f04d63");
-      }
-      stream->write(out);
-    }
-    void ended() override { stream->close(); }
-    std::shared_ptr<net::Stream> stream;
-  };
-  net::Loop& loop_;
-  net::Listener listener_;
-  std::vector<std::shared_ptr<Side>> sides_;
-};
-
 std::string config(const std::vector<std::unique_ptr<PromptLeaf>>& leafs) {
   json members = json::array();
   for (std::size_t i = 0; i < leafs.size(); ++i)
@@ -66,7 +33,7 @@
                        {"up_since_ms", 0}});
   return json{{"name", "cost"},
               {"listen", "127.0.0.1:0"},
-              {"discovery", "127.0.0.1:1"},
+              {"discovery", ""},  // nobody to ask: the list is what it is
               {"seed", "7"},
               {"limits", {{"sockets", 1024}}},
               {"known", {{"revision", 1}, {"complete", true}, {"members", members}}},
--- /dev/null
+++ b/lab/prompt_leaf.hpp
@@ -0,0 +1,53 @@
+// A leaf on frames that answers every part at once, and tells whom it likes what was asked.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/stream.hpp"
+#include "platform/frames.hpp"
+
+namespace winchhall::lab {
+
+class PromptLeaf {
+ public:
+  using Heard = std::function<void(const std::string& part)>;
+  explicit PromptLeaf(net::Loop& loop, Heard heard = nullptr)
+      : loop_(loop),
+        heard_(std::move(heard)),
+        listener_(loop, *net::parse_address("127.0.0.1:0"), [this](net::UniqueFd fd) {
+          sides_.push_back(std::make_shared<Side>(*this));
+          sides_.back()->stream = net::Stream::adopt(loop_, std::move(fd), *sides_.back());
+        }) {}
+  ~PromptLeaf() {
+    for (auto& side : sides_) side->stream->close();
+  }
+  int port() const { return listener_.port(); }
+
+ private:
+  struct Side : net::Stream::Owner {
+    explicit Side(PromptLeaf& of) : leaf(of) {}
+    void received(std::string& in) override {
+      bool bad = false;
+      std::string out;
+      while (auto frame = platform::take_frame(in, bad)) {
+        if (frame->letter != 'D') continue;
+        std::string part = frame->rest.substr(0, frame->rest.find(' '));
+        if (leaf.heard_) leaf.heard_(part);
+        out += platform::make_frame('O', part + " 200 1 busy_reqs=1\n5be2a07c19f04d63");
+      }
+      stream->write(out);
+    }
+    void ended() override { stream->close(); }
+    PromptLeaf& leaf;
+    std::shared_ptr<net::Stream> stream;
+  };
+  net::Loop& loop_;
+  Heard heard_;
+  net::Listener listener_;
+  std::vector<std::shared_ptr<Side>> sides_;
+};
+
+}  // namespace winchhall::lab
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -8,6 +8,7 @@
 
 #include "app/beside.hpp"
 #include "app/check_files.hpp"
+#include "app/control_command.hpp"
 #include "app/files_command.hpp"
 #include "app/ranges_command.hpp"
 
@@ -93,6 +94,12 @@
       ->check(CLI::NonNegativeNumber);
   planning->add_flag("--json", json);
 
+  std::string call, at;
+  CLI::App* control = app.add_subcommand("control", "call at the operators' door; 0 for yes, 1 for no");
+  control->add_option("CALL", call)->required()->check(CLI::IsMember({"ready", "drain", "resume"}));
+  control->add_option("--at", at, "its address (else LB_CONTROL, else 'control' in LB_CONFIG's file)");
+  control->add_flag("--json", json);
+
   FilesCheck files_check;
   CLI::App* folder = app.add_subcommand("files", "look at a folder of watched files");
   folder->require_subcommand(1);
@@ -125,6 +132,7 @@
   try {
     app.parse(argc, argv);
     if (serving->parsed()) return become_server(config, operator_file, level);
+    if (control->parsed()) return call_door(at.empty() ? control_address() : at, call, json);
     if (checking->parsed()) return check(files);
     if (files_checking->parsed()) return check_folder(files_check);
     if (files_status->parsed()) return show_store(store, false, files_check.json);
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -56,6 +56,7 @@
 pewterrill::Settings settings_of(const Config& config) {
   pewterrill::Settings s = config.settings;
   if (config.ops.files.enabled) s.list_on_request = s.list_watched = false;
+  if (config.discovery.empty()) s.list_watched = false;  // pushed by nobody: the list is what it is
   s.weights_count = config.ops.files.enabled;
   return s;
 }
--- a/src/policy/queries.hpp
+++ b/src/policy/queries.hpp
@@ -52,6 +52,8 @@
     p.attempts.push_back({server, now_, p.hint, s.sum + load(s, c) + p.hint});
     s.sum += p.hint;
     s.out_since.insert(now_);
+    // From here on and not from the send: the other parts of its query are placed before that.
+    if (warms_up(s)) s.cold_sent.emplace_back(now_, std::max(p.hint, mean_hint(c)));
     return true;
   }
 
@@ -64,6 +66,8 @@
   }
 
   void unplace(Part& p, bool spare = false) {
+    Server& s = servers_[p.attempts.back().server];
+    if (!s.cold_sent.empty() && s.cold_sent.back().first == now_) s.cold_sent.pop_back();
     release(p.attempts.back());
     p.attempts.pop_back();
     p.spare |= spare;
@@ -75,8 +79,6 @@
     const ClassSettings& c = set_.classes[q.query_class];
     if (p.tries() > 1 && set_.budget) further_.push_back(now_);
     if (p.tries() == 1) moves_saved_ = std::min(moves_saved_ + kMoveShare, std::max(kMoveMost, most_parts_));
-    if (s.started && now_ - *s.started < set_.cold_time)
-      s.cold_sent.emplace_back(now_, std::max(p.hint, mean_hint(q.query_class)));
     Millis timeout = useful_until(q) - now_;
     if (!set_.may_cancel && c.repeat == Repeat::safe) timeout = std::min(timeout, patience(q.query_class));
     ++q.outstanding;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -73,12 +73,11 @@
   double sum = 0;  // hinted cost of own parts out
   double reported = 0;
   Millis reported_at = kNever;
-  std::multiset<Millis> out_since{};  // sending times of own attempts out
-  Millis gone_at = kNever;            // when the list first had it gone
-  Millis last_answer = kNever;
-  Millis proved_at = kNever;  // when a part was sent that it took: it did not drain then
-  Millis cut_at = kNever;     // a connection broke under an attempt, and what that meant is not known yet
-  double pace = 0;            // smoothed observed time over hint; 0: not known
+  std::multiset<Millis> out_since{};                // sending times of own attempts out
+  Millis gone_at = kNever;                          // when the list first had it gone
+  Millis last_answer = kNever, proved_at = kNever;  // proved: when a part was sent that it took, not draining
+  Millis cut_at = kNever;  // a connection broke under an attempt, and what that meant is not known yet
+  double pace = 0;         // smoothed observed time over hint; 0: not known
   Millis paced_at = kNever;
   Health health{};               // of the whole server: silence, broken connections, full queues
   std::vector<Health> by_class;  // errors come by class: a server may fail one and serve another well
--- a/src/policy/tier.hpp
+++ b/src/policy/tier.hpp
@@ -128,10 +128,12 @@
     return (j + set_.cells) % set_.cells < set_.reach;
   }
 
+  bool warms_up(const Server& s) const { return s.started && now_ - *s.started < set_.cold_time; }
+
   // Rule: a cold server. What this broker sends within `fall_time` stays under its fraction of the allowance.
   // For that long after our own start nothing is sent: what we sent before it is not known.
   bool cold_allows(Server& s, double work) {
-    if (!s.started || set_.fall_multiple <= 0 || now_ - *s.started >= set_.cold_time) return true;
+    if (!warms_up(s) || set_.fall_multiple <= 0) return true;
     if (now_ - born_ < set_.fall_time && *s.started < born_) return false;
     while (!s.cold_sent.empty() && s.cold_sent.front().first < now_ - set_.fall_time) s.cold_sent.pop_front();
     double age = std::max(0.0, now_ - set_.fall_time - *s.started) / set_.cold_time;
