--- a/include/pewterrill/coordinator.hpp
+++ b/include/pewterrill/coordinator.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -90,11 +91,19 @@
   std::optional<Millis> started{};  // absent: long ago
 };
 
+// How a call for the list failed.
+enum class CallEnd {
+  failed,   // somebody was there: it said no, broke off, or said nothing more
+  silent,   // no connection came up, and nothing says why
+  refused,  // the connection was refused: nobody could be asked in that moment
+  ended,    // the watch was ended in good order: all that there was to tell until then has come
+};
+
 // What discovery says. `complete`: servers not named are gone. `failed`: a call failed or the watch broke.
 struct ServerList {
   enum class Kind { cached, complete, changes, failed } kind = Kind::complete;
   std::vector<ServerEntry> servers{};
-  bool reached = true;  // failed: somebody was there to fail it
+  CallEnd end = CallEnd::failed;  // failed: how
 };
 
 // The watch wrote something, if only its empty line. Where this is never told, its silence means nothing.
@@ -141,6 +150,7 @@
   Millis elapsed = 0;
   bool part_closed = false;
   std::vector<double> report{};  // by Settings::report_fields; empty: none came
+  bool written = true;           // false: it never left the caller, and counts as no attempt of its part
 };
 
 // A part is held by other servers from now on, or by none for the time being (it waits). An attempt that is
@@ -202,6 +212,8 @@
   std::string part{};
   std::string server{};
   Millis timeout = 0;  // above 0
+  // Not to be written later than this, whatever it waits for; AttemptEnded with `unsent` then.
+  Millis send_by = std::numeric_limits<Millis>::infinity();
 };
 struct CancelAttempt {
   std::string part{};
--- a/src/app/ranges_command.cpp
+++ b/src/app/ranges_command.cpp
@@ -45,7 +45,7 @@
     take();
   }
   void ended() override {
-    parser_.ended();
+    parser_.ended(stream_->reset());
     take();
     if (fault_.empty()) fault_ = "the connection ended before the whole map was there";
     over_ = true;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -104,10 +104,24 @@
     held_ -= it->second.held;
     query_ends_.erase({it->second.spec.give_up_at, number});
     handle(QueryWithdrawn{std::to_string(number)});
+    recall_unsent(number);
     settle(number);
   });
 }
 
+// Guards against work for nobody: an attempt of which nothing is written yet goes no further, also where
+// one that runs may not be cancelled.
+void Exchange::recall_unsent(QueryNumber number) {
+  const QueryState& q = queries_.at(number);
+  for (std::size_t part = 0; q.out > 0 && part < q.parts.size(); ++part)
+    for (AttemptNumber attempt : q.parts[part].attempts) recall(attempt);
+}
+
+void Exchange::recall(AttemptNumber attempt) {
+  if (attempts_.count(attempt) && carrier_->recall(attempt))
+    attempt_ended(attempt, {.outcome = Outcome::unsent, .written = false});
+}
+
 // ---- Server side
 
 void Exchange::attempt_ended(AttemptNumber attempt, Result result) {
@@ -127,9 +141,9 @@
   inbox_.push_back([this] { handle(ListMoved{}); });
 }
 
-void Exchange::list(ServerList::Kind kind, const std::vector<Member>& members, bool reached) {
-  inbox_.push_back([this, kind, members, reached] {
-    ServerList e{kind, {}, reached};
+void Exchange::list(ServerList::Kind kind, const std::vector<Member>& members, CallEnd end) {
+  inbox_.push_back([this, kind, members, end] {
+    ServerList e{kind, {}, end};
     for (const Member& m : members) {
       auto [it, fresh] = servers_.try_emplace(m.entry.server);
       Member& held = it->second.member;
@@ -155,7 +169,15 @@
       servers_.erase(id);
     }
     ++lists_told_;
+    // Guards against a part that waits for its connection while its server begins to drain.
+    std::vector<AttemptNumber> waiting;
+    for (const auto& [attempt, state] : attempts_) {
+      auto it = servers_.find(state.server);
+      if (it == servers_.end() || it->second.member.entry.state != ServerState::ready)
+        waiting.push_back(attempt);
+    }
     handle(e);
+    for (AttemptNumber attempt : waiting) recall(attempt);
   });
 }
 
@@ -274,9 +296,14 @@
   attempt_ends_.insert({state.until, attempt});
   attempts_[attempt] = state;
   auto known = servers_.find(a.server);
-  if (known == servers_.end()) return attempt_ended(attempt, {.outcome = Outcome::unsent});
-  Order order{attempt, a.server, known->second.member.endpoint, {}, p.spec.shard, state.until, q.text, {},
-              0,       {}};
+  if (known == servers_.end()) return attempt_ended(attempt, {.outcome = Outcome::unsent, .written = false});
+  Order order{.attempt = attempt,
+              .server = a.server,
+              .endpoint = known->second.member.endpoint,
+              .shard = p.spec.shard,
+              .until = state.until,
+              .send_by = a.send_by,
+              .text = q.text};
   if (p.span) {
     order.span = p.span->planned.span;
     order.range = p.span->planned.range;
@@ -309,7 +336,7 @@
   else if (q.coverage && q.parts[a.part].span->held_back && open && !ok)
     holders(a.query, a.part, true);  // nothing more goes out under a plan that is void
   handle(AttemptEnded{part_id(a.query, a.part), a.count, a.server, r.outcome, clock_() - a.sent, ok || !open,
-                      report(r.load)});
+                      report(r.load), r.written});
   if (q.coverage) spans_settled(q, a, denies, r);
   settle(a.query);
 }
@@ -332,6 +359,7 @@
   query_ends_.erase({q.spec.give_up_at, number});
   Sink sink = std::exchange(q.sink, nullptr);
   sink(std::move(v));
+  recall_unsent(number);
   settle(number);
 }
 
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -78,6 +79,8 @@
   std::string part{};  // the query's name, a dot and the shard
   int shard = 0;
   Millis until = 0;  // the attempt is abandoned then
+  // Not to be written later than this: it would be a repeat out of time, or for a server that may drain.
+  Millis send_by = std::numeric_limits<Millis>::infinity();
   std::shared_ptr<const std::string> text{};
   // What is asked for where the span isn't empty: these accounts, as the map had them at this revision.
   ranges::Span span{};
@@ -90,6 +93,7 @@
   std::vector<std::string> values{};
   Load load{};
   std::shared_ptr<const ranges::NotMine> denial{};  // Outcome::not_mine
+  bool written = true;                              // false: its last byte never left here
 };
 
 // Guards against a connection that fell silent without a sign: its server is sound on a new one, and every
@@ -121,6 +125,9 @@
   virtual void launch(const Order& order) = 0;  // reports by attempt_ended(), never before it returns
   virtual void flush() = 0;                     // no more orders in this round
   virtual void abandon(AttemptNumber attempt) = 0;
+  // Takes back an attempt of which nothing has been written, without a word to anybody; false if something
+  // has.
+  virtual bool recall(AttemptNumber attempt) = 0;
   virtual void probe(const std::string& server, const std::string& endpoint) = 0;
   virtual void close_idle(const std::string& server) = 0;
   virtual void retire(const std::string& server) = 0;  // the process behind older connections is gone
@@ -175,8 +182,9 @@
   // Server side.
   void attempt_ended(AttemptNumber attempt, Result result);
   void probe_ended(const std::string& server, Outcome outcome, Millis elapsed, const Load& load);
-  // `reached`, of a call that failed: there was somebody to fail it.
-  void list(pewterrill::ServerList::Kind kind, const std::vector<Member>& members, bool reached = true);
+  // `end`, of a call that failed: how.
+  void list(pewterrill::ServerList::Kind kind, const std::vector<Member>& members,
+            pewterrill::CallEnd end = pewterrill::CallEnd::failed);
   void list_heard();  // the watch wrote something, if only its empty line
   void list_moved();  // the service is asked elsewhere from now on; the watch of before is void
   // The map from now on. Queries that are open are planned again where it touches them.
@@ -254,6 +262,8 @@
   void send(const pewterrill::SendPart& action);
   void finish_attempt(AttemptNumber attempt, Result result);
   void finish(QueryNumber number, Verdict verdict);
+  void recall_unsent(QueryNumber number);
+  void recall(AttemptNumber attempt);
   void settle(QueryNumber number);
   bool spans_ended(QueryState& query, const AttemptState& attempt, Result& result);
   void spans_settled(QueryState& query, const AttemptState& attempt, bool denies, const Result& result);
--- a/src/flight/flight_pool.cpp
+++ b/src/flight/flight_pool.cpp
@@ -69,12 +69,14 @@
                     {"content-type", "application/grpc"},
                     {"grpc-timeout", write_timeout(o.until - pool_.loop_.now())}};
     std::int32_t id = http2_.request(headers, frame_message(ticket.SerializeAsString()));
-    if (id < 0) return pool_.exchange_.attempt_ended(o.attempt, {.outcome = Outcome::unsent});
+    if (id < 0)
+      return pool_.exchange_.attempt_ended(o.attempt, {.outcome = Outcome::unsent, .written = false});
     Call& call = calls_[id];
     call.attempt = o.attempt;
     call.sent = pool_.loop_.now();
     call.shard = o.shard;
     call.span = o.span;
+    call.send_by = o.send_by;
     pool_.where_[o.attempt] = this;
     used_at_ = pool_.loop_.now();
   }
@@ -93,6 +95,14 @@
     http2_.pump();
   }
 
+  void recall(AttemptNumber attempt) {
+    std::erase_if(calls_, [&](const auto& c) {
+      if (c.second.attempt == attempt) http2_.reset(c.first, NGHTTP2_CANCEL);
+      return c.second.attempt == attempt;
+    });
+  }
+  bool up_once() const { return up_; }
+
   bool idle() const { return calls_.empty(); }
   bool idle_since(net::Millis when) const { return idle() && used_at_ <= when; }
   bool retired() const { return retired_; }
@@ -102,7 +112,19 @@
     http2_.close();
   }
 
-  void up() override { pool_.loop_.cancel(connect_timer_); }
+  void up() override {
+    up_ = true;
+    pool_.loop_.cancel(connect_timer_);
+    // Guards against a part that was chosen in time and is written too late.
+    std::vector<AttemptNumber> late;
+    for (const auto& [id, call] : calls_)
+      if (pool_.loop_.now() > call.send_by) late.push_back(call.attempt);
+    for (AttemptNumber attempt : late) {
+      pool_.where_.erase(attempt);
+      recall(attempt);
+      pool_.exchange_.attempt_ended(attempt, {.outcome = Outcome::unsent, .written = false});
+    }
+  }
 
   void head(std::int32_t id, const Headers& headers) override {
     silence_.heard(pool_.loop_.now());
@@ -161,7 +183,7 @@
         outcome = !written ? Outcome::unsent : blamed ? Outcome::cancelled : Outcome::error;
       blamed = blamed || written;
       pool_.where_.erase(call.attempt);
-      pool_.exchange_.attempt_ended(call.attempt, {.outcome = outcome});
+      pool_.exchange_.attempt_ended(call.attempt, {.outcome = outcome, .written = written});
     }
     calls_.clear();
     pool_.drop(*this);
@@ -172,7 +194,7 @@
  private:
   struct Call {
     AttemptNumber attempt = 0;
-    net::Millis sent = 0;
+    net::Millis sent = 0, send_by = 0;
     int shard = 0;
     ranges::Span span;
     Layout layout() const { return span.empty() ? Layout::shards : Layout::spans; }
@@ -223,7 +245,7 @@
   std::map<std::int32_t, Call> calls_;
   net::Millis used_at_;
   core::Silence silence_;
-  bool retired_ = false;
+  bool retired_ = false, up_ = false;
 };
 
 FlightPool::FlightPool(net::Loop& loop, core::Exchange& exchange, NodeLimits limits)
@@ -242,7 +264,7 @@
     if (!room && c->takes(order)) room = c.get();
   if (!room) room = open(order);
   if (room) return room->add(order);
-  exchange_.attempt_ended(order.attempt, {.outcome = Outcome::unsent});
+  exchange_.attempt_ended(order.attempt, {.outcome = Outcome::unsent, .written = false});
 }
 
 FlightPool::Connection* FlightPool::open(const core::Order& order) {
@@ -279,6 +301,16 @@
   c->abandon(attempt);
 }
 
+// What waits for its connection is still whole in the codec, which drops it.
+bool FlightPool::recall(AttemptNumber attempt) {
+  auto it = where_.find(attempt);
+  if (it == where_.end() || it->second->up_once()) return false;
+  Connection* c = it->second;
+  where_.erase(it);
+  c->recall(attempt);
+  return true;
+}
+
 // Flight has no call that asks only for load; answers carry it.
 void FlightPool::probe(const std::string& server, const std::string&) {
   exchange_.probe_ended(server, Outcome::unsent, 0, {});
--- a/src/flight/flight_pool.hpp
+++ b/src/flight/flight_pool.hpp
@@ -27,6 +27,7 @@
   void launch(const core::Order& order) override;
   void flush() override;
   void abandon(core::AttemptNumber attempt) override;
+  bool recall(core::AttemptNumber attempt) override;
   void probe(const std::string& server, const std::string& endpoint) override;
   void close_idle(const std::string& server) override;
   void retire(const std::string& server) override;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -26,11 +26,12 @@
       ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&bound), &size) < 0)
     throw std::system_error(errno, std::generic_category(), "listen");
   port_ = ntohs(bound.sin_port);
-  loop_.add(fd_.get(), POLLIN, [this](short) { accept_all(); });
+  loop_.add(fd_.get(), POLLIN, [this](short) { accept_now(); });
 }
 
-void Listener::accept_all() {
-  for (int i = 0; i < 64 && fd_; ++i) {
+void Listener::accept_now() {
+  paused_ = false;
+  for (int i = 0; i < 64 && fd_ && !paused_; ++i) {
     UniqueFd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
       accepted_(std::move(fd));
@@ -53,6 +54,7 @@
 
 void Listener::pause(Millis time) {
   if (!fd_) return;
+  paused_ = true;
   loop_.set_events(fd_.get(), 0);
   loop_.cancel(resume_);
   resume_ = loop_.at(loop_.now() + time, [this] { loop_.set_events(fd_.get(), POLLIN); });
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -14,6 +14,11 @@
 
 Loop::Loop() : offset_(read<std::chrono::system_clock>() - read<std::chrono::steady_clock>()) {}
 
+Loop::~Loop() {
+  auto timers = std::exchange(timers_, {});
+  auto deferred = std::exchange(deferred_, {});
+}
+
 Millis Loop::now() const { return read<std::chrono::steady_clock>() + offset_; }
 
 TimerId Loop::at(Millis when, std::function<void()> run) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -18,6 +18,7 @@
 class Loop {
  public:
   Loop();
+  ~Loop();  // what timers and deferred work hold may still call the loop as it goes
 
   // Unix time in milliseconds at the loop's start, carried on by the steady clock: it compares with the times
   // that discovery tells and never steps back.
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -10,8 +10,11 @@
 constexpr net::Millis kStandIdle = 120000;   // ms between requests where there is room ...
 constexpr net::Millis kMayClose = 2000;      // ... and where it is getting short
 constexpr net::Millis kSpare = 250;          // ms idle: in the way of a newcomer where room is short
-constexpr net::Millis kLinger = 1000;  // ms for a client to read its last answer, while more comes from it
-constexpr net::Millis kFresh = 100;    // ms in which a request may still be on its way behind a connection
+constexpr net::Millis kLinger = 1000;  // ms from our end of a connection to the client's, while more comes
+// Bytes behind a request that is open, from which on all of it is dropped: one whole request fits. Guards
+// against a client that sends much at once and goes: its end stands behind what nobody reads.
+constexpr std::size_t kBehindMost = kHeadMost + kBodyMost;
+constexpr net::Millis kFresh = 100;  // ms in which a request may still be on its way behind a connection
 constexpr net::Millis kSweep = 200;
 constexpr net::Millis kCrowded = 5;          // ms without accepting while every connection has a query open
 constexpr net::Millis kListedEvery = 10000;  // ms, and of a flood of bad requests ...
@@ -28,11 +31,12 @@
   void look() { stream_->read_now(); }
 
   void received(std::string& in) override {
-    // What comes behind a last answer is read and dropped: a close that leaves it unread would reset the
-    // connection, and the client would never see the answer.
-    if (closing_) return in.clear();
     // One request at a time: what follows waits in the buffer until this one is answered.
-    if (query_ != 0) return;
+    if (query_ != 0) {
+      overrun_ = overrun_ || in.size() > kBehindMost;
+      if (overrun_) in.clear();
+      return;
+    }
     bool fresh = !parser_.begun();
     parser_.feed(in);
     if (fresh && parser_.begun()) {
@@ -61,9 +65,6 @@
 
   void drained() override {
     if (query_ == 0 && !parser_.begun()) since_ = front_.loop_.now();
-    if (!closing_) return;
-    stream_->finish();
-    lingering_ = true;
   }
   void ended() override {
     if (query_ != 0) front_.exchange_.withdraw(query_);
@@ -72,24 +73,19 @@
   }
 
   // Between requests. One that has not asked yet is about to, or goes when its time for that is over.
-  bool used_and_idle() const {
-    return asked_ && query_ == 0 && !closing_ && !parser_.begun() && stream_->unsent() == 0;
-  }
+  bool used_and_idle() const { return asked_ && query_ == 0 && !parser_.begun() && stream_->unsent() == 0; }
   // Which goes first where another one needs the place; 0: none of it.
   int worth_shedding(net::Millis now, bool full) const {
-    if (lingering_) return 4;
     if (query_ != 0 || stream_->unsent() > 0) return 0;
     if (!asked_) return now - since_ > kFresh ? 3 : full ? 1 : 0;
     return parser_.begun() || (!full && now - since_ < kSpare) ? 0 : 2;
   }
-  bool busy() const { return query_ != 0 || stream_->unsent() > 0; }
   void check(net::Millis now) {
     if (query_ != 0) return;
-    if (lingering_ || stream_->unsent() > 0 || (asked_ && !parser_.begun())) {
-      if (now - since_ > (lingering_ ? kLinger : stream_->unsent() > 0 ? kSlowReader : front_.stand_idle()))
-        front_.drop(*this);
+    if (stream_->unsent() > 0 || (asked_ && !parser_.begun())) {
+      if (now - since_ > (stream_->unsent() > 0 ? kSlowReader : front_.stand_idle())) front_.end(*this);
     } else if (now > due_) {
-      if (!parser_.begun()) return front_.drop(*this);
+      if (!parser_.begun()) return front_.end(*this);
       turn_away(408, "a request that does not end");
     }
   }
@@ -99,6 +95,11 @@
     release();
     stream_->close();
   }
+  // Nothing is owed any more, or what is owed is written.
+  std::shared_ptr<net::Stream> linger() {
+    stream_->linger(kSlowReader, kLinger);
+    return stream_;
+  }
 
  private:
   void serve(const HttpMessage& m) {
@@ -124,7 +125,7 @@
     id_ = d.query.id;
     query_ = front_.exchange_.submit(std::move(d.query), [this, keep](core::Verdict v) {
       release();
-      bool still = keep && !front_.last_answers_;
+      bool still = keep && !overrun_ && !front_.last_answers_;
       reply(verdict_answer(v, still), still);
     });
   }
@@ -142,9 +143,8 @@
 
   void reply(const std::string& bytes, bool keep) {
     since_ = front_.loop_.now();
-    closing_ = !keep;
     stream_->write(bytes);
-    if (keep) stream_->show_again();
+    keep ? stream_->show_again() : front_.end(*this);
   }
 
   ClientFront& front_;
@@ -154,7 +154,7 @@
   std::string id_;
   net::Millis since_;  // of the state it is in
   net::Millis due_;    // when the request that is awaited or half there must be whole
-  bool asked_ = false, closing_ = false, lingering_ = false, continued_ = false;
+  bool asked_ = false, continued_ = false, overrun_ = false;
 };
 
 ClientFront::ClientFront(net::Loop& loop, core::Exchange& exchange, const sockaddr_in& address,
@@ -194,20 +194,26 @@
   c->look();
   // Within our descriptors: one that only stands there may be closed between requests; else no more are
   // taken.
-  bool full = connections_.size() >= most_;
-  if ((full || connections_.size() > roomy()) && !shed(full) && full) listener_->pause(kCrowded);
+  bool full = connections() >= most_;
+  if (full || connections() > roomy()) shed(full);
+  // What was shed lingers for a moment, and holds its descriptor until then.
+  if (connections() >= most_ && listener_) listener_->pause(kCrowded);
+}
+
+void ClientFront::stop_listening() {
+  if (listener_) listener_->accept_now();
+  listener_.reset();
 }
 
 // Guards against clients that ask once and hold their connection for good: clients have a share of
 // descriptors as we have, and once those hold all of it no other finds a connection, though we could take
 // more.
-net::Millis ClientFront::stand_idle() const {
-  return connections_.size() > roomy() / 2 ? kMayClose : kStandIdle;
-}
+net::Millis ClientFront::stand_idle() const { return connections() > roomy() / 2 ? kMayClose : kStandIdle; }
 
-// Those that have their last answer first, then those that never asked, then the one idle for longest.
-bool ClientFront::shed(bool full) {
+// What lingers first, then those that never asked, then the one idle for longest.
+void ClientFront::shed(bool full) {
   net::Millis now = loop_.now();
+  if (lingering_.close_oldest()) return;
   std::shared_ptr<Connection> best;
   int most = 0;
   for (const auto& c : connections_) {
@@ -217,8 +223,15 @@
       most = worth;
     }
   }
-  if (best) drop(*best);
-  return static_cast<bool>(best);
+  if (best) end(*best);
+}
+
+// Guards against an answer that is lost with its connection, and a request that crosses the end of one.
+void ClientFront::end(Connection& connection) {
+  auto c = connection.shared_from_this();
+  if (connections_.erase(c) == 0) return;
+  lingering_.add(c->linger());
+  loop_.bury(std::move(c));
 }
 
 void ClientFront::list_bad(int status, const std::string& why) {
@@ -238,14 +251,10 @@
   for (const auto& c : copy)
     if (c->used_and_idle()) c->look();
   for (const auto& c : copy)
-    if (c->used_and_idle()) drop(*c);
+    if (c->used_and_idle()) end(*c);
 }
 
-bool ClientFront::busy() const {
-  for (const auto& c : connections_)
-    if (c->busy()) return true;
-  return false;
-}
+bool ClientFront::busy() const { return connections() > 0; }
 
 void ClientFront::sweep() {
   net::Millis now = loop_.now();
--- a/src/platform/client_front.hpp
+++ b/src/platform/client_front.hpp
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "core/exchange.hpp"
-#include "net/stream.hpp"
+#include "net/lingering.hpp"
 #include "platform/request.hpp"
 
 namespace winchhall::platform {
@@ -30,16 +30,17 @@
   void shards(int count) { names_.shards = count; }  // of other settings
   void listen();
   bool listens() const { return listener_ != nullptr; }
-  void stop_listening() { listener_.reset(); }
-  bool busy() const;  // a request is unanswered, or bytes of an answer wait
+  void stop_listening();
+  bool busy() const;  // a connection is there, if only to its client's end
   int port() const { return listener_ ? listener_->port() : 0; }
-  std::size_t connections() const { return connections_.size(); }
+  std::size_t connections() const { return connections_.size() + lingering_.size(); }
 
  private:
   class Connection;
   void accept(net::UniqueFd fd);
-  void drop(Connection& connection);
-  bool shed(bool full);
+  void drop(Connection& connection);  // its client has ended it
+  void end(Connection& connection);   // we do
+  void shed(bool full);
   net::Millis stand_idle() const;
   std::size_t roomy() const { return most_ * 5 / 8; }  // above it, room is made
   void list_bad(int status, const std::string& why);
@@ -52,6 +53,7 @@
   std::function<bool()> ready_;
   bool last_answers_ = false;
   std::set<std::shared_ptr<Connection>> connections_;
+  mutable net::Lingering lingering_{loop_};
   std::set<std::string> live_ids_;
   net::TimerId sweep_{};
   int bad_ = 0;  // requests since listed_at_
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -6,6 +6,7 @@
 
 namespace winchhall::platform {
 namespace {
+using pewterrill::CallEnd;
 using Kind = pewterrill::ServerList::Kind;
 // ms until a call's first line: a call waits in its turn for 2 s at the most before the service fails it.
 constexpr net::Millis kFirstAnswer = 2200;
@@ -45,7 +46,10 @@
   void ended() override {
     // Before the head was written nobody is there, or nobody takes us in; after that it hung up.
     const char* how = !asked_ ? "no connection" : answered_ ? "the watch ended" : "closed without an answer";
-    parser_.ended();
+    if (!asked_) refused_ = stream_->refused();
+    // Half a line is half of what there was to tell.
+    ended_ = answered_ && !stream_->reset() && cutter_.held() == 0;
+    parser_.ended(stream_->reset());
     finish(how);
   }
 
@@ -66,7 +70,9 @@
       if (stream_->open()) owner_.loop_.cancel(timer_);
     }
     if (cutter_.held() > kLineMost) return owner_.over(*this, "a list too long");
-    if (stream_->open() && parser_.done()) finish("the watch ended");
+    if (!stream_->open() || !parser_.done()) return;
+    ended_ = answered_ && cutter_.held() == 0;
+    finish("the watch ended");
   }
   void finish(const std::string& how) {
     if (!watch_ && parser_.done()) owner_.told(*this, whole_ + parser_.message().body);
@@ -88,7 +94,7 @@
   ObjectCutter cutter_;
   net::TimerId timer_{};
   net::Millis timed_ = 0, begun_at_ = owner_.loop_.now();
-  bool asked_ = false;
+  bool asked_ = false, refused_ = false, ended_ = false;
 
   friend class Discovery;
 };
@@ -147,11 +153,14 @@
   auto& slot = call.watch_call() ? watching_ : fetching_;
   if (slot.get() != &call) return;
   net::Millis lasted = loop_.now() - call.begun_at_;
-  bool reached = call.asked_;
+  CallEnd end = call.ended_     ? CallEnd::ended
+                : call.asked_   ? CallEnd::failed
+                : call.refused_ ? CallEnd::refused
+                                : CallEnd::silent;
   stop(slot);
   if (why.empty()) return;
   spdlog::warn("discovery call failed: {}, after {:.0f} ms", why, lasted);
-  exchange_.list(Kind::failed, {}, reached);
+  exchange_.list(Kind::failed, {}, end);
 }
 
 void Discovery::told(Call& call, const std::string& text) {
--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -192,8 +192,8 @@
   state_ = mode_ == Mode::request ? State::done : State::until_close;
 }
 
-void HttpParser::ended() {
-  if (state_ == State::until_close)
+void HttpParser::ended(bool reset) {
+  if (state_ == State::until_close && !reset)
     state_ = State::done;
   else if (state_ != State::done)
     fail(400);
--- a/src/platform/http.hpp
+++ b/src/platform/http.hpp
@@ -38,7 +38,8 @@
   bool failed() const { return state_ == State::failed; }
   bool head_done() const { return state_ != State::head && state_ != State::failed; }
   bool begun() const { return begun_; }
-  void ended();                         // the connection ended: completes a body that lasts until then
+  // The connection ended: that completes a body that lasts until then, but a reset is no end.
+  void ended(bool reset);
   int error() const { return error_; }  // the status that a failed request is answered with
   HttpMessage& message() { return message_; }
   void reset() { *this = HttpParser(mode_); }
--- a/src/platform/leaf_pool.cpp
+++ b/src/platform/leaf_pool.cpp
@@ -3,11 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
-#include <deque>
 
-#include "platform/frames.hpp"
-#include "platform/range_words.hpp"
+#include "platform/leaf_connection.hpp"
 
 namespace winchhall::platform {
 
@@ -15,238 +12,11 @@
 using core::Outcome;
 
 namespace {
-constexpr double kIdleShare = 0.8;            // of the leaf's idle time: we close first
-constexpr std::size_t kOutMost = 256 * 1024;  // bytes serialized ahead of a leaf that reads slowly
-constexpr net::Millis kSweep = 1000;          // ms between looks for idle connections
-constexpr net::Millis kWholeFrame = 250;      // ms from a frame's first byte until it must be there whole
-constexpr std::size_t kGivenUpMost = 256;  // names remembered of given-up parts before a connection retires
+constexpr double kIdleShare = 0.8;        // of the leaf's idle time: we close first
+constexpr net::Millis kSweep = 1000;      // ms between looks for idle connections
+constexpr std::size_t kComingUpMost = 3;  // connections to one server that come up at once, beside late ones
 }  // namespace
 
-class LeafPool::Connection : public net::Stream::Owner {
- public:
-  Connection(LeafPool& pool, std::string server, std::string endpoint)
-      : server_(std::move(server)), endpoint_(std::move(endpoint)), pool_(pool), used_at_(pool.loop_.now()) {}
-
-  bool begin() {
-    auto to = net::parse_address(endpoint_);
-    int error = 0;
-    if (to) stream_ = net::Stream::connect(pool_.loop_, *to, *this, error);
-    if (!stream_) {
-      spdlog::warn("no socket for {} at {}: errno {}", server_, endpoint_, error);
-      return false;
-    }
-    // Guards against a machine that is cut off: its side of the connection never comes up, without a sign.
-    connect_timer_ = pool_.loop_.at(pool_.loop_.now() + pool_.limits_.connect_timeout, [this] {
-      connect_timer_ = {};
-      spdlog::debug("no connection to {} in time", server_);
-      ended();
-    });
-    return true;
-  }
-
-  void add(Call call) {
-    for (const core::Order& o : call) {
-      live_[o.attempt] = {o.part, 0, 0, !o.span.empty()};
-      by_part_[o.part] = o.attempt;
-      pool_.where_[o.attempt] = this;
-    }
-    waiting_.push_back(std::move(call));
-    used_at_ = pool_.loop_.now();
-    pump();
-  }
-
-  void abandon(AttemptNumber attempt) {
-    auto it = live_.find(attempt);
-    if (it == live_.end()) return;
-    if (it->second.frame_end > 0) {
-      by_part_[it->second.part] = 0;  // its answer may still come, and means nothing then
-      silence_.given_up(it->second.written_at, pool_.loop_.now());
-      if (silence_.silent() && !std::exchange(retired_, true))
-        spdlog::debug("a connection to {} is silent, not used again", server_);
-      // Guards against names kept for ever: not every leaf answers what was given up.
-      if (by_part_.size() - live_.size() > kGivenUpMost) retired_ = true;
-      stream_->write(make_frame('K', it->second.part));
-    } else {
-      by_part_.erase(it->second.part);
-      for (Call& call : waiting_) std::erase_if(call, [&](const auto& o) { return o.attempt == attempt; });
-    }
-    live_.erase(it);
-    used_at_ = pool_.loop_.now();
-  }
-
-  void probe() {
-    probes_.push_back(pool_.loop_.now());
-    stream_->write(make_frame('U', ""));
-  }
-
-  bool takes(const core::Order& order, std::size_t parts) const {
-    return !retired_ && server_ == order.server && endpoint_ == order.endpoint && stream_->open() &&
-           live_.size() + parts <= pool_.limits_.streams && !by_part_.count(order.part);
-  }
-  bool idle() const { return live_.empty() && probes_.empty(); }
-  bool idle_since(net::Millis when) const { return idle() && used_at_ <= when; }
-  void retire() { retired_ = true; }
-  bool retired() const { return retired_; }
-  std::size_t live() const { return live_.size(); }
-  void close() {
-    pool_.loop_.cancel(connect_timer_);
-    pool_.loop_.cancel(frame_timer_);
-    if (stream_) stream_->close();
-  }
-
-  void connected() override {
-    pool_.loop_.cancel(connect_timer_);
-    pump();
-  }
-  void drained() override { pump(); }
-
-  void received(std::string& in) override {
-    silence_.heard(pool_.loop_.now());
-    bool bad = false;
-    while (auto frame = take_frame(in, bad)) {
-      pool_.loop_.cancel(frame_timer_);
-      used_at_ = pool_.loop_.now();
-      if (frame->letter == 'O') {
-        auto answer = read_answer(frame->rest);
-        if (!answer || (answer->end == kNotMine && !(pool_.limits_.spans && asked_for_span(answer->part))))
-          return refuse("an answer that cannot be read", frame->rest.substr(0, frame->rest.find(' ')));
-        // Guards against waiting for an answer that has come under another name: the leaf sends no second.
-        if (!take(*answer) && !idle()) return refuse("an answer to nothing that it was asked");
-      } else if ((frame->letter == 'U' || frame->letter == 'I') && !probes_.empty()) {
-        bool ok = frame->rest.substr(0, 3) != "500";
-        pool_.exchange_.probe_ended(server_, ok ? Outcome::ok : Outcome::error, used_at_ - probes_.front(),
-                                    read_load(frame->rest));
-        probes_.pop_front();
-      } else {
-        if (frame->letter == 'Z') return complain(frame->rest);
-        return refuse("a frame of no known kind");
-      }
-    }
-    if (bad && !idle()) return refuse("what can be no frame");
-    // Guards against bytes behind a good answer that would be read as the front of a later one's frame.
-    if (!in.empty() && idle()) {
-      spdlog::debug("leaf {} sent more than belongs to its answers", server_);
-      return pool_.drop(*this);
-    }
-    // Guards against a length that does not fit: the rest never comes, and what follows would be taken for
-    // it.
-    if (in.empty()) pool_.loop_.cancel(frame_timer_);
-    if (!in.empty() && frame_timer_ == net::TimerId{})
-      frame_timer_ = pool_.loop_.at(pool_.loop_.now() + kWholeFrame, [this] {
-        frame_timer_ = {};
-        refuse("a frame that does not end");
-      });
-  }
-
-  void complain(const std::string& words) {
-    spdlog::warn("leaf {} could not use a frame: {}", server_, words.substr(0, 200));
-    ended();
-  }
-
-  void ended() override {
-    close();
-    // What was not written whole never ran; whatever was out after that may have.
-    for (const auto& [attempt, state] : std::exchange(live_, {})) {
-      bool written = state.frame_end > 0 && state.frame_end <= stream_->flushed();
-      pool_.where_.erase(attempt);
-      pool_.exchange_.attempt_ended(attempt, {.outcome = written ? Outcome::reset : Outcome::connect_failed});
-    }
-    for (net::Millis sent : std::exchange(probes_, {}))
-      pool_.exchange_.probe_ended(server_, Outcome::reset, pool_.loop_.now() - sent, {});
-    pool_.drop(*this);
-  }
-
-  const std::string server_, endpoint_;
-
- private:
-  struct Live {
-    std::string part;
-    std::uint64_t frame_end;  // where its frame ends in all that was ever queued here; 0: not serialized
-    net::Millis written_at;
-    bool span;  // a part of a span, which its leaf may say not to have
-  };
-
-  bool asked_for_span(const std::string& part) const {
-    auto it = by_part_.find(part);
-    if (it == by_part_.end() || it->second == 0) return true;  // given up: nothing is taken from it
-    return live_.at(it->second).span;
-  }
-
-  void pump() {
-    while (stream_->open() && !stream_->connecting() && !waiting_.empty() && stream_->unsent() < kOutMost) {
-      Call call = std::move(waiting_.front());
-      waiting_.pop_front();
-      if (call.empty()) continue;
-      std::string lines;
-      for (const core::Order& o : call) {
-        double wait = std::max(1.0, std::floor(o.until - pool_.loop_.now()));
-        lines += o.span.empty() ? part_lines(o.part, o.shard, static_cast<long long>(wait), *o.text)
-                                : span_lines(o.part, o, static_cast<long long>(wait));
-      }
-      std::string frame = make_frame('D', lines);
-      for (const core::Order& o : call) {
-        live_[o.attempt].frame_end = stream_->queued() + frame.size();
-        live_[o.attempt].written_at = pool_.loop_.now();
-      }
-      stream_->write(frame);
-    }
-  }
-
-  // False if nothing of that name is out here.
-  bool take(PartAnswer& answer) {
-    auto it = by_part_.find(answer.part);
-    if (it == by_part_.end()) return false;
-    AttemptNumber attempt = it->second;
-    by_part_.erase(it);
-    if (attempt == 0) return true;
-    live_.erase(attempt);
-    pool_.where_.erase(attempt);
-    core::Result r;
-    r.outcome = answer.end == 200        ? Outcome::ok
-                : answer.end == 503      ? Outcome::full
-                : answer.end == kNotMine ? Outcome::not_mine
-                                         : Outcome::error;
-    if (r.outcome == Outcome::not_mine)
-      r.denial = std::make_shared<const ranges::NotMine>(read_denial(answer.value));
-    if (r.outcome == Outcome::ok) r.values.push_back(std::move(answer.value));
-    r.load = answer.load;
-    pool_.exchange_.attempt_ended(attempt, std::move(r));
-    return true;
-  }
-
-  // Nothing more can be read here, though the leaf is sound: one answer is spoilt. Guards against taking it
-  // for a fallen server, which would set the leaf aside and cost far more than the parts on this connection.
-  // The part whose answer it was ends with an error, or the oldest where that can't be told; the others are
-  // only taken from here.
-  void refuse(const std::string& what, const std::string& part = "") {
-    spdlog::warn("leaf {} sent {}", server_, what);
-    close();
-    auto named = by_part_.find(part);
-    AttemptNumber spoilt = named != by_part_.end() ? named->second : 0;
-    for (const auto& [attempt, state] : std::exchange(live_, {})) {
-      bool written = state.frame_end > 0 && state.frame_end <= stream_->flushed();
-      if (spoilt == 0 && written) spoilt = attempt;
-      Outcome outcome = !written ? Outcome::unsent : attempt == spoilt ? Outcome::error : Outcome::cancelled;
-      pool_.where_.erase(attempt);
-      pool_.exchange_.attempt_ended(attempt, {.outcome = outcome});
-    }
-    for (net::Millis sent : std::exchange(probes_, {}))
-      pool_.exchange_.probe_ended(server_, Outcome::error, pool_.loop_.now() - sent, {});
-    pool_.drop(*this);
-  }
-
-  LeafPool& pool_;
-  std::shared_ptr<net::Stream> stream_;
-  net::TimerId connect_timer_{}, frame_timer_{};
-  std::deque<Call> waiting_;
-  std::map<AttemptNumber, Live> live_;
-  std::unordered_map<std::string, AttemptNumber> by_part_;  // 0: given up, answer not seen
-  std::deque<net::Millis> probes_;
-  net::Millis used_at_;
-  core::Silence silence_;
-  bool retired_ = false;
-};
-
 LeafPool::LeafPool(net::Loop& loop, core::Exchange& exchange, LeafLimits limits)
     : loop_(loop), exchange_(exchange), limits_(limits) {
   sweep();
@@ -274,18 +44,29 @@
   if (!c) c = open(call.front().server, call.front().endpoint);
   if (c) return c->add(std::move(call));
   // Out of descriptors, or of the connections we allow ourselves: nothing was sent.
-  for (const core::Order& o : call) exchange_.attempt_ended(o.attempt, {.outcome = Outcome::unsent});
+  for (const core::Order& o : call)
+    exchange_.attempt_ended(o.attempt, {.outcome = Outcome::unsent, .written = false});
 }
 
+// One that is up before one that still comes up; of those the fullest that has room: spare connections fall
+// idle and close.
 LeafPool::Connection* LeafPool::room(const core::Order& first, std::size_t parts) {
-  Connection* best = nullptr;  // the fullest that has room: spare connections fall idle and close
-  for (auto& c : connections_)
-    if (c->takes(first, parts) && (!best || c->live() > best->live())) best = c.get();
-  return best;
+  for (;;) {
+    Connection* best = nullptr;
+    for (auto& c : connections_)
+      if (c->takes(first, parts) &&
+          (!best || std::pair(c->up(), c->live()) > std::pair(best->up(), best->live())))
+        best = c.get();
+    if (!best || !best->up() || !best->idle()) return best;
+    // Guards against a part written to a connection that its leaf has closed as idle: it may have run then,
+    // as far as anybody can tell.
+    best->look();
+    if (best->takes(first, parts)) return best;
+  }
 }
 
 LeafPool::Connection* LeafPool::open(const std::string& server, const std::string& endpoint) {
-  if (connections_.size() >= limits_.connections) {
+  if (connections() >= limits_.connections && !lingering_.close_oldest()) {
     auto idle = std::find_if(connections_.begin(), connections_.end(), [](auto& c) { return c->idle(); });
     if (idle == connections_.end()) return nullptr;
     drop(**idle);
@@ -296,22 +77,64 @@
   return c.get();
 }
 
+bool LeafPool::has_up(const Connection& beside) const {
+  return std::any_of(connections_.begin(), connections_.end(), [&](const auto& c) {
+    return c.get() != &beside && c->goes_to(beside.server(), beside.endpoint()) && c->up() && !c->retired();
+  });
+}
+
+void LeafPool::open_beside(Connection& late) {
+  auto coming = std::count_if(connections_.begin(), connections_.end(), [&](const auto& c) {
+    return c->goes_to(late.server(), late.endpoint()) && !c->up();
+  });
+  // Never by closing another: it is only for speed.
+  if (static_cast<std::size_t>(coming) < kComingUpMost && connections() < limits_.connections)
+    open(late.server(), late.endpoint());
+}
+
+// What waits for others that still come up goes out on this one, as far as it has room.
+void LeafPool::came_up(Connection& first) {
+  auto copy = connections_;
+  for (auto& c : copy) {
+    if (c.get() == &first || c->up() || !c->goes_to(first.server(), first.endpoint())) continue;
+    for (Call& call : c->take_waiting()) {
+      bool fits = std::all_of(call.begin(), call.end(),
+                              [&](const core::Order& o) { return first.takes(o, call.size()); });
+      (fits ? first : *c).add(std::move(call));
+    }
+    if (c->idle()) drop(*c);  // nothing needs it any more
+  }
+}
+
 void LeafPool::drop(Connection& connection) {
-  connection.close();
   auto it =
       std::find_if(connections_.begin(), connections_.end(), [&](auto& c) { return c.get() == &connection; });
   if (it == connections_.end()) return;
+  connection.retire();
+  lingering_.add(connection.linger());
   loop_.bury(std::move(*it));
   connections_.erase(it);
 }
 
+bool LeafPool::recall(AttemptNumber attempt) {
+  std::size_t gathered = 0;
+  for (auto& [server, orders] : gathered_)
+    gathered += std::erase_if(orders, [&](auto& o) { return o.attempt == attempt; });
+  if (gathered > 0) return true;
+  auto it = where_.find(attempt);
+  if (it == where_.end() || !it->second->recall(attempt)) return false;
+  where_.erase(it);
+  return true;
+}
+
 void LeafPool::abandon(AttemptNumber attempt) {
   for (auto& [server, orders] : gathered_)
     std::erase_if(orders, [&](auto& o) { return o.attempt == attempt; });
   auto it = where_.find(attempt);
   if (it == where_.end()) return;
-  it->second->abandon(attempt);
+  Connection* c = it->second;
   where_.erase(it);
+  c->abandon(attempt);
 }
 
 void LeafPool::probe(const std::string& server, const std::string& endpoint) {
@@ -325,12 +148,12 @@
 void LeafPool::close_idle(const std::string& server) {
   auto copy = connections_;
   for (auto& c : copy)
-    if (c->server_ == server && c->idle()) drop(*c);
+    if (c->server() == server && c->idle()) drop(*c);
 }
 
 void LeafPool::retire(const std::string& server) {
   for (auto& c : connections_)
-    if (c->server_ == server) c->retire();
+    if (c->server() == server) c->retire();
   close_idle(server);
 }
 
--- a/src/platform/leaf_pool.hpp
+++ b/src/platform/leaf_pool.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "core/exchange.hpp"
-#include "net/stream.hpp"
+#include "net/lingering.hpp"
 
 namespace winchhall::platform {
 
@@ -30,10 +30,11 @@
   void flush() override;
   void abandon(core::AttemptNumber attempt) override;
   void probe(const std::string& server, const std::string& endpoint) override;
+  bool recall(core::AttemptNumber attempt) override;
   void close_idle(const std::string& server) override;
   void retire(const std::string& server) override;
 
-  std::size_t connections() const { return connections_.size(); }
+  std::size_t connections() const { return connections_.size() + lingering_.size(); }
   void limit(const LeafLimits& limits) { limits_ = limits; }  // from the next call on
 
  private:
@@ -42,6 +43,9 @@
   void place(Call call);
   Connection* room(const core::Order& first, std::size_t parts);
   Connection* open(const std::string& server, const std::string& endpoint);
+  bool has_up(const Connection& beside) const;
+  void open_beside(Connection& late);
+  void came_up(Connection& first);
   void drop(Connection& connection);
   void sweep();
 
@@ -51,6 +55,7 @@
   std::map<std::string, Call> gathered_;  // by server, this round
   std::unordered_map<core::AttemptNumber, Connection*> where_;
   std::vector<std::shared_ptr<Connection>> connections_;
+  mutable net::Lingering lingering_{loop_};
   net::TimerId sweep_{};
 };
 
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -1,8 +1,7 @@
-// Every decision of pewterrill. The interface is include/pewterrill/coordinator.hpp.
-//
-// Ordinary path (docs/design.md): on arrival, parts are placed largest hint first, each on the replica of its
-// shard with the smallest (own outstanding hinted cost + reported load + this part), ties at random.
-// Everything else here departs from that path only under the condition stated where it stands.
+// Every decision of pewterrill; the interface is include/pewterrill/coordinator.hpp. Ordinary path
+// (docs/design.md): on arrival, parts are placed largest hint first, each on the replica of its shard with
+// the smallest (own outstanding hinted cost + reported load + this part), ties at random. All else departs
+// from that only under the condition stated where it stands.
 
 #include "policy/queries.hpp"
 
@@ -104,6 +103,7 @@
     bool never_ran = e.outcome == Outcome::full || e.outcome == Outcome::connect_failed ||
                      e.outcome == Outcome::unsent || e.outcome == Outcome::not_mine;
     if (e.outcome == Outcome::not_mine) a.denied = servers_[a.server].last_answer = now_;
+    if (!e.written && p.unwritten < p.most) ++p.unwritten, --p.used;  // Rule: these are no attempts
     if (!never_ran) p.first_maybe = std::min(p.first_maybe, a.sent);
     judge(servers_[a.server], e.outcome, a, q.query_class, p.hint);
     if (q.ended) return;
@@ -122,8 +122,8 @@
     settle(p.query);
   }
 
-  // Guards against a query that brings down every server it reaches. Once several fell, its parts go one at a
-  // time; it is condemned, with its subject, when another falls or nothing came back. Bystanders lose a try.
+  // Guards against a query that fells every server it reaches. Once several fell, its parts go one at a time;
+  // it is condemned, with its subject, when another falls or nothing came back.
   bool fells_servers(Query& q, Part& p, int server) {
     q.fell.insert(server);
     bool many = q.fell.size() >= kFellMany;
@@ -148,8 +148,7 @@
     quiet_after_ = 0;
     for (std::size_t c = 0; c < set_.classes.size(); ++c)
       quiet_after_ = std::max(quiet_after_, patience(static_cast<int>(c)));
-    // Departure: what is known of a server lasts longer where this broker seldom hears of it, or it would be
-    // forgotten before the next part. 1 where each server answers once a second.
+    // Departure: what is known of a server lasts longer where it is seldom heard of; 1: once a second.
     double ready = 0;
     std::vector<double> paces;
     for (const Server& s : servers_) {
@@ -178,9 +177,8 @@
     std::erase_if(condemned_, [&](const auto& key) { return now_ - key.second > kSuspectFor; });
   }
 
-  // Guards against one slow server that keeps a whole query waiting. Where copies are allowed, a part late by
-  // the usual response gets one on a trusted replica (hedged requests, Dean and Barroso 2013): heard of too
-  // seldom, slow looks like silent. Elsewhere it leaves a server that has answered nothing since.
+  // Guards against one slow server that keeps a whole query waiting: a part late by the usual response gets a
+  // copy where that is allowed (hedged requests, Dean and Barroso 2013); else it leaves a silent server.
   void move_overdue(Query& q) {
     int c = q.query_class;
     for (Part* p : step_parts(q)) {
--- a/src/policy/queries.hpp
+++ b/src/policy/queries.hpp
@@ -22,20 +22,21 @@
 
   void count_taken(std::size_t requests) {
     if (!set_.budget) return;  // nothing would ever take it out again
-    taken_.emplace_back(now_, static_cast<double>(requests));
-    taken_in_window_ += taken_.back().second;
+    taken_in_window_ += taken_.emplace_back(now_, static_cast<double>(requests)).second;
   }
 
   // Guards against lateness that feeds itself: a part moved or copied because late adds load when there is
-  // too much. First attempts pay for those. What was turned away never ran, and the rest of its query would
-  // be lost.
+  // too much, so first attempts pay for those. What was turned away never ran.
   bool spare_load() { return moves_saved_ >= 1 && moves_saved_-- > 0; }
 
   // Rule: no effect twice. May this part be sent (again) now?
   bool repeat_allowed(const Part& p, const ClassSettings& c) const {
     if (p.out() || p.tries() >= p.most) return false;
     if (p.first_maybe == kEver || c.repeat == Repeat::safe) return true;
-    return c.repeat == Repeat::keyed && now_ + set_.tick < p.first_maybe + c.repeat_window;
+    return c.repeat == Repeat::keyed && now_ < repeat_until(p, c);
+  }
+  Millis repeat_until(const Part& p, const ClassSettings& c) const {
+    return p.first_maybe + c.repeat_window - set_.tick;
   }
 
   // The time until which an answer of this query still earns something.
@@ -52,7 +53,6 @@
     p.attempts.push_back({server, now_, p.hint, s.sum + load(s, c) + p.hint});
     s.sum += p.hint;
     s.out_since.insert(now_);
-    // From here on and not from the send: the other parts of its query are placed before that.
     if (warms_up(s)) s.cold_sent.emplace_back(now_, std::max(p.hint, mean_hint(c)));
     return true;
   }
@@ -82,7 +82,9 @@
     Millis timeout = useful_until(q) - now_;
     if (!set_.may_cancel && c.repeat == Repeat::safe) timeout = std::min(timeout, patience(q.query_class));
     ++q.outstanding;
-    act(SendPart{p.id, s.id, std::max(timeout, 1.0)});
+    Millis by = list_clock_.write_by(s.proved_at);
+    if (p.first_maybe < kEver && c.repeat != Repeat::safe) by = std::min(by, repeat_until(p, c));
+    act(SendPart{p.id, s.id, std::max(timeout, 1.0), by});
   }
 
   // One further attempt, if rule, budget and time allow; false if the part must wait or is dead.
@@ -155,7 +157,6 @@
     if (parts_.emplace(spec.part, std::move(p)).second) q.parts.push_back(spec.part);
   }
 
-  // Rule: three attempts a part at most. Ranges that split or merge don't give their parts new ones.
   std::vector<Part*> step_parts(const Query& q) {
     std::vector<Part*> list;
     for (const std::string& id : q.parts)
@@ -208,8 +209,8 @@
     settle(number);
   }
 
-  // Departure, where an answer from fewer parts is allowed and the queues take most of the time left: the
-  // parts that weigh least for their work are not sent, down to the floor. Others are served with that work.
+  // Departure, where fewer parts may answer and queues take most of the time left: those that weigh least for
+  // their work are not sent.
   double shorten(Query& q, std::vector<Part*> list, double placed) {
     std::sort(list.begin(), list.end(),
               [](Part* a, Part* b) { return a->weight * b->hint < b->weight * a->hint; });
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -27,10 +27,10 @@
   int shard = 0, step = 1, most = 0;  // most: attempts, by the settings it came under
   double weight = 0, hint = 0;
   std::optional<std::vector<std::string>> holders;  // by name, where stated
-  int used = 0, resets = 0;                         // used: attempts of the parts that this one came from
-  bool spare = false;                               // not needed as things stand
-  bool done = false, dead = false;                  // dead: no further attempt is possible
-  Millis first_maybe = kEver;                       // sending time of the first attempt that may have run
+  int used = 0, unwritten = 0, resets = 0;  // used: by the parts it came from, less its own unwritten ones
+  bool spare = false;                       // not needed as things stand
+  bool done = false, dead = false;          // dead: no further attempt is possible
+  Millis first_maybe = kEver;               // sending time of the first attempt that may have run
   std::vector<Attempt> attempts;
   bool out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
--- a/src/policy/tier.hpp
+++ b/src/policy/tier.hpp
@@ -39,7 +39,7 @@
 
   void take_list(const ServerList& list) {
     if (list.kind == ServerList::Kind::failed) {
-      list_clock_.failed(now_, list.reached);
+      list_clock_.failed(now_, list.end);
       return log("list call failed");
     }
     if (list.kind != ServerList::Kind::cached) list_clock_.told(now_);
@@ -92,9 +92,7 @@
   }
 
   // Rule: drains. A list that is overdue may have missed one; a server that took a part then did not drain.
-  bool may_drain(const Server& s) const {
-    return !list_clock_.believable(now_) && now_ >= s.proved_at + list_clock_.safe_after_proof();
-  }
+  bool may_drain(const Server& s) const { return now_ >= list_clock_.choose_by(s.proved_at); }
 
   double mean_hint(int c) const { return learned_[c].hint.seen ? learned_[c].hint.mean : 1.0; }
 
@@ -107,8 +105,7 @@
   }
 
   double load(const Server& s, int c) const {
-    // Departure: a report that nothing refreshes fades to what the tier reports of late. A server once told
-    // busy is not shunned for good, and where each broker hears little of each server, load is still seen.
+    // Departure: a report that nothing refreshes fades to what the tier reports of late.
     double fresh = std::exp((s.reported_at - now_) / kFade);
     return (fresh * s.reported + (1 - fresh) * tier_load_.mean(now_, 0)) * mean_hint(c);
   }
@@ -141,19 +138,21 @@
     double allowance = kColdSafety * set_.fall_multiple * capacity * set_.fall_time / set_.brokers;
     for (const auto& sent : s.cold_sent) work += sent.second;
     if (work <= allowance) return true;
-    // Where the share is less than one part, or nobody would send before the server is warm: it is kept in
-    // expectation. In each span one part may go, with the chance that keeps the sum over all brokers.
+    // A share of less than one part is kept in expectation, or nobody would send before the server is warm:
+    // in each span one part may go, by lot. Spans without an occasion add to the chance, up to a bound.
     if (!s.cold_sent.empty()) return false;
     if (now_ - s.turn_at >= set_.fall_time) {
+      Millis saved = now_ - std::max({s.turn_at, *s.started, born_});
       s.turn_at = now_;
-      s.turn = std::uniform_real_distribution<>(0, 1)(random_);
+      s.turn = std::uniform_real_distribution<>(0, 1)(random_) /
+               std::clamp(saved / set_.fall_time, 1.0, kTurnsSaved);
     }
-    return s.turn * work < allowance;
+    return s.turn * work < kTurnShare * allowance;
   }
 
-  // 0: sound; 1: this part was there before; 2: silent, or full; 3: fails at once. Lower goes first: when all
-  // replicas look equally bad none of it is believed and the least sum decides again. A server that fails at
-  // once ranks last, as its sum is always least: it would draw all when overload makes others look silent.
+  // 0: sound; 1: this part was there before; 2: silent, or full; 3: fails at once, and its sum is always
+  // least. Lower goes first: when all replicas look equally bad none of it is believed, the least sum decides
+  // again.
   int distrust(const Server& s, const Part& p, int c) const {
     int worst = 0;
     for (const Health* h : {&s.health, &s.by_class[c]})
@@ -223,9 +222,8 @@
         }
   }
 
-  // A broken connection means a fallen server or only a cut line, told apart by what the server does next:
-  // one that answers what was sent before, or soon after, never fell; one that takes no connection did.
-  // Pooled, and believed a fall until most recent cases say otherwise. A cut is then an error like others.
+  // A broken connection means a fallen server or a cut line, told apart by what the server does next: one
+  // that answers soon never fell. Pooled, and believed a fall until most recent cases say otherwise.
   void explain_cut(Server& s, bool fell) {
     if (s.cut_at == kNever) return;
     falls_.add(fell, now_);
@@ -248,8 +246,8 @@
         if (took <= hedge_after(c)) return;  // no longer needed, or short of time: says nothing
         learn(s, took, a, c, hint);
         if (!late) return;
-        // Silence is judged by class like errors: a server may swallow one class and serve another. Nothing
-        // at all from a server often heard of is the server's; one seldom heard of is struck for both.
+        // Judged by class like errors: a server may swallow one class and serve another. Nothing at all from
+        // a server is the server's; one seldom heard of is struck for both.
         if (s.by_class[c].last_answer >= a.sent) return;
         if (s.last_answer >= a.sent || sparse_ > 1)
           strike(s, s.by_class[c], kStrikes, "silent for a class: ");
--- a/tests/desk.hpp
+++ b/tests/desk.hpp
@@ -12,6 +12,7 @@
   void launch(const core::Order&) override {}
   void flush() override {}
   void abandon(core::AttemptNumber) override {}
+  bool recall(core::AttemptNumber) override { return false; }
   void probe(const std::string&, const std::string&) override {}
   void close_idle(const std::string&) override {}
   void retire(const std::string&) override {}
@@ -31,6 +32,7 @@
     out.erase(n);
     ++abandoned;
   }
+  bool recall(core::AttemptNumber) override { return false; }  // all that is launched here is written
   void probe(const std::string&, const std::string&) override {}
   void close_idle(const std::string&) override {}
   void retire(const std::string&) override {}
