--- a/tests/operations_stories.cpp
+++ b/tests/operations_stories.cpp
@@ -135,6 +135,11 @@
     crowd.push_back(p->dial(door));
     if (i % 3 == 0) crowd.back()->stream->write("rea");
   }
+  // All stand before the next caller: one whose connection comes up late would come after it, and the door
+  // lets go of who has stood there for longest.
+  p->until([&] {
+    return std::none_of(crowd.begin(), crowd.end(), [](const auto& c) { return c->stream->connecting(); });
+  });
   for (int i = 0; i < 5; ++i) CHECK(site.call(*p, "ready\n") == "ACK ready\n");
   CHECK(has(site.ask(*p), "\"exact\":true"));
   CHECK(site.call(*p, "drain\nresume\n") == "NAK more than one line\n");
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -314,3 +314,19 @@
     p.until([&] { return has(p.log, "critical"); });
   }
 }
+
+TEST_CASE("SIGTERM: half a request gets its answer, a resting client an end in good order, then it exits") {
+  net::Loop loop;
+  ScriptedLeaf leaf(loop);
+  Program p(loop, configuration(leaf.listener.port()));
+  int port = p.port("listens on port ");
+  auto half = p.dial(port), resting = p.dial(port);
+  half->stream->write("POST /lookup?k=7f3a HTTP/1.1\r\nHost: x\r\n");
+  CHECK(has(p.ask(*resting, kReady), "200 OK"));  // what came before it is read by now
+  REQUIRE(kill(p.pid, SIGTERM) == 0);
+  p.until([&] { return half->over && resting->over; });
+  CHECK(has(half->text, " 408 "));
+  CHECK_FALSE(half->stream->reset());
+  CHECK_FALSE(resting->stream->reset());
+  CHECK(p.exit_code() == 0);
+}
--- /dev/null
+++ b/tests/shutdown_stories.cpp
@@ -0,0 +1,162 @@
+// Closings, and clients that leave: what comes in the very moment in which a side ends a connection.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "late_door.hpp"
+
+using namespace winchhall;
+using namespace winchhall::testing;
+
+namespace {
+
+// One query open, whose part is with a leaf that says nothing.
+struct Open : Stage {
+  explicit Open(pewterrill::Settings settings = patient()) : Stage(std::move(settings)), leaf(loop) {
+    leaf.on_part = [](const ScriptedLeaf::Part&) {};
+    begin({member("a", leaf.listener.port(), 0)});
+    client = dial();
+    client->stream->write(query("q1", R"({"id":1,"w":1})", "lookup", 60000));
+    until([&] { return leaf.parts.size() == 1; });
+  }
+  ScriptedLeaf leaf;
+  std::shared_ptr<Peer> client;
+};
+
+}  // namespace
+
+TEST_CASE("a client that sends much behind its request and goes is seen to go") {
+  Open s;
+  s.client->stream->write(std::string(1 << 20, 'x'));
+  s.until([&] { return s.client->stream->unsent() == 0; });
+  s.client->stream->close();
+  s.until([&] { return s.exchange.open_queries() == 0; });
+  CHECK(s.exchange.figures()[0].withdrawn == 1);
+  s.until([&] { return s.leaf.given_up.size() == 1; });
+}
+
+TEST_CASE("a client that sends much behind its request and stays gets its answer, and it is the last") {
+  Open s;
+  s.client->stream->write(std::string(1 << 20, 'x'));
+  s.until([&] { return s.client->stream->unsent() == 0; });
+  ScriptedLeaf::answer(s.leaf.parts[0]);
+  std::string got = s.answer(*s.client);
+  CHECK(has(got, "\"exact\":true"));
+  CHECK(has(got, "Connection: close"));
+  s.until([&] { return s.client->over; });
+  CHECK_FALSE(s.client->stream->reset());
+}
+
+TEST_CASE("a request behind an open one that fits is answered in its turn") {
+  Open s;
+  std::string next = Stage::query("q2", R"({"id":2,"w":1})", "lookup", 60000);
+  s.client->stream->write(next);
+  s.until([&] { return s.client->stream->unsent() == 0; });
+  s.leaf.on_part = [](const ScriptedLeaf::Part& p) { ScriptedLeaf::answer(p); };
+  ScriptedLeaf::answer(s.leaf.parts[0]);
+  CHECK(has(s.answer(*s.client), "\"v1\""));
+  CHECK(has(s.answer(*s.client), "\"v2\""));
+}
+
+TEST_CASE("sixty clients that leave in one turn leave nothing open, and nothing more is sent for them") {
+  Stage s(patient());
+  ScriptedLeaf leaf(s.loop);
+  leaf.on_part = [](const ScriptedLeaf::Part&) {};
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::vector<std::shared_ptr<Peer>> clients;
+  for (int i = 0; i < 60; ++i) {
+    clients.push_back(s.dial());
+    clients.back()->stream->write(
+        Stage::query("q" + std::to_string(i), R"({"id":1,"w":1})", "lookup", 60000));
+  }
+  s.until([&] { return leaf.parts.size() == 60; });
+  // Their leaf's connection breaks in the same turn: each part would be sent again.
+  for (auto& c : clients) c->stream->close();
+  for (auto& peer : leaf.peers) peer->stream->close();
+  s.until([&] { return s.exchange.open_queries() == 0 && s.exchange.attempts_out() == 0; });
+  CHECK(leaf.parts.size() == 60);
+  CHECK(s.exchange.figures()[0].withdrawn == 60);
+}
+
+TEST_CASE("a part that waits for its connection is taken back when its client leaves") {
+  auto settings = patient();
+  bool may_cancel = false;
+  SUBCASE("running attempts may be cancelled") { may_cancel = true; }
+  SUBCASE("they may not") {}
+  settings.may_cancel = may_cancel;
+  Stage s(settings, {1, 32, 60000, 60000, 50});
+  LateDoor door;
+  door.shut();
+  s.begin({member("a", door.port(), 0)});
+  auto client = s.dial();
+  client->stream->write(Stage::query("q1", R"({"id":1,"w":1})", "lookup", 60000));
+  s.until([&] { return s.exchange.attempts_out() == 1; });
+  client->stream->close();
+  s.until([&] { return s.exchange.open_queries() == 0; });
+  s.exchange.run();
+  CHECK(s.exchange.attempts_out() == 0);
+}
+
+TEST_CASE("a part that waits for its connection leaves a server that begins to drain") {
+  Stage s(patient(), {1, 32, 60000, 60000, 50});
+  LateDoor door;
+  door.shut();
+  ScriptedLeaf other(s.loop);
+  s.begin({member("a", door.port(), 0)});
+  auto client = s.dial();
+  client->stream->write(Stage::query("q1", R"({"id":1,"w":1})", "lookup", 60000));
+  s.until([&] { return s.exchange.attempts_out() == 1; });
+  s.exchange.list(pewterrill::ServerList::Kind::changes,
+                  {member("a", door.port(), 0, pewterrill::ServerState::draining),
+                   member("b", other.listener.port(), 1)});
+  CHECK(has(s.answer(*client), "\"exact\":true"));
+}
+
+// A client whose socket the test holds itself: its errors are seen in the moment in which they come.
+struct RawClient {
+  explicit RawClient(int port) : fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in to = loopback(port);
+    REQUIRE(::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+  }
+  void send(const std::string& text) const {
+    REQUIRE(::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+  }
+  int error() const {
+    int e = 0;
+    socklen_t size = sizeof e;
+    REQUIRE(::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &e, &size) == 0);
+    return e;
+  }
+  net::UniqueFd fd;
+};
+
+TEST_CASE("a request that crosses the end of its resting connection: no reset, and nothing sent on") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  RawClient client(s.front.port());
+  client.send(Stage::query("q1", R"({"id":1,"w":1})"));
+  s.until([&] { return s.exchange.figures()[0].whole == 1; });
+  for (int i = 0; i < 3; ++i) s.loop.turn(1);  // its answer is written
+  s.front.close_idle();
+  client.send(Stage::query("q2", R"({"id":2,"w":1})"));  // it has not read the end yet
+  for (int i = 0; i < 3; ++i) s.loop.turn(1);
+  CHECK(client.error() == 0);
+  char all[4096];
+  ssize_t n = ::recv(client.fd.get(), all, sizeof all, MSG_WAITALL);  // up to our end
+  REQUIRE(n > 0);
+  CHECK(has(std::string(all, static_cast<std::size_t>(n)), "\"exact\":true"));
+  CHECK(::recv(client.fd.get(), all, sizeof all, 0) == 0);
+  CHECK(leaf.parts.size() == 1);
+}
+
+TEST_CASE("a client that rests and never closes is let go a while after our end") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  RawClient client(s.front.port());
+  client.send(Stage::query("q1", R"({"id":1,"w":1})"));
+  s.until([&] { return s.exchange.figures()[0].whole == 1; });
+  s.until([&] {
+    s.front.close_idle();
+    return s.front.connections() == 0;
+  });
+  CHECK_FALSE(s.front.busy());
+}
--- a/tests/stage.hpp
+++ b/tests/stage.hpp
@@ -101,13 +101,15 @@
   };
 
   explicit ScriptedLeaf(net::Loop& loop)
-      : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) {
-          auto peer = std::make_shared<Peer>(loop);
-          Peer* raw = peer.get();
-          peer->heard = [this, raw](std::string& in) { read(raw, in); };
-          peers.push_back(peer);
-          peer->adopt(std::move(fd));
-        }) {}
+      : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) { take(loop, std::move(fd)); }) {}
+
+  void take(net::Loop& loop, net::UniqueFd fd) {
+    auto peer = std::make_shared<Peer>(loop);
+    Peer* raw = peer.get();
+    peer->heard = [this, raw](std::string& in) { read(raw, in); };
+    peers.push_back(peer);
+    peer->adopt(std::move(fd));
+  }
 
   static void answer(const Part& p, int end = 200, const std::string& report = "inflight=1") {
     std::string value = end == 200 ? "v" + std::to_string(p.shard) : "";
