--- a/tests/operations_stories.cpp
+++ b/tests/operations_stories.cpp
@@ -43,6 +43,9 @@
   std::unique_ptr<Program> next() {
     auto p = start(config());
     p->until([&] { return has(p->log, "phase ready"); });
+    // It says so before it listens; the door says yes once clients come here and to nobody else.
+    net::Millis give_up = loop.now() + 60000;  // only ends a test that hangs
+    while (call(*p, "ready\n").find("ACK ") != 0) REQUIRE(loop.now() < give_up);
     return p;
   }
 
