--- a/tests/shutdown_stories.cpp
+++ b/tests/shutdown_stories.cpp
@@ -160,3 +160,14 @@
   });
   CHECK_FALSE(s.front.busy());
 }
+
+TEST_CASE("a connection that waits in the queue when listening ends is taken, and its request answered") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  RawClient client(s.front.port());
+  client.send(Stage::query("q1", R"({"id":1,"w":1})"));
+  s.front.stop_listening();  // before the loop has looked at the queue
+  s.until([&] { return s.exchange.figures()[0].whole == 1; });
+  CHECK(client.error() == 0);
+}
