Take all newcomers of a turn again where connections linger; reset rested clients that write

What lingers gives no newcomer a place and no longer keeps idle ones from being shed; a rested client's bytes after our end are left unread, which resets it so that it asks again.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -30,8 +30,7 @@
 }
 
 void Listener::accept_now() {
-  paused_ = false;
-  for (int i = 0; i < 64 && fd_ && !paused_; ++i) {
+  for (int i = 0; i < 64 && fd_; ++i) {
     UniqueFd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
       accepted_(std::move(fd));
@@ -54,7 +53,6 @@
 
 void Listener::pause(Millis time) {
   if (!fd_) return;
-  paused_ = true;
   loop_.set_events(fd_.get(), 0);
   loop_.cancel(resume_);
   resume_ = loop_.at(loop_.now() + time, [this] { loop_.set_events(fd_.get(), POLLIN); });
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -83,6 +83,7 @@
 
 void Stream::read() {
   char buffer[16384];
+  if (open() && !owner_ && rested_ && ::recv(fd_.get(), buffer, 1, MSG_PEEK) > 0) return close();
   bool over = false, reset = false;
   for (std::size_t taken = 0; open() && !broken_ && in_.size() < kInMost && taken < kTurnMost;) {
     ssize_t n = ::recv(fd_.get(), buffer, sizeof buffer, 0);
@@ -169,7 +170,8 @@
   });
 }
 
-void Stream::linger(Millis writing, Millis reading) {
+void Stream::linger(Millis writing, Millis reading, bool rested) {
+  rested_ = rested;
   owner_ = nullptr;
   in_.clear();
   if (!usable() || connecting_) return close();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -40,7 +40,9 @@
   // resets it, and what was written last goes with it. What waits is written within `writing` ms, then the
   // sending side is shut, and what still comes is read and dropped until the peer's end or for `reading` ms.
   // The owner hears nothing more and may go.
-  void linger(Millis writing, Millis reading);
+  // `rested`: the peer has had all that we wrote; then what still comes is left unread and the connection
+  // reset, which tells the peer at once that nobody has seen it.
+  void linger(Millis writing, Millis reading, bool rested = false);
   void read_now();    // does not wait for the next turn: what has come by now is shown
   void half_close();  // no more will be written; what the peer sends is still read
   void show_again();  // has received() called on what is left in the buffer
@@ -68,6 +70,7 @@
   Owner* owner_;        // null: lingering
   Millis reading_ = 0;  // lingering: for how long, once all is written
   TimerId linger_{};
+  bool rested_ = false;
   bool connecting_, broken_ = false, reset_ = false;
   std::string in_, out_;
   std::size_t out_at_ = 0;
@@ -94,7 +97,6 @@
   UniqueFd fd_;
   std::function<void(UniqueFd)> accepted_;
   TimerId resume_{};
-  bool paused_ = false;
   int port_ = 0;
 };
 
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -97,7 +97,11 @@
   }
   // Nothing is owed any more, or what is owed is written.
   std::shared_ptr<net::Stream> linger() {
-    stream_->linger(kSlowReader, kLinger);
+    // Guards against clients that use a connection which we have ended before they look at it: a request that
+    // is read and dropped is theirs no more, one that is not read they send again.
+    bool rested = query_ == 0 && !parser_.begun() && stream_->unsent() == 0 &&
+                  (!asked_ || front_.loop_.now() - since_ >= kSpare);
+    stream_->linger(kSlowReader, kLinger, rested);
     return stream_;
   }
 
@@ -195,7 +199,7 @@
   // Within our descriptors: one that only stands there may be closed between requests; else no more are
   // taken.
   bool full = connections() >= most_;
-  if (full || connections() > roomy()) shed(full);
+  if (full || connections_.size() > roomy()) shed(full);
   // What was shed lingers for a moment, and holds its descriptor until then.
   if (connections() >= most_ && listener_) listener_->pause(kCrowded);
 }
@@ -208,12 +212,15 @@
 // Guards against clients that ask once and hold their connection for good: clients have a share of
 // descriptors as we have, and once those hold all of it no other finds a connection, though we could take
 // more.
-net::Millis ClientFront::stand_idle() const { return connections() > roomy() / 2 ? kMayClose : kStandIdle; }
+net::Millis ClientFront::stand_idle() const {
+  return connections_.size() > roomy() / 2 ? kMayClose : kStandIdle;
+}
 
 // What lingers first, then those that never asked, then the one idle for longest.
 void ClientFront::shed(bool full) {
   net::Millis now = loop_.now();
-  if (lingering_.close_oldest()) return;
+  // Guards against clients that rest on after our end: what lingers for them gives no newcomer a place.
+  lingering_.close_oldest();
   std::shared_ptr<Connection> best;
   int most = 0;
   for (const auto& c : connections_) {
