--- /dev/null
+++ b/lab/cluster/local_cluster.cpp
@@ -0,0 +1,152 @@
+#include "lab/cluster/local_cluster.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <system_error>
+
+namespace winchhall::lab::cluster {
+
+namespace {
+
+constexpr unsigned kControlNodes = 3;
+constexpr unsigned kControlPort = 8144;
+constexpr unsigned kFrontPort = 8149;
+constexpr unsigned kReadyPort = 8141;
+constexpr unsigned kFirstEdge = 20;
+constexpr unsigned kFirstWorker = 30;
+constexpr const char* kSettingsVariable = "WINCHHALL_NODE_FILE";
+
+std::string make_folder() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "winchhall-cluster-XXXXXX").string();
+  if (!mkdtemp(pattern.data())) throw std::system_error(errno, std::generic_category(), "mkdtemp");
+  return pattern;
+}
+
+}  // namespace
+
+LocalCluster::LocalCluster(std::string program, unsigned workers, std::string service)
+    : program_(std::move(program)),
+      service_(std::move(service)),
+      folder_(make_folder()),
+      network_(1 + static_cast<unsigned>(getpid()) % 250) {
+  const std::string prefix = "127." + std::to_string(network_) + ".0.";
+  for (unsigned i = 0; i < kControlNodes; ++i) {
+    add({"control-" + std::to_string(i), "control", prefix + std::to_string(1 + i), true});
+  }
+  const std::string edge_ip = prefix + std::to_string(kFirstEdge);
+  add({"ingress", "ingress", edge_ip});
+  add({"agent", "agent", edge_ip});
+  for (unsigned i = 0; i < workers; ++i) {
+    add({"worker-" + std::to_string(i), "worker-agent", prefix + std::to_string(kFirstWorker + i)});
+  }
+}
+
+LocalCluster::~LocalCluster() {
+  for (const LocalProcess& process : processes_) {
+    if (process.pid > 0) kill(process.name);
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void LocalCluster::add(LocalProcess process) {
+  std::filesystem::create_directories(folder_of(process.name));
+  processes_.push_back(std::move(process));
+}
+
+LocalProcess& LocalCluster::find(const std::string& name) {
+  for (LocalProcess& process : processes_) {
+    if (process.name == name) return process;
+  }
+  throw std::invalid_argument("no process " + name);
+}
+
+std::string LocalCluster::settings_of(const LocalProcess& process) const {
+  std::ostringstream text;
+  text << "node_name = \"" << process.name << "\"\nrole = \"" << process.command << "\"\nip = \""
+       << process.ip << "\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [7380,7395]\nseeds = [";
+  for (unsigned i = 0; i < kControlNodes; ++i) text << (i ? "," : "") << '"' << control_address(i) << '"';
+  text << "]\nbootstrap = " << (first_start_ ? "true" : "false")
+       << "\ncounts_for_quorum = " << (process.control ? "true" : "false") << "\nheartbeat_ms = 1500\n";
+  if (process.control) text << "data_dir = \"" << (folder_of(process.name) / "data").string() << "\"\n";
+  if (process.command == "worker-agent") text << "backend = \"" << service_ << "\"\n";
+  text << "commands = \"heartbeat\"\n[bind_addrs]\n";
+  if (process.command == "ingress") {
+    text << "front = \"" << front_address() << "\"\nready = \"" << ready_address() << "\"\n";
+  } else {
+    text << "control = \"" << process.ip << ':' << kControlPort << "\"\n";
+  }
+  text << "[bounds]\nhold_max_ms = 6000\n";
+  return text.str();
+}
+
+void LocalCluster::start_all() {
+  for (const LocalProcess& process : processes_) start(process.name);
+  first_start_ = false;
+}
+
+void LocalCluster::start(const std::string& name) {
+  LocalProcess& process = find(name);
+  const std::string settings_file = (folder_of(name) / "settings.toml").string();
+  std::ofstream(settings_file) << settings_of(process);
+  const std::string log_file = (folder_of(name) / "log").string();
+  const pid_t pid = fork();
+  if (pid < 0) throw std::system_error(errno, std::generic_category(), "fork");
+  if (pid == 0) {
+    const int log = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    setenv(kSettingsVariable, settings_file.c_str(), 1);
+    execl(program_.c_str(), program_.c_str(), process.command.c_str(), nullptr);
+    _exit(127);
+  }
+  process.pid = pid;
+}
+
+void LocalCluster::kill(const std::string& name) {
+  LocalProcess& process = find(name);
+  if (process.pid <= 0) return;
+  ::kill(process.pid, SIGKILL);
+  waitpid(process.pid, nullptr, 0);
+  process.pid = 0;
+}
+
+int LocalCluster::terminate(const std::string& name) {
+  LocalProcess& process = find(name);
+  int status = 0;
+  ::kill(process.pid, SIGTERM);
+  waitpid(process.pid, &status, 0);
+  process.pid = 0;
+  return status;
+}
+
+std::string LocalCluster::control_address(unsigned index) const {
+  return processes_.at(index).ip + ":" + std::to_string(kControlPort);
+}
+
+std::string LocalCluster::front_address() const {
+  return processes_.at(kControlNodes).ip + ":" + std::to_string(kFrontPort);
+}
+
+std::string LocalCluster::ready_address() const {
+  return processes_.at(kControlNodes).ip + ":" + std::to_string(kReadyPort);
+}
+
+std::string LocalCluster::worker_address(unsigned index) const {
+  constexpr unsigned kProcessesBefore = kControlNodes + 2;
+  return processes_.at(kProcessesBefore + index).ip + ":" + std::to_string(kControlPort);
+}
+
+std::string LocalCluster::log_of(const std::string& name) const {
+  std::ifstream file(folder_of(name) / "log");
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+}  // namespace winchhall::lab::cluster
--- /dev/null
+++ b/lab/cluster/stand_in_leaf.hpp
@@ -0,0 +1,83 @@
+// A stand-in for a leaf: sends heartbeats, carries out the orders in their answers and keeps the rules of a
+// leaf (fencing tokens, holds, runs that rise). It remembers what it started, so that a test can judge it.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "lab/cluster/http_call.hpp"
+
+namespace winchhall::lab::cluster {
+
+struct LeafOptions {
+  std::string agent;  // "ip:port" of the worker-agent beside it
+  std::string id;
+  std::string service;
+  std::string zone;
+  unsigned cpu = 4000;
+  unsigned mem_mb = 8192;
+  std::chrono::milliseconds task_time{300};
+};
+
+// A task that was started here, for judging afterwards.
+struct LeafStart {
+  std::string task;
+  std::uint64_t run = 0;
+  std::chrono::steady_clock::time_point began;
+  std::chrono::steady_clock::time_point ended;  // equal to `began` while it runs
+  bool done = false;
+};
+
+class StandInLeaf {
+ public:
+  explicit StandInLeaf(LeafOptions options);
+  ~StandInLeaf();
+
+  // Everything started so far.
+  std::vector<LeafStart> starts() const;
+  // Ends the leaf at once, as a crash would.
+  void crash();
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  struct Running {
+    std::uint64_t run = 0;
+    Clock::time_point ends;
+    std::size_t start_index = 0;
+  };
+  struct Ended {
+    std::uint64_t number = 0;
+    std::string task;
+    std::uint64_t run = 0;
+    std::string how;
+  };
+
+  void live();
+  void end_what_is_due(Clock::time_point now);
+  void end_task(const std::string& task, const std::string& how, Clock::time_point now);
+  std::string heartbeat_body();
+  std::chrono::milliseconds carry_out_answer(const HttpAnswer& answer, Clock::time_point sent);
+  void start(const std::string& task, std::uint64_t run, Clock::time_point now);
+
+  LeafOptions options_;
+  std::atomic<bool> stopping_{false};
+  std::uint64_t sequence_ = 0;
+  std::uint64_t last_number_ = 0;
+  std::uint64_t fence_token_ = 0;
+  Clock::time_point held_until_;
+  std::map<std::string, Running> running_;
+  std::map<std::string, std::uint64_t> highest_run_;
+  std::vector<Ended> ended_;
+  mutable std::mutex starts_mutex_;
+  std::vector<LeafStart> starts_;
+  std::thread thread_;
+};
+
+}  // namespace winchhall::lab::cluster
--- /dev/null
+++ b/src/cluster/agent/agent.cpp
@@ -0,0 +1,80 @@
+#include "cluster/agent/agent.hpp"
+
+#include <algorithm>
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kLinkCheck{500};
+constexpr Millis kEndCheck{100};
+// Kept back of the grace period for the process' end; less than the ingress keeps, which ends first.
+constexpr Millis kEndReserve{500};
+// While ending, polls of the ingress are held this long, so that its silence shows soon.
+constexpr Millis kPollWhileEnding{300};
+constexpr Millis kIngressSilence{1000};
+
+}  // namespace
+
+Agent::Agent(Runtime& runtime, const NodeSettings& settings)
+    : runtime_(runtime),
+      settings_(settings),
+      directory_(runtime, settings),
+      watcher_(runtime, view_, directory_, [this](const ViewChanges& changes) { on_change(changes); }),
+      watch_server_(runtime, view_),
+      budget_(runtime.now()),
+      relay_(LeaderCallContext{runtime, view_, watcher_, budget_}),
+      last_ingress_call_(runtime.now()) {}
+
+void Agent::start() {
+  watcher_.start();
+  check_link();
+}
+
+bool Agent::handle(const wire::Envelope& request, const Replier& reply) {
+  if (request.has_configuration_watch()) {
+    last_ingress_call_ = runtime_.now();
+    watch_server_.watch(request.configuration_watch(), reply);
+    return true;
+  }
+  if (request.has_job_request()) {
+    last_ingress_call_ = runtime_.now();
+    relay_.handle(request.job_request(), reply);
+    return true;
+  }
+  return false;
+}
+
+void Agent::shut_down(std::function<void()> done) {
+  if (done_) return;
+  done_ = std::move(done);
+  end_ = runtime_.now() + std::max(settings_.bounds.grace_period - kEndReserve, Millis(0));
+  last_ingress_call_ = runtime_.now();
+  watch_server_.set_longest_wait(kPollWhileEnding);
+  watch_end();
+}
+
+void Agent::on_change(const ViewChanges& changes) {
+  watch_server_.set_in_touch(watcher_.in_touch());
+  if (changes.configuration) watch_server_.on_newer_configuration();
+  if (changes.leaders) relay_.on_leaders_changed();
+}
+
+void Agent::check_link() {
+  watch_server_.set_in_touch(watcher_.in_touch());
+  link_timer_ = runtime_.after(kLinkCheck, [this] { check_link(); });
+}
+
+void Agent::watch_end() {
+  if (ingress_is_gone() || runtime_.now() >= end_) {
+    const auto finished = std::move(done_);
+    return finished();
+  }
+  end_timer_ = runtime_.after(kEndCheck, [this] { watch_end(); });
+}
+
+bool Agent::ingress_is_gone() const {
+  return relay_.open() == 0 && runtime_.now() - last_ingress_call_ >= kIngressSilence;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/agent/cluster_view.hpp
@@ -0,0 +1,52 @@
+// What this process knows of the cluster: the newest configuration, the leaders of the services, the members.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/agent/route_history.hpp"
+#include "cluster/common/runtime.hpp"
+#include "cluster/config/configuration.hpp"
+
+namespace winchhall::cluster {
+
+// What an update has changed.
+struct ViewChanges {
+  bool configuration = false;
+  bool leaders = false;
+  bool members = false;
+  bool unusable = false;  // the update's configuration could not be read
+};
+
+class ClusterView {
+ public:
+  // Takes in what is newer; an older configuration or leader changes nothing.
+  ViewChanges absorb(const wire::ConfigurationUpdate& update, TimePoint now);
+
+  // 0: no configuration yet.
+  std::uint64_t version() const { return configuration_ ? configuration_->version : 0; }
+  // As the control group gave it; empty before the first.
+  const std::string& json() const { return json_; }
+  // Null before the first.
+  const Configuration* configuration() const { return configuration_.get(); }
+  // Address of the control node that leads a service; empty: none known.
+  Address leader_of(const std::string& service) const;
+  const std::vector<wire::Member>& members() const { return members_; }
+  const RouteHistory& history() const { return history_; }
+
+ private:
+  bool absorb_configuration(const wire::ConfigurationUpdate& update, TimePoint now, bool& unusable);
+  bool absorb_leader(const wire::ShardLeader& leader);
+  bool absorb_members(const wire::ConfigurationUpdate& update);
+
+  std::shared_ptr<const Configuration> configuration_;
+  std::string json_;
+  std::map<std::string, wire::ShardLeader> leaders_;  // by shard
+  std::vector<wire::Member> members_;
+  RouteHistory history_;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/agent/control_directory.cpp
@@ -0,0 +1,96 @@
+#include "cluster/agent/control_directory.hpp"
+
+#include <algorithm>
+
+namespace winchhall::cluster {
+
+namespace {
+
+// A node that failed is asked again after this long; doubled with each failure in a row.
+constexpr Millis kFirstRest{200};
+constexpr unsigned kMostDoublings = 4;
+
+}  // namespace
+
+ControlDirectory::ControlDirectory(Runtime& runtime, const NodeSettings& settings)
+    : runtime_(runtime), own_zone_(settings.zone) {
+  for (const Address& seed : settings.seeds) add(settings.internal_address_of(seed)).seed = true;
+}
+
+void ControlDirectory::set_members(const std::vector<wire::Member>& members) {
+  for (Node& node : nodes_) node.member = false;
+  for (const wire::Member& member : members) {
+    Node& node = add(member.address());
+    node.member = true;
+    node.zone = member.zone();
+  }
+  const auto gone = [](const Node& node) { return !node.seed && !node.member; };
+  nodes_.erase(std::remove_if(nodes_.begin(), nodes_.end(), gone), nodes_.end());
+}
+
+std::optional<ControlChoice> ControlDirectory::choose(const std::set<Address>& excluded) const {
+  const Node* best = nullptr;
+  std::uint64_t ties = 0;
+  for (const Node& node : nodes_) {
+    if (excluded.count(node.address) != 0) continue;
+    const bool better = best == nullptr || rank(node) < rank(*best);
+    const bool equal = !better && rank(node) == rank(*best);
+    ties = better ? 1 : ties + (equal ? 1 : 0);
+    if (better || (equal && runtime_.random() % ties == 0)) best = &node;
+  }
+  if (best == nullptr) return std::nullopt;
+  return ControlChoice{best->address, best->rests_until <= runtime_.now()};
+}
+
+Address ControlDirectory::choose_any(const Address& excluded) const {
+  std::vector<const Node*> rested;
+  std::vector<const Node*> others;
+  for (const Node& node : nodes_) {
+    if (node.address == excluded) continue;
+    (node.rests_until <= runtime_.now() ? rested : others).push_back(&node);
+  }
+  const auto& from = rested.empty() ? others : rested;
+  return from.empty() ? Address() : from[runtime_.random() % from.size()]->address;
+}
+
+void ControlDirectory::note_answer(const Address& address) {
+  Node* node = find(address);
+  if (node == nullptr) return;
+  node->failures = 0;
+  node->rests_until = TimePoint();
+}
+
+void ControlDirectory::note_failure(const Address& address) {
+  Node* node = find(address);
+  if (node == nullptr) return;
+  node->rests_until = runtime_.now() + kFirstRest * (1u << std::min(node->failures, kMostDoublings));
+  ++node->failures;
+}
+
+ControlDirectory::Node* ControlDirectory::find(const Address& address) {
+  const auto same = [&](const Node& node) { return node.address == address; };
+  const auto found = std::find_if(nodes_.begin(), nodes_.end(), same);
+  return found == nodes_.end() ? nullptr : &*found;
+}
+
+ControlDirectory::Node& ControlDirectory::add(const Address& address) {
+  if (Node* known = find(address)) return *known;
+  Node node;
+  node.address = address;
+  nodes_.push_back(std::move(node));
+  return nodes_.back();
+}
+
+// Lower is better.
+int ControlDirectory::rank(const Node& node) const {
+  constexpr int kResting = 4;
+  constexpr int kNoMember = 2;
+  constexpr int kOtherZone = 1;
+  int rank = 0;
+  if (node.rests_until > runtime_.now()) rank += kResting;
+  if (!node.member) rank += kNoMember;
+  if (node.zone != own_zone_) rank += kOtherZone;
+  return rank;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/agent/control_watcher.cpp
@@ -0,0 +1,132 @@
+#include "cluster/agent/control_watcher.hpp"
+
+#include <algorithm>
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kWait{1000};
+constexpr Millis kCallTimeout{1600};
+// Between tries of a slot for which no node is at hand that has not failed lately.
+constexpr Millis kCyclePause{100};
+// Polls of one slot start at least this far apart, unless a newer configuration came.
+constexpr Millis kPollSpacing{100};
+constexpr Millis kUnusablePause{1000};
+constexpr Millis kRefreshTimeout{500};
+constexpr Millis kRefreshSpacing{50};
+constexpr Millis kSilence{3000};
+
+wire::Envelope watch_request(std::uint64_t version, std::uint64_t leaders_digest, Millis wait) {
+  wire::Envelope request;
+  auto& watch = *request.mutable_configuration_watch();
+  watch.set_version(version);
+  watch.set_leaders_digest(leaders_digest);
+  watch.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+  return request;
+}
+
+}  // namespace
+
+ControlWatcher::ControlWatcher(Runtime& runtime, ClusterView& view, ControlDirectory& directory,
+                               OnChange on_change)
+    : runtime_(runtime), view_(view), directory_(directory), on_change_(std::move(on_change)) {}
+
+void ControlWatcher::start() {
+  for (std::size_t number = 0; number < kSlots; ++number) fill(number);
+}
+
+bool ControlWatcher::in_touch() const {
+  return last_in_touch_ && runtime_.now() - *last_in_touch_ <= kSilence;
+}
+
+void ControlWatcher::refresh(const Address& failed) {
+  const bool just_done = last_refresh_ && runtime_.now() - *last_refresh_ < kRefreshSpacing;
+  if (refreshing_ || just_done) return;
+  const Address peer = directory_.choose_any(failed);
+  if (peer.empty()) return;
+  refreshing_ = true;
+  last_refresh_ = runtime_.now();
+  runtime_.call(peer, watch_request(view_.version(), 0, Millis(0)), kRefreshTimeout,
+                [this, peer](CallResult result) { on_refreshed(peer, result); });
+}
+
+void ControlWatcher::on_refreshed(const Address& peer, const CallResult& result) {
+  refreshing_ = false;
+  const bool answered = result.answer && result.answer->has_configuration_update();
+  if (!answered) return directory_.note_failure(peer);
+  absorb(peer, result.answer->configuration_update());
+}
+
+void ControlWatcher::fill(std::size_t number) {
+  Slot& slot = slots_[number];
+  slot.timer.reset();
+  const auto choice = directory_.choose(peers());
+  if (!choice) {
+    slot.timer = runtime_.after(kCyclePause, [this, number] { fill(number); });
+    return;
+  }
+  slot.peer = choice->address;
+  slot.leaders_digest = 0;
+  if (choice->rested) return poll(number);
+  poll_later(number, kCyclePause);
+}
+
+void ControlWatcher::poll(std::size_t number) {
+  Slot& slot = slots_[number];
+  slot.timer.reset();
+  slot.sent = runtime_.now();
+  runtime_.call(slot.peer, watch_request(view_.version(), slot.leaders_digest, kWait), kCallTimeout,
+                [this, number](CallResult result) { on_answer(number, result); });
+}
+
+void ControlWatcher::poll_later(std::size_t number, Millis pause) {
+  slots_[number].timer = runtime_.after(pause, [this, number] { poll(number); });
+}
+
+void ControlWatcher::on_answer(std::size_t number, const CallResult& result) {
+  Slot& slot = slots_[number];
+  if (!result.answer || !result.answer->has_configuration_update()) {
+    directory_.note_failure(slot.peer);
+    return replace(number);
+  }
+  const auto& update = result.answer->configuration_update();
+  slot.leaders_digest = update.leaders_digest();
+  const auto changes = absorb(slot.peer, update);
+  if (!update.in_touch()) {
+    directory_.note_failure(slot.peer);
+    return replace(number);
+  }
+  if (changes.configuration) return poll(number);
+  const auto elapsed = std::chrono::duration_cast<Millis>(runtime_.now() - slot.sent);
+  const Millis spacing = changes.unusable ? kUnusablePause : kPollSpacing;
+  if (elapsed >= spacing) return poll(number);
+  poll_later(number, spacing - elapsed);
+}
+
+// The node that failed rests for a while, so that another one is chosen if there is any.
+void ControlWatcher::replace(std::size_t number) {
+  slots_[number].peer.clear();
+  fill(number);
+}
+
+std::set<Address> ControlWatcher::peers() const {
+  std::set<Address> peers;
+  for (const Slot& slot : slots_) {
+    if (!slot.peer.empty()) peers.insert(slot.peer);
+  }
+  return peers;
+}
+
+ViewChanges ControlWatcher::absorb(const Address& peer, const wire::ConfigurationUpdate& update) {
+  if (update.in_touch()) {
+    directory_.note_answer(peer);
+    last_in_touch_ = runtime_.now();
+  }
+  const ViewChanges changes = view_.absorb(update, runtime_.now());
+  if (changes.members) directory_.set_members(view_.members());
+  if (changes.configuration || changes.leaders) on_change_(changes);
+  return changes;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/agent/job_relay.hpp
@@ -0,0 +1,43 @@
+// Relays the ingress' job requests to the services' leaders, and looks for a job in other services where its
+// queue may have moved.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/agent/leader_call.hpp"
+
+namespace winchhall::cluster {
+
+class JobRelay {
+ public:
+  explicit JobRelay(const LeaderCallContext& context);
+
+  void handle(const wire::JobRequest& request, const Replier& reply);
+  void on_leaders_changed();
+  // Requests that are not answered yet.
+  std::size_t open() const { return open_; }
+
+ private:
+  using Done = LeaderCall::Done;
+
+  void submit(const wire::JobRequest& request, TimePoint deadline, const Done& done);
+  void find_and(const wire::JobRequest& request, TimePoint deadline, const Done& done);
+  // Services in force other than the request's that the queue was sent to lately.
+  std::vector<std::string> earlier_services(const wire::JobRequest& request) const;
+  std::vector<std::string> all_other_services(const wire::JobRequest& request) const;
+  // Sends the request to several services at once: the first JOB_OK counts; JOB_NOT_FOUND if all say so; else
+  // JOB_IN_DOUBT.
+  void ask_all(const std::vector<std::string>& services, const wire::JobRequest& request, TimePoint deadline,
+               const Done& done);
+  void ask(wire::JobRequest request, TimePoint deadline, Done done);
+
+  LeaderCallContext context_;
+  std::list<std::shared_ptr<LeaderCall>> calls_;  // that have not ended
+  std::size_t open_ = 0;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/agent/leader_call.cpp
@@ -0,0 +1,161 @@
+#include "cluster/agent/leader_call.hpp"
+
+#include <algorithm>
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kTryTimeout{700};
+constexpr Millis kLeastBackoff{30};
+constexpr Millis kMostBackoff{200};
+constexpr unsigned kMostHints = 3;
+// A submit that certainly was not taken is given up after this long, so that its client may come back later.
+constexpr Millis kSubmitPatience{1200};
+constexpr std::uint32_t kRetryAfterMs = 1000;
+
+}  // namespace
+
+LeaderCall::LeaderCall(const LeaderCallContext& context, wire::JobRequest request, TimePoint deadline,
+                       Done done)
+    : context_(context),
+      request_(std::move(request)),
+      started_(context.runtime.now()),
+      deadline_(deadline),
+      done_(std::move(done)),
+      backoff_(kLeastBackoff) {}
+
+void LeaderCall::start() {
+  end_timer_ = context_.runtime.after(left_until(deadline_), [self = weak_from_this()] {
+    if (const auto call = self.lock()) call->give_up();
+  });
+  context_.budget.note_first_try(context_.runtime.now());
+  next_try();
+}
+
+void LeaderCall::on_leaders_changed() {
+  if (finished_) return;
+  const Address leader = context_.view.leader_of(request_.service());
+  if (leader.empty() || leader == out_at_) return;
+  const bool waits = out_at_.empty() && timer_ != nullptr;
+  const bool elsewhere = !out_at_.empty();
+  if (elsewhere) unclear_ = true;
+  if (waits || elsewhere) send(leader);
+}
+
+void LeaderCall::next_try() {
+  timer_.reset();
+  const auto now = context_.runtime.now();
+  if (certainly_not_taken() && now >= patience_end()) return give_up();
+  const Address next = context_.view.leader_of(request_.service());
+  if (next.empty()) {
+    context_.watcher.refresh({});
+    return back_off();
+  }
+  if (tries_ > 0 && !context_.budget.take(now)) return wait(kMostBackoff);
+  send(next);
+}
+
+void LeaderCall::send(const Address& target) {
+  timer_.reset();
+  const auto number = ++tries_;
+  out_at_ = target;
+  const Millis timeout = std::min(kTryTimeout, left_until(deadline_));
+  wire::Envelope envelope;
+  *envelope.mutable_job_request() = request_;
+  envelope.mutable_job_request()->set_deadline_ms(static_cast<std::uint32_t>(timeout.count()));
+  context_.runtime.call(target, std::move(envelope), timeout,
+                        [self = shared_from_this(), number, target](CallResult result) {
+                          self->on_result(number, target, result);
+                        });
+}
+
+void LeaderCall::on_result(unsigned try_number, const Address& target, const CallResult& result) {
+  if (finished_) return;
+  const bool answered = result.answer && result.answer->has_job_reply();
+  const bool newest = try_number == tries_ && !out_at_.empty();
+  if (!newest) {
+    // A try that another has replaced: only its success still counts.
+    if (answered && result.answer->job_reply().outcome() == wire::JOB_OK) finish(result.answer->job_reply());
+    return;
+  }
+  out_at_.clear();
+  if (answered) return on_reply(result.answer->job_reply(), target);
+  unclear_ = true;
+  retry_after_failure(target);
+}
+
+void LeaderCall::on_reply(const wire::JobReply& reply, const Address& target) {
+  switch (reply.outcome()) {
+    case wire::JOB_OK:
+    case wire::JOB_NOT_FOUND:
+    case wire::JOB_INVALID:
+    case wire::JOB_NO_QUEUE:
+      return finish(reply);
+    case wire::JOB_REJECTED:
+      // An earlier leader may have taken it all the same.
+      return certainly_not_taken() ? finish(reply) : give_up();
+    case wire::JOB_NOT_LEADER:
+      return on_not_leader(reply, target);
+    default:
+      unclear_ = true;
+      return retry_after_failure(target);
+  }
+}
+
+void LeaderCall::on_not_leader(const wire::JobReply& reply, const Address& target) {
+  const Address& hint = reply.leader_address();
+  const bool follow = !hint.empty() && hint != target && hints_followed_ < kMostHints;
+  if (!follow) return retry_after_failure(target);
+  ++hints_followed_;
+  send(hint);
+}
+
+void LeaderCall::retry_after_failure(const Address& failed) {
+  context_.watcher.refresh(failed);
+  back_off();
+}
+
+void LeaderCall::back_off() {
+  const auto span = static_cast<std::uint64_t>(backoff_.count());
+  const Millis pause(span / 2 + context_.runtime.random() % (span / 2 + 1));
+  backoff_ = std::min(backoff_ * 2, kMostBackoff);
+  wait(pause);
+}
+
+void LeaderCall::wait(Millis pause) {
+  timer_ = context_.runtime.after(pause, [self = weak_from_this()] {
+    if (const auto call = self.lock()) call->next_try();
+  });
+}
+
+TimePoint LeaderCall::patience_end() const {
+  if (request_.verb() != wire::JOB_SUBMIT) return deadline_;
+  return std::min(deadline_, started_ + kSubmitPatience);
+}
+
+void LeaderCall::give_up() {
+  // A try that is under way may yet be taken.
+  if (!out_at_.empty()) unclear_ = true;
+  wire::JobReply reply;
+  const bool rejected = request_.verb() == wire::JOB_SUBMIT && certainly_not_taken();
+  reply.set_outcome(rejected ? wire::JOB_REJECTED : wire::JOB_IN_DOUBT);
+  if (rejected) reply.set_retry_after_ms(kRetryAfterMs);
+  finish(std::move(reply));
+}
+
+void LeaderCall::finish(wire::JobReply reply) {
+  if (finished_) return;
+  finished_ = true;
+  timer_.reset();
+  end_timer_.reset();
+  const auto done = std::move(done_);
+  done(reply);
+}
+
+Millis LeaderCall::left_until(TimePoint end) const {
+  const auto left = std::chrono::duration_cast<Millis>(end - context_.runtime.now());
+  return std::max(left, Millis(1));
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/agent/watch_server.hpp
@@ -0,0 +1,42 @@
+// Answers the long polls of the ingress on the same machine with the newest configuration.
+#pragma once
+
+#include <list>
+#include <memory>
+
+#include "cluster/agent/cluster_view.hpp"
+#include "cluster/common/runtime.hpp"
+
+namespace winchhall::cluster {
+
+class WatchServer {
+ public:
+  WatchServer(Runtime& runtime, const ClusterView& view);
+
+  void watch(const wire::ConfigurationWatch& watch, const Replier& reply);
+  // The view has a newer configuration: answers all polls that wait for one.
+  void on_newer_configuration();
+  // What is told of the link to the control group; a change answers all polls.
+  void set_in_touch(bool in_touch);
+  // Polls are held no longer than this.
+  void set_longest_wait(Millis longest_wait);
+
+ private:
+  struct Poll {
+    std::uint64_t version = 0;
+    Replier reply;
+    std::unique_ptr<Timer> timer;
+  };
+  using Polls = std::list<Poll>;
+
+  void answer(Polls::iterator poll);
+  void answer_all();
+
+  Runtime& runtime_;
+  const ClusterView& view_;
+  Polls polls_;
+  bool in_touch_ = false;
+  Millis longest_wait_{10000};
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/cli/process.cpp
@@ -0,0 +1,48 @@
+#include "cluster/cli/process.hpp"
+
+#include <csignal>
+
+#include "cluster/common/log.hpp"
+
+namespace winchhall::cluster {
+
+Process::Process(NodeSettings settings)
+    : settings_(std::move(settings)),
+      runtime_(loop_),
+      dialer_(loop_, runtime_),
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
+  std::signal(SIGPIPE, SIG_IGN);
+  runtime_.use(dialer_);
+  wait_for_signal();
+}
+
+leaf::result<void> Process::listen(const Address& address, RequestHandler handler) {
+  BOOST_LEAF_AUTO(listener, NngListener::open(loop_, address, std::move(handler)));
+  listeners_.push_back(std::move(listener));
+  return {};
+}
+
+void Process::on_stop(std::function<void(std::function<void()>)> stop) { on_stop_ = std::move(stop); }
+
+void Process::run() { loop_.run(); }
+
+void Process::wait_for_signal() {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      log_event(LogLevel::info, "settings_changed");
+    } else {
+      stop();
+    }
+    wait_for_signal();
+  });
+}
+
+void Process::stop() {
+  if (std::exchange(stopping_, true)) return;
+  log_event(LogLevel::info, "stopping");
+  if (!on_stop_) return loop_.stop();
+  on_stop_([this] { loop_.stop(); });
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/cli/process.hpp
@@ -0,0 +1,45 @@
+// What the long-running processes share: one event loop, timers, calls, an internal listener, signals.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <memory>
+
+#include "cluster/common/asio_runtime.hpp"
+#include "cluster/common/settings.hpp"
+#include "cluster/rpc/dialer.hpp"
+#include "cluster/rpc/listener.hpp"
+
+namespace winchhall::cluster {
+
+class Process {
+ public:
+  explicit Process(NodeSettings settings);
+
+  boost::asio::io_context& loop() { return loop_; }
+  Runtime& runtime() { return runtime_; }
+  const NodeSettings& settings() const { return settings_; }
+
+  // Takes requests of other processes on `address`. Errors: NngFailure.
+  leaf::result<void> listen(const Address& address, RequestHandler handler);
+  // Calls `stop` once at SIGTERM or SIGINT; the process ends when `stop` calls its argument.
+  void on_stop(std::function<void(std::function<void()> done)> stop);
+  // Runs until stopped.
+  void run();
+
+ private:
+  void wait_for_signal();
+  void stop();
+
+  NodeSettings settings_;
+  boost::asio::io_context loop_{1};
+  AsioRuntime runtime_;
+  NngDialer dialer_;
+  std::vector<std::shared_ptr<NngListener>> listeners_;
+  boost::asio::signal_set signals_;
+  std::function<void(std::function<void()>)> on_stop_;
+  bool stopping_ = false;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/common/log.hpp
@@ -0,0 +1,27 @@
+// Logs of a process: one JSON object a line on standard error, with stable fields (time, level, node, role,
+// event).
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace winchhall::cluster {
+
+enum class LogLevel { debug, info, warning, error };
+
+// One named value of a log line.
+struct LogField {
+  std::string_view name;
+  std::variant<std::string, std::int64_t, double> value;
+};
+
+// Starts logging for this process. Lines below `level` are dropped.
+void start_log(const std::string& node_name, const std::string& role, LogLevel level);
+
+// Writes one line. `event` is a short stable word for what happened, e.g. "lease_acquired".
+void log_event(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/config/configuration.hpp
@@ -0,0 +1,62 @@
+// The operator's configuration: routes (queues), services and limits, as one validated value.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cluster/common/errors.hpp"
+#include "cluster/config/route_index.hpp"
+
+namespace winchhall::cluster {
+
+// A queue: which jobs it takes, which service runs them, how they are judged.
+struct Route {
+  std::string name;
+  std::string hostname;
+  std::string path_prefix;
+  std::string route_type;
+  std::uint32_t timeout_ms = 0;
+  std::uint32_t target_latency_ms = 0;
+  std::uint32_t priority = 0;
+  std::string backend;
+  std::uint32_t max_retries = 0;
+  double stretch = 1;
+};
+
+struct Service {
+  std::string name;
+  std::string health_check_path;
+  std::uint32_t max_connections = 0;
+  bool preconditions = false;
+};
+
+struct RequestLimits {
+  std::uint32_t max_header_bytes = 16384;
+  std::uint32_t max_body_bytes = 262144;
+  std::uint32_t header_timeout_ms = 3000;
+  std::uint32_t idle_timeout_ms = 15000;
+};
+
+struct Configuration {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  RequestLimits limits;
+  std::string json;        // the whole configuration as the operator gave it, patches applied
+  RouteIndex route_index;  // of `routes`, made when the configuration is read
+
+  // The route with the longest path prefix that fits; null: none. The hostname's case doesn't matter; it
+  // comes without a port.
+  const Route* find_route(std::string_view hostname, std::string_view path) const;
+  const Service* find_service(std::string_view name) const;
+};
+
+// Reads and checks a whole configuration. Errors: InvalidInput.
+leaf::result<Configuration> parse_configuration(std::string_view json, std::string_view source);
+
+// Applies a patch (`version`, `upsert`, `delete`) to a configuration. Errors: InvalidInput.
+leaf::result<Configuration> apply_patch(const Configuration& base, std::string_view patch_json);
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/config/json_fields.cpp
@@ -0,0 +1,154 @@
+#include "cluster/config/json_fields.hpp"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <cmath>
+#include <memory>
+
+#include "cluster/config/utf8.hpp"
+
+namespace winchhall::cluster {
+namespace {
+
+constexpr std::size_t kShownValueBytes = 80;
+constexpr unsigned kWrittenDigits = 17;  // enough for any double to be read back unchanged
+
+std::string shown(const Json::Value& value) {
+  if (value.isNull()) return {};
+  std::string text = write_json(value);
+  if (text.size() <= kShownValueBytes) return text;
+  text.resize(kShownValueBytes);
+  while (!is_valid_utf8(text)) text.pop_back();
+  return text + "...";
+}
+
+leaf::error_id unreadable(std::string_view source, std::string detail) {
+  return leaf::new_error(
+      InvalidInput{std::string(source), "body", std::move(detail), "one whole JSON object"});
+}
+
+std::unique_ptr<Json::CharReader> make_reader() {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+}
+
+// The field's value; null value: missing. An explicit null counts as missing.
+const Json::Value& field_of(const Json::Value& object, const char* name) {
+  const Json::Value* const found = object.find(name, name + std::char_traits<char>::length(name));
+  return found != nullptr ? *found : Json::Value::nullSingleton();
+}
+
+std::string allowed_range(const NumberRange& range) {
+  return "a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most);
+}
+
+}  // namespace
+
+std::string FieldScope::field(std::string_view name) const {
+  if (path.empty()) return std::string(name);
+  return path + "." + std::string(name);
+}
+
+FieldScope FieldScope::item(unsigned position) const {
+  return {source, path + "[" + std::to_string(position) + "]"};
+}
+
+leaf::error_id invalid_field(const FieldScope& scope, std::string_view name, const Json::Value& value,
+                             std::string allowed) {
+  const std::string field = name.empty() ? scope.path : scope.field(name);
+  return leaf::new_error(InvalidInput{scope.source, field, shown(value), std::move(allowed)});
+}
+
+leaf::result<Json::Value> parse_json_object(std::string_view text, std::string_view source) {
+  if (text.empty()) return unreadable(source, "");
+  if (!is_valid_utf8(text)) return unreadable(source, "broken UTF-8");
+  Json::Value root;
+  std::string errors;
+  try {
+    if (!make_reader()->parse(text.data(), text.data() + text.size(), &root, &errors)) {
+      return unreadable(source, errors.substr(0, kShownValueBytes));
+    }
+  } catch (const Json::Exception& failure) {  // nested too deeply
+    return unreadable(source, failure.what());
+  }
+  if (!root.isObject()) return unreadable(source, shown(root));
+  return root;
+}
+
+std::string write_json(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  builder["emitUTF8"] = true;
+  builder["precision"] = kWrittenDigits;
+  return Json::writeString(builder, value);
+}
+
+leaf::result<std::string> optional_text(const FieldScope& scope, const Json::Value& object,
+                                        const char* name) {
+  const Json::Value& value = field_of(object, name);
+  if (value.isNull()) return std::string();
+  if (!value.isString()) return invalid_field(scope, name, value, "a text");
+  std::string text = value.asString();
+  if (!is_valid_utf8(text)) return invalid_field(scope, name, Json::Value("broken UTF-8"), "a text in UTF-8");
+  return text;
+}
+
+leaf::result<std::string> required_text(const FieldScope& scope, const Json::Value& object,
+                                        const char* name) {
+  BOOST_LEAF_AUTO(text, optional_text(scope, object, name));
+  if (text.empty()) return invalid_field(scope, name, field_of(object, name), "a text that is not empty");
+  return text;
+}
+
+leaf::result<std::uint64_t> whole_number(const FieldScope& scope, const Json::Value& object, const char* name,
+                                         const NumberRange& range) {
+  const Json::Value& value = field_of(object, name);
+  if (value.isNull() && range.fallback) return *range.fallback;
+  if (value.isNull() || value.isBool() || !value.isUInt64()) {
+    return invalid_field(scope, name, value, allowed_range(range));
+  }
+  const std::uint64_t number = value.asUInt64();
+  if (number < range.least || number > range.most) {
+    return invalid_field(scope, name, value, allowed_range(range));
+  }
+  return number;
+}
+
+leaf::result<bool> optional_flag(const FieldScope& scope, const Json::Value& object, const char* name,
+                                 bool fallback) {
+  const Json::Value& value = field_of(object, name);
+  if (value.isNull()) return fallback;
+  if (!value.isBool()) return invalid_field(scope, name, value, "true or false");
+  return value.asBool();
+}
+
+leaf::result<double> optional_fraction(const FieldScope& scope, const Json::Value& object, const char* name,
+                                       double most, double fallback) {
+  const Json::Value& value = field_of(object, name);
+  if (value.isNull()) return fallback;
+  const bool number = value.isNumeric() && !value.isBool();
+  if (!number || !std::isfinite(value.asDouble()) || value.asDouble() < 0 || value.asDouble() > most) {
+    return invalid_field(scope, name, value, "a number from 0 to " + std::to_string(most));
+  }
+  return value.asDouble();
+}
+
+leaf::result<const Json::Value*> list_field(const FieldScope& scope, const Json::Value& object,
+                                            const char* name, bool required) {
+  const Json::Value& value = field_of(object, name);
+  if (value.isNull() && !required) return nullptr;
+  if (!value.isArray()) return invalid_field(scope, name, value, "a list");
+  return &value;
+}
+
+leaf::result<const Json::Value*> object_field(const FieldScope& scope, const Json::Value& object,
+                                              const char* name) {
+  const Json::Value& value = field_of(object, name);
+  if (value.isNull()) return nullptr;
+  if (!value.isObject()) return invalid_field(scope, name, value, "an object");
+  return &value;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/acceptor.cpp
@@ -0,0 +1,163 @@
+#include "cluster/consensus/acceptor.hpp"
+
+#include <set>
+#include <utility>
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr std::size_t kPageBytes = 128 << 10;
+
+// Keys of state pages: their order is the order of the pages.
+const std::string kShardPrefix = "1/";
+const std::string kRecordPrefix = "2/";
+const std::string kRegisterPrefix = "3/";
+
+// Keys of the store.
+const std::string kStoredShardPrefix = shard_store_key("");
+const std::string kStoredRecordPrefix = "record/";
+const std::string kStoredRegisterPrefix = register_store_key("");
+
+// Splits "SHARD\0KEY".
+struct RecordName {
+  std::string shard;
+  std::string key;
+};
+
+std::string joined(const std::string& shard, const std::string& key) {
+  std::string name = shard;
+  name.push_back('\0');
+  return name + key;
+}
+
+RecordName split(std::string_view name) {
+  const std::size_t end = name.find('\0');
+  if (end == std::string_view::npos) return {};
+  return {std::string(name.substr(0, end)), std::string(name.substr(end + 1))};
+}
+
+template <typename Message>
+Message parsed(std::string_view bytes) {
+  Message message;
+  message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+  return message;
+}
+
+// Collects entries behind a key until the page is full.
+class PageWriter {
+ public:
+  explicit PageWriter(std::string after_key) : after_key_(std::move(after_key)) { page_.set_last(true); }
+
+  void add(std::string key, const google::protobuf::MessageLite& value) {
+    if (!page_.last() || key <= after_key_) return;
+    if (bytes_ >= kPageBytes) return page_.set_last(false);
+    wire::StateEntry* entry = page_.add_entries();
+    value.SerializeToString(entry->mutable_value());
+    bytes_ += key.size() + entry->value().size();
+    entry->set_key(std::move(key));
+  }
+  bool full() const { return !page_.last(); }
+  const std::string& after_key() const { return after_key_; }
+  wire::StatePage take() { return std::move(page_); }
+
+ private:
+  const std::string after_key_;
+  wire::StatePage page_;
+  std::size_t bytes_ = 0;
+};
+
+void add_records(const std::string& shard, const ShardRecords& records, PageWriter& writer) {
+  const std::string prefix = kRecordPrefix + joined(shard, "");
+  // Records that were sent already are passed over without being looked at.
+  const bool begun = writer.after_key().starts_with(prefix);
+  auto entry = begun ? records.upper_bound(writer.after_key().substr(prefix.size())) : records.begin();
+  for (; entry != records.end() && !writer.full(); ++entry) writer.add(prefix + entry->first, entry->second);
+}
+
+}  // namespace
+
+Acceptor::Acceptor(Runtime& runtime, Journal& journal, const Standing& standing,
+                   RegisterAcceptor::ChosenListener on_chosen)
+    : registers_(journal, standing, std::move(on_chosen)), shards_(runtime, journal, standing) {}
+
+void Acceptor::load(std::string_view key, std::string_view value) {
+  if (key.starts_with(kStoredShardPrefix)) {
+    shards_.load_state(std::string(key.substr(kStoredShardPrefix.size())), parsed<wire::ShardState>(value));
+  } else if (key.starts_with(kStoredRecordPrefix)) {
+    const RecordName name = split(key.substr(kStoredRecordPrefix.size()));
+    shards_.load_record(name.shard, parsed<wire::ShardRecord>(value));
+  } else if (key.starts_with(kStoredRegisterPrefix)) {
+    registers_.load(std::string(key.substr(kStoredRegisterPrefix.size())),
+                    parsed<wire::RegisterState>(value));
+  }
+}
+
+bool Acceptor::handle(const wire::Envelope& request, const Replier& reply) {
+  switch (request.body_case()) {
+    case wire::Envelope::kRegisterPrepare:
+      registers_.prepare(request.register_prepare(), reply);
+      return true;
+    case wire::Envelope::kRegisterAccept:
+      registers_.accept(request.register_accept(), reply);
+      return true;
+    case wire::Envelope::kLeaseRequest:
+      shards_.lease(request.lease_request(), reply);
+      return true;
+    case wire::Envelope::kShardRead:
+      shards_.read(request.shard_read(), reply);
+      return true;
+    case wire::Envelope::kShardWrite:
+      shards_.write(request.shard_write(), reply);
+      return true;
+    default:
+      return false;
+  }
+}
+
+wire::StatePage Acceptor::state_page(const std::string& after_key) const {
+  PageWriter writer(after_key);
+  const std::map<std::string, const ShardReplica*> replicas = shards_.replicas();
+  for (const auto& [shard, replica] : replicas) writer.add(kShardPrefix + shard, replica->state);
+  for (const auto& [shard, replica] : replicas) add_records(shard, replica->records, writer);
+  for (const auto& [key, state] : registers_.states()) writer.add(kRegisterPrefix + key, state);
+  return writer.take();
+}
+
+void Acceptor::take_entry(const wire::StateEntry& entry, StateCopy& copy) {
+  const std::string_view key = entry.key();
+  if (key.starts_with(kShardPrefix)) {
+    copy.shards[std::string(key.substr(kShardPrefix.size()))].state = parsed<wire::ShardState>(entry.value());
+  } else if (key.starts_with(kRecordPrefix)) {
+    const RecordName name = split(key.substr(kRecordPrefix.size()));
+    copy.shards[name.shard].records[name.key] = parsed<wire::ShardRecord>(entry.value());
+  } else if (key.starts_with(kRegisterPrefix)) {
+    copy.registers[std::string(key.substr(kRegisterPrefix.size()))] =
+        parsed<wire::RegisterState>(entry.value());
+  }
+}
+
+StoreBatch Acceptor::merge(const std::vector<StateCopy>& copies) {
+  StoreBatch batch;
+  std::set<std::string> shards;
+  for (const StateCopy& copy : copies) {
+    for (const auto& [key, state] : copy.registers) registers_.merge(key, state, batch);
+    for (const auto& [shard, replica] : copy.shards) shards.insert(shard);
+  }
+  for (const std::string& shard : shards) merge_shard(shard, copies, batch);
+  return batch;
+}
+
+void Acceptor::merge_shard(const std::string& shard, const std::vector<StateCopy>& copies,
+                           StoreBatch& batch) {
+  std::vector<const ShardReplica*> sources;
+  const std::map<std::string, const ShardReplica*> own = shards_.replicas();
+  if (own.contains(shard)) sources.push_back(own.at(shard));
+  for (const StateCopy& copy : copies) {
+    const auto found = copy.shards.find(shard);
+    if (found != copy.shards.end()) sources.push_back(&found->second);
+  }
+  shards_.replace(shard, merge_replicas(sources), batch);
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/admission.cpp
@@ -0,0 +1,139 @@
+#include "cluster/consensus/admission.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/common/log.hpp"
+#include "cluster/consensus/member_record.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kVerifyTimeout{500};
+constexpr Millis kChangeTimeout{2000};
+constexpr Millis kMissing{1500};  // a member silent for so long may be about to be replaced
+constexpr Millis kGone{10000};    // a member silent for so long gives way to a candidate
+
+// Voting members heard, without one of them.
+std::size_t voters_without(const GroupView& group, std::uint64_t id) {
+  const std::vector<std::uint64_t> heard = group.voting_members_heard();
+  return heard.size() - static_cast<std::size_t>(std::count(heard.begin(), heard.end(), id));
+}
+
+std::size_t size_of(const wire::MemberRecord& record) {
+  return static_cast<std::size_t>(record.members_size());
+}
+
+bool can_remove(const wire::MemberRecord& record, std::uint64_t id, const GroupView& group) {
+  const bool large_enough = size_of(record) >= record.largest();
+  return large_enough && may_remove_member(record) &&
+         voters_without(group, id) >= majority_of(size_of(record) - 1);
+}
+
+bool can_add(const wire::MemberRecord& record, const GroupView& group) {
+  return group.voting_members_heard().size() >= majority_of(size_of(record) + 1);
+}
+
+const wire::Member* find_predecessor(const wire::MemberRecord& record, const wire::Member& candidate) {
+  for (const wire::Member& member : record.members()) {
+    if (member.address() == candidate.address() && member.id() != candidate.id()) return &member;
+  }
+  return nullptr;
+}
+
+// The member that has been silent the longest; null: all answer.
+const wire::Member* find_silent(const wire::MemberRecord& record, const PeerBook& peers, Millis span) {
+  const wire::Member* silent = nullptr;
+  for (const wire::Member& member : record.members()) {
+    if (!peers.silent_for(member.id(), span)) continue;
+    if (!silent || peers.heard_at(member.id()) < peers.heard_at(silent->id())) silent = &member;
+  }
+  return silent;
+}
+
+bool missing_member(const wire::MemberRecord& record, const GroupView& group, const PeerBook& peers) {
+  return std::any_of(record.members().begin(), record.members().end(), [&](const wire::Member& member) {
+    return member.id() != group.self_id() && !peers.heard_within(member.id(), kMissing);
+  });
+}
+
+wire::MemberRecord parsed(const std::string& bytes) {
+  wire::MemberRecord record;
+  record.ParseFromString(bytes);
+  return record;
+}
+
+}  // namespace
+
+std::optional<wire::MemberRecord> next_record(const wire::MemberRecord& record, const wire::Member& candidate,
+                                              const GroupView& group, const PeerBook& peers) {
+  const bool member = find_member(record, candidate.id()) != nullptr;
+  if (const wire::Member* predecessor = find_predecessor(record, candidate)) {
+    if (can_remove(record, predecessor->id(), group)) return without_member(record, predecessor->id());
+    if (member || !can_add(record, group)) return std::nullopt;
+    return with_member(record, candidate);
+  }
+  if (member || was_removed(record, candidate.id())) return std::nullopt;
+  if (size_of(record) >= record.largest()) {
+    const wire::Member* silent = find_silent(record, peers, kGone);
+    if (silent && can_remove(record, silent->id(), group)) return without_member(record, silent->id());
+    if (missing_member(record, group, peers)) return std::nullopt;
+  }
+  if (!can_add(record, group)) return std::nullopt;
+  return with_member(record, candidate);
+}
+
+Admission::Admission(GroupView& group, RegisterClient& registers, const PeerBook& peers,
+                     std::function<void(const wire::MemberRecord&)> on_record)
+    : group_(group), registers_(registers), peers_(peers), on_record_(std::move(on_record)) {}
+
+void Admission::handle(const wire::JoinRequest& request, const Replier& reply) {
+  wire::Envelope envelope;
+  wire::JoinReply& answer = *envelope.mutable_join_reply();
+  answer.set_member(find_member(group_.record(), request.candidate().id()) != nullptr);
+  *answer.mutable_record() = group_.record();
+  reply(std::move(envelope));
+  if (!busy_ && may_admit(request.candidate())) verify(request.candidate());
+}
+
+bool Admission::may_admit(const wire::Member& candidate) const {
+  if (candidate.id() == 0 || candidate.address().empty() || candidate.id() == group_.self_id()) return false;
+  if (was_removed(group_.record(), candidate.id())) return false;
+  const bool settled = find_member(group_.record(), candidate.id()) != nullptr &&
+                       find_predecessor(group_.record(), candidate) == nullptr;
+  return !settled && group_.voting() && group_.in_touch();
+}
+
+void Admission::verify(const wire::Member& candidate) {
+  busy_ = true;
+  wire::Envelope request;
+  wire::MemberPing& ping = *request.mutable_member_ping();
+  ping.set_from(group_.self_id());
+  ping.set_member_epoch(group_.record().epoch());
+  group_.call(candidate, std::move(request), kVerifyTimeout, [this, candidate](const CallResult& result) {
+    busy_ = false;
+    const bool there = result.answer && result.answer->has_member_ping() &&
+                       result.answer->member_ping().from() == candidate.id();
+    if (there && may_admit(candidate)) change_record(candidate);
+  });
+}
+
+void Admission::change_record(const wire::Member& candidate) {
+  const wire::MemberRecord base = group_.record();
+  const std::optional<wire::MemberRecord> next = next_record(base, candidate, group_, peers_);
+  if (!next) return;
+  busy_ = true;
+  const auto change = [base, next = *next](const std::string& current) -> std::optional<std::string> {
+    const std::uint64_t current_epoch = current.empty() ? 1 : parsed(current).epoch();
+    if (current_epoch != base.epoch()) return std::nullopt;
+    return next.SerializeAsString();
+  };
+  registers_.update(kMembersRegister, change, kChangeTimeout,
+                    [this](const std::optional<RegisterValue>& value) {
+                      busy_ = false;
+                      if (value && !value->value.empty()) on_record_(parsed(value->value));
+                    });
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/admission.hpp
@@ -0,0 +1,45 @@
+// Admits machines to the control group on their request, one change of the member record at a time.
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "cluster/consensus/group_view.hpp"
+#include "cluster/consensus/peer_book.hpp"
+#include "cluster/consensus/register_client.hpp"
+
+namespace winchhall::cluster {
+
+// Key of the register that holds the member record.
+inline const std::string kMembersRegister = "members";
+
+// The next record on the way to a group with this candidate in it; none: nothing to change now. A member at
+// the candidate's address under another id has lost its disk. A member that has been silent for long gives
+// way to a candidate from elsewhere; the group never gets smaller than its largest size less one.
+std::optional<wire::MemberRecord> next_record(const wire::MemberRecord& record, const wire::Member& candidate,
+                                              const GroupView& group, const PeerBook& peers);
+
+class Admission {
+ public:
+  // `on_record` is told of every chosen record that a change brings up.
+  Admission(GroupView& group, RegisterClient& registers, const PeerBook& peers,
+            std::function<void(const wire::MemberRecord&)> on_record);
+
+  // Answers at once with the newest record; changes it later where the candidate is to be admitted. No
+  // candidate: the sender only wants the record.
+  void handle(const wire::JoinRequest& request, const Replier& reply);
+
+ private:
+  bool may_admit(const wire::Member& candidate) const;
+  // Asks the candidate itself: a request may be late and its sender long gone.
+  void verify(const wire::Member& candidate);
+  void change_record(const wire::Member& candidate);
+
+  GroupView& group_;
+  RegisterClient& registers_;
+  const PeerBook& peers_;
+  const std::function<void(const wire::MemberRecord&)> on_record_;
+  bool busy_ = false;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/control_group.cpp
@@ -0,0 +1,294 @@
+#include "cluster/consensus/control_group.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/consensus/ballot.hpp"
+#include "cluster/consensus/member_record.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kTick{250};
+constexpr Millis kTouch{1000};
+constexpr Millis kSendTimeout{500};
+constexpr Millis kRefreshTimeout{3000};
+const std::string kConfigurationRegister = "configuration";
+
+}  // namespace
+
+// Tells the group of its end.
+class ControlGroup::OpenShard : public LeasedShard {
+ public:
+  OpenShard(ControlGroup& group, std::string name, ShardCallbacks callbacks)
+      : LeasedShard(group, std::move(name), std::move(callbacks)), group_(group) {
+    group_.shards_.insert(this);
+  }
+  ~OpenShard() override { group_.shards_.erase(this); }
+
+ private:
+  ControlGroup& group_;
+};
+
+ControlGroup::ControlGroup(Runtime& runtime, DurableStore& store, const NodeSettings& settings)
+    : runtime_(runtime),
+      store_(store),
+      settings_(settings),
+      journal_(runtime, store),
+      acceptor_(runtime, journal_, standing_,
+                [this](const std::string& key, const RegisterValue& value) { register_chosen(key, value); }),
+      calls_(runtime,
+             [this](const wire::Envelope& request, const Replier& reply) { return handle(request, reply); }),
+      peers_(runtime),
+      client_(*this, fresh_number(),
+              [this](const std::string& key, const RegisterValue& value, bool newly_chosen) {
+                attempt_chose(key, value, newly_chosen);
+              }),
+      admission_(*this, client_, peers_, [this](const wire::MemberRecord& record) { adopt(record); }) {}
+
+ControlGroup::~ControlGroup() { stop(); }
+
+void ControlGroup::start() {
+  load();
+  if (identity_.id() == 0) {
+    found_or_join();
+  } else {
+    activate();
+  }
+}
+
+void ControlGroup::stop() {
+  active_ = false;
+  tick_timer_.reset();
+  if (sync_) sync_->cancel();
+  sync_.reset();
+}
+
+void ControlGroup::activate() {
+  active_ = true;
+  for (const std::shared_ptr<Watch>& watch : std::vector(watches_)) {
+    if (const std::optional<RegisterValue> value = acceptor_.registers().chosen(watch->key))
+      tell(*watch, *value);
+  }
+  tick();
+}
+
+bool ControlGroup::handle(const wire::Envelope& request, const Replier& reply) {
+  switch (request.body_case()) {
+    case wire::Envelope::kMemberPing: {
+      if (!active_) return true;
+      wire::Envelope answer;
+      *answer.mutable_member_ping() = own_ping();
+      reply(std::move(answer));
+      note_ping(request.member_ping());
+      return true;
+    }
+    case wire::Envelope::kJoinRequest:
+      if (active_) admission_.handle(request.join_request(), reply);
+      return true;
+    case wire::Envelope::kStatePull:
+      if (active_) handle_state_pull(request.state_pull(), reply);
+      return true;
+    case wire::Envelope::kRegisterChosen:
+      if (active_) handle_chosen(request.register_chosen(), reply);
+      return true;
+    case wire::Envelope::kRegisterPrepare:
+    case wire::Envelope::kRegisterAccept:
+    case wire::Envelope::kLeaseRequest:
+    case wire::Envelope::kShardRead:
+    case wire::Envelope::kShardWrite:
+      if (active_) acceptor_.handle(request, reply);
+      return true;
+    default:
+      return false;
+  }
+}
+
+std::unique_ptr<ReplicatedShard> ControlGroup::open_shard(std::string name, ShardCallbacks callbacks) {
+  return std::make_unique<OpenShard>(*this, std::move(name), std::move(callbacks));
+}
+
+// ---------------------------------------------------------------- leases and members heard
+
+std::vector<wire::ShardLeader> ControlGroup::leaders() const {
+  std::set<std::string> shards;
+  for (const wire::ShardLeader& leader : acceptor_.shards().leases_in_force()) shards.insert(leader.shard());
+  for (const wire::ShardLeader& leader : peers_.leaders()) shards.insert(leader.shard());
+  std::vector<wire::ShardLeader> leaders;
+  for (const std::string& shard : shards) {
+    std::optional<wire::ShardLeader> leader = lease_in_force(shard);
+    if (leader && !leader->address().empty()) leaders.push_back(std::move(*leader));
+  }
+  return leaders;
+}
+
+std::optional<wire::ShardLeader> ControlGroup::lease_in_force(const std::string& shard) const {
+  // What others report may be late: it counts only where it is newer than what this acceptor knows.
+  const std::optional<wire::ShardLeader> reported = peers_.leader(shard);
+  if (reported && reported->epoch() > promised_epoch(shard)) return reported;
+  return acceptor_.shards().lease_in_force(shard);
+}
+
+std::size_t ControlGroup::leases_held_here() const {
+  const std::vector<wire::ShardLeader> leases = acceptor_.shards().leases_in_force();
+  return static_cast<std::size_t>(
+      std::count_if(leases.begin(), leases.end(),
+                    [this](const wire::ShardLeader& lease) { return lease.holder() == standing_.id; }));
+}
+
+std::uint64_t ControlGroup::promised_epoch(const std::string& shard) const {
+  return acceptor_.shards().promised_epoch(shard);
+}
+
+bool ControlGroup::in_touch() const {
+  if (record_.epoch() == 0) return false;
+  std::size_t heard = 0;
+  for (const wire::Member& member : record_.members()) {
+    if (member.id() == standing_.id || peers_.heard_within(member.id(), kTouch)) ++heard;
+  }
+  return heard >= majority(record_);
+}
+
+std::vector<std::uint64_t> ControlGroup::voting_members_heard() const {
+  std::vector<std::uint64_t> heard;
+  for (const wire::Member& member : record_.members()) {
+    const bool self_votes = member.id() == standing_.id && standing_.voting;
+    const bool other_votes = peers_.heard_within(member.id(), kTouch) && peers_.votes(member.id());
+    if (self_votes || other_votes) heard.push_back(member.id());
+  }
+  return heard;
+}
+
+void ControlGroup::call(const wire::Member& member, wire::Envelope request, Millis timeout,
+                        std::function<void(CallResult)> done) {
+  if (member.id() == standing_.id) return calls_.call_local(std::move(request), std::move(done));
+  calls_.call(member.address(), std::move(request), timeout, std::move(done));
+}
+
+// ---------------------------------------------------------------- pings
+
+void ControlGroup::tick() {
+  tick_timer_ = runtime_.after(kTick, [this] { tick(); });
+  for (const wire::Member& member : record_.members()) {
+    if (member.id() != standing_.id) ping(member);
+  }
+  ask_to_join();
+  synchronize();
+  refresh_registers();
+}
+
+wire::MemberPing ControlGroup::own_ping() const {
+  wire::MemberPing ping;
+  ping.set_from(standing_.id);
+  ping.set_member_epoch(record_.epoch());
+  ping.set_address(settings_.internal_address());
+  ping.set_voting(standing_.voting);
+  if (const std::optional<RegisterValue> value = acceptor_.registers().chosen(kConfigurationRegister)) {
+    *ping.mutable_configuration_ballot() = value->ballot;
+  }
+  for (wire::ShardLeader& leader : acceptor_.shards().leases_in_force())
+    *ping.add_leaders() = std::move(leader);
+  return ping;
+}
+
+void ControlGroup::ping(const wire::Member& member) {
+  wire::Envelope request;
+  *request.mutable_member_ping() = own_ping();
+  const TimePoint sent_at = runtime_.now();
+  calls_.call(member.address(), std::move(request), kSendTimeout,
+              [this, member, sent_at](const CallResult& result) {
+                if (!result.answer || !result.answer->has_member_ping() ||
+                    result.answer->member_ping().from() != member.id()) {
+                  return peers_.failed(member.id());
+                }
+                const wire::MemberPing& answer = result.answer->member_ping();
+                peers_.answered(member.id(), sent_at, answer.voting());
+                note_ping(answer);
+              });
+}
+
+void ControlGroup::note_ping(const wire::MemberPing& ping) {
+  if (ping.member_epoch() > record_.epoch() && !ping.address().empty()) fetch_record(ping.address());
+  peers_.note_leaders(ping);
+  if (is_lower(newest_configuration_, ping.configuration_ballot())) {
+    newest_configuration_ = ping.configuration_ballot();
+  }
+}
+
+// ---------------------------------------------------------------- registers
+
+void ControlGroup::watch_register(const std::string& key, RegisterWatch on_newer) {
+  auto watch = std::make_shared<Watch>();
+  watch->key = key;
+  watch->on_newer = std::move(on_newer);
+  watches_.push_back(watch);
+  to_refresh_.insert(key);
+  if (const std::optional<RegisterValue> value = acceptor_.registers().chosen(key)) tell(*watch, *value);
+}
+
+void ControlGroup::tell(Watch& watch, const RegisterValue& value) {
+  if (watch.told == value.value) return;
+  watch.told = value.value;
+  watch.on_newer(value);
+}
+
+void ControlGroup::register_chosen(const std::string& key, const RegisterValue& value) {
+  client_.note_chosen(key, value);
+  if (key == kMembersRegister) {
+    wire::MemberRecord record;
+    if (record.ParseFromString(value.value)) adopt(record);
+  }
+  for (const std::shared_ptr<Watch>& watch : std::vector(watches_)) {
+    if (watch->key == key) tell(*watch, value);
+  }
+}
+
+void ControlGroup::attempt_chose(const std::string& key, const RegisterValue& value, bool newly_chosen) {
+  acceptor_.registers().learn(key, value);
+  if (!newly_chosen) return;
+  wire::Envelope message;
+  wire::RegisterChosen& chosen = *message.mutable_register_chosen();
+  chosen.set_key(key);
+  *chosen.mutable_ballot() = value.ballot;
+  chosen.set_value(value.value);
+  const wire::MemberRecord record = record_;
+  for (const wire::Member& member : record.members()) {
+    if (member.id() == standing_.id) continue;
+    calls_.call(member.address(), message, kSendTimeout, [](const CallResult&) {});
+  }
+}
+
+void ControlGroup::handle_chosen(const wire::RegisterChosen& chosen, const Replier& reply) {
+  acceptor_.registers().learn(chosen.key(), RegisterValue{chosen.ballot(), chosen.value()});
+  wire::MemberRecord record;
+  if (chosen.key() == kMembersRegister && record.ParseFromString(chosen.value())) adopt(record);
+  wire::Envelope answer;
+  answer.mutable_acknowledgement();
+  reply(std::move(answer));
+}
+
+void ControlGroup::refresh_registers() {
+  const bool touch = in_touch();
+  if (touch && !was_in_touch_) {
+    for (const std::shared_ptr<Watch>& watch : watches_) to_refresh_.insert(watch->key);
+  }
+  was_in_touch_ = touch;
+  const std::optional<RegisterValue> known = acceptor_.registers().chosen(kConfigurationRegister);
+  const wire::Ballot known_ballot = known ? known->ballot : wire::Ballot();
+  if (is_lower(known_ballot, newest_configuration_)) to_refresh_.insert(kConfigurationRegister);
+  if (!touch) return;
+  for (const std::string& key : std::exchange(to_refresh_, {})) refresh(key);
+}
+
+void ControlGroup::refresh(const std::string& key) {
+  if (!refreshing_.insert(key).second) return;
+  const auto leave_as_it_is = [](const std::string&) { return std::nullopt; };
+  client_.update(key, leave_as_it_is, kRefreshTimeout,
+                 [this, key](const std::optional<RegisterValue>& value) {
+                   refreshing_.erase(key);
+                   if (!value) to_refresh_.insert(key);
+                 });
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/control_group.hpp
@@ -0,0 +1,136 @@
+// The control group: a member, or a candidate, of the group of nodes that keep registers and shards.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/common/settings.hpp"
+#include "cluster/consensus/acceptor.hpp"
+#include "cluster/consensus/admission.hpp"
+#include "cluster/consensus/leased_shard.hpp"
+#include "cluster/consensus/member_calls.hpp"
+#include "cluster/consensus/peer_book.hpp"
+#include "cluster/consensus/quorum_register_client.hpp"
+#include "cluster/consensus/state_sync.hpp"
+#include "cluster/store/store.hpp"
+
+namespace winchhall::cluster {
+
+class ControlGroup : private GroupView {
+ public:
+  // Told of a register's newer values that are known to be chosen.
+  using RegisterWatch = std::function<void(const RegisterValue& value)>;
+
+  ControlGroup(Runtime& runtime, DurableStore& store, const NodeSettings& settings);
+  ~ControlGroup() override;
+
+  // Loads the store and takes part from now on.
+  void start();
+  // Takes part no more; shards that are still led are to be stepped down before.
+  void stop();
+  // Answers requests of other control nodes; false: of another kind.
+  bool handle(const wire::Envelope& request, const Replier& reply);
+
+  RegisterClient& registers() { return client_; }
+  // This node's part in a shard. To be destroyed before the group.
+  std::unique_ptr<ReplicatedShard> open_shard(std::string name, ShardCallbacks callbacks);
+  // Calls `on_newer` for the value known now, if any, and for every newer one that differs.
+  void watch_register(const std::string& key, RegisterWatch on_newer);
+
+  // Newest member record known; epoch 0: none yet.
+  const wire::MemberRecord& members() const { return record_; }
+  // Leases in force as far as known here.
+  std::vector<wire::ShardLeader> leaders() const;
+  // True while a majority of the members was heard within the last second.
+  bool in_touch() const override;
+  std::uint64_t member_id() const { return standing_.id; }
+  // A member of the newest record that holds all state: its answers count.
+  bool votes() const { return standing_.voting; }
+
+ private:
+  struct Watch {
+    std::string key;
+    RegisterWatch on_newer;
+    std::optional<std::string> told;
+  };
+  class OpenShard;
+
+  // GroupView
+  Runtime& runtime() override { return runtime_; }
+  const wire::MemberRecord& record() const override { return record_; }
+  std::uint64_t self_id() const override { return standing_.id; }
+  bool voting() const override { return standing_.voting; }
+  std::vector<std::uint64_t> voting_members_heard() const override;
+  void call(const wire::Member& member, wire::Envelope request, Millis timeout,
+            std::function<void(CallResult)> done) override;
+  void defer(std::function<void()> action) override { calls_.defer(std::move(action)); }
+  void saw_member_epoch(std::uint64_t epoch, const wire::Member& member) override;
+  std::optional<wire::ShardLeader> lease_in_force(const std::string& shard) const override;
+  std::size_t leases_held_here() const override;
+  std::uint64_t promised_epoch(const std::string& shard) const override;
+
+  // Identity and member records
+  void load();
+  void found_or_join();
+  std::uint64_t fresh_number();
+  wire::Member self_member() const;
+  void activate();
+  void adopt(const wire::MemberRecord& record);
+  void adopted(const wire::MemberRecord& record, const wire::NodeIdentity& identity);
+  void update_standing();
+
+  // Exchange with others
+  void tick();
+  void ping(const wire::Member& member);
+  wire::MemberPing own_ping() const;
+  void note_ping(const wire::MemberPing& ping);
+  void fetch_record(const Address& address);
+  void push_record(const wire::Member& member);
+  void ask_to_join();
+  std::vector<Address> join_targets() const;
+  void synchronize();
+  void synchronized(std::vector<StateCopy> copies, std::uint64_t member_epoch);
+
+  // Registers
+  void register_chosen(const std::string& key, const RegisterValue& value);
+  void attempt_chose(const std::string& key, const RegisterValue& value, bool newly_chosen);
+  void handle_chosen(const wire::RegisterChosen& chosen, const Replier& reply);
+  void handle_state_pull(const wire::StatePull& pull, const Replier& reply);
+  void tell(Watch& watch, const RegisterValue& value);
+  void refresh_registers();
+  void refresh(const std::string& key);
+
+  Runtime& runtime_;
+  DurableStore& store_;
+  const NodeSettings settings_;
+  Journal journal_;
+  Standing standing_;
+  wire::NodeIdentity identity_;
+  wire::MemberRecord record_;
+  std::uint64_t adopting_epoch_ = 0;
+  Acceptor acceptor_;
+  MemberCalls calls_;
+  PeerBook peers_;
+  QuorumRegisterClient client_;
+  Admission admission_;
+  std::set<LeasedShard*> shards_;
+  std::vector<std::shared_ptr<Watch>> watches_;
+  bool active_ = false;
+  std::shared_ptr<StateSync> sync_;
+  bool fetching_ = false;
+  bool joining_ = false;
+  std::size_t next_join_target_ = 0;
+  std::map<std::uint64_t, TimePoint> pushed_at_;
+  bool was_in_touch_ = false;
+  std::set<std::string> to_refresh_;
+  std::set<std::string> refreshing_;
+  wire::Ballot newest_configuration_;  // highest chosen ballot of the configuration that others told of
+  std::unique_ptr<Timer> tick_timer_;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/journal.cpp
@@ -0,0 +1,57 @@
+#include "cluster/consensus/journal.hpp"
+
+#include <utility>
+
+namespace winchhall::cluster {
+
+namespace {
+constexpr Millis kRecoveryPause{100};
+}
+
+Journal::Journal(Runtime& runtime, DurableStore& store) : runtime_(runtime), store_(store) {}
+
+void Journal::commit(StoreBatch batch, std::function<void()> on_durable) {
+  Entry entry{std::move(batch), std::move(on_durable)};
+  if (recovering_) {
+    held_.push_back(std::move(entry));
+  } else {
+    issue(std::move(entry));
+  }
+}
+
+void Journal::barrier(std::function<void()> on_durable) {
+  if (!recovering_ && outstanding_.empty()) return on_durable();
+  commit({}, std::move(on_durable));
+}
+
+void Journal::issue(Entry entry) {
+  StoreBatch batch = entry.batch;
+  outstanding_.push_back(std::move(entry));
+  store_.commit(std::move(batch), [this, alive = std::weak_ptr(alive_)](CommitOutcome outcome) {
+    if (!alive.expired()) ended(outcome);
+  });
+}
+
+void Journal::ended(CommitOutcome outcome) {
+  Entry entry = std::move(outstanding_.front());
+  outstanding_.pop_front();
+  if (outcome == CommitOutcome::failed) recovering_ = true;
+  if (!recovering_) {
+    if (entry.on_durable) entry.on_durable();
+    return;
+  }
+  doubtful_.push_back(std::move(entry));
+  if (outstanding_.empty()) schedule_recovery();
+}
+
+void Journal::schedule_recovery() {
+  recovery_timer_ = runtime_.after(kRecoveryPause, [this] { recover(); });
+}
+
+void Journal::recover() {
+  recovering_ = false;
+  for (Entry& entry : std::exchange(doubtful_, {})) issue(std::move(entry));
+  for (Entry& entry : std::exchange(held_, {})) issue(std::move(entry));
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/lease_keeper.cpp
@@ -0,0 +1,126 @@
+#include "cluster/consensus/lease_keeper.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/consensus/lease_terms.hpp"
+#include "cluster/consensus/member_record.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kCallTimeout{500};
+constexpr Millis kAskTimeout{500};  // without a majority by then, the epoch is given up
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(GroupView& group, std::string shard, std::uint64_t epoch, LeaseCallbacks callbacks)
+    : group_(group),
+      shard_(std::move(shard)),
+      epoch_(epoch),
+      callbacks_(std::move(callbacks)),
+      highest_epoch_(epoch) {}
+
+void LeaseKeeper::start() {
+  end_ = group_.runtime().now() + kAskTimeout;
+  watch_end();
+  send_round();
+}
+
+wire::Envelope LeaseKeeper::request(bool release) const {
+  wire::Envelope envelope;
+  wire::LeaseRequest& request = *envelope.mutable_lease_request();
+  request.set_shard(shard_);
+  request.set_epoch(epoch_);
+  request.set_holder(group_.self_id());
+  const wire::Member* self = find_member(group_.record(), group_.self_id());
+  if (self) request.set_holder_address(self->address());
+  request.set_duration_ms(static_cast<std::uint32_t>(kLeaseDuration.count()));
+  request.set_member_epoch(group_.record().epoch());
+  request.set_release(release);
+  return envelope;
+}
+
+void LeaseKeeper::send_round() {
+  auto round = std::make_shared<Round>();
+  round->sent_at = group_.runtime().now();
+  round->record = group_.record();
+  const wire::Envelope message = request(false);
+  for (const wire::Member& member : round->record.members()) {
+    group_.call(member, message, kCallTimeout,
+                [weak = weak_from_this(), round, member](const CallResult& result) {
+                  const std::shared_ptr<LeaseKeeper> self = weak.lock();
+                  if (self && !self->ended_) self->answered(*round, member, result);
+                });
+  }
+  renew_timer_ = group_.runtime().after(kRenewInterval, [this] { send_round(); });
+}
+
+void LeaseKeeper::answered(Round& round, const wire::Member& member, const CallResult& result) {
+  if (!result.answer || !result.answer->has_lease_reply()) return;
+  const wire::LeaseReply& reply = result.answer->lease_reply();
+  if (find_member(round.record, reply.acceptor()) == nullptr) return;
+  highest_epoch_ = std::max(highest_epoch_, reply.epoch());
+  if (reply.member_epoch() != round.record.epoch()) group_.saw_member_epoch(reply.member_epoch(), member);
+  const bool same_record = reply.member_epoch() == round.record.epoch();
+  if (reply.granted() && same_record && reply.epoch() == epoch_) {
+    if (reply.voting()) count_grant(round, reply.acceptor());
+    if (!ended_) callbacks_.on_granted(reply.acceptor(), reply.voting());
+    return;
+  }
+  ++round.refused;
+  const auto members = static_cast<std::size_t>(round.record.members_size());
+  const bool hopeless = !acquired_ && round.refused + majority(round.record) > members;
+  if (reply.epoch() > epoch_ || hopeless) lose();
+}
+
+void LeaseKeeper::count_grant(Round& round, std::uint64_t member) {
+  if (!round.granted.insert(member).second) return;
+  if (round.granted.size() == majority(round.record)) majority_granted(round);
+}
+
+void LeaseKeeper::majority_granted(const Round& round) {
+  const TimePoint end = round.sent_at + kLeaseUsable;
+  if (acquired_) {
+    end_ = std::max(end_, end);
+    return;
+  }
+  acquired_ = true;
+  end_ = end;
+  granted_under_ = round.record.epoch();
+  watch_end();
+  callbacks_.on_acquired();
+}
+
+void LeaseKeeper::watch_end() {
+  const auto left = std::chrono::duration_cast<Millis>(end_ - group_.runtime().now()) + Millis(1);
+  end_timer_ = group_.runtime().after(std::max(left, Millis(0)), [this] {
+    if (group_.runtime().now() < end_) {
+      watch_end();
+    } else {
+      lose();
+    }
+  });
+}
+
+void LeaseKeeper::release() {
+  if (ended_) return;
+  ended_ = true;
+  renew_timer_.reset();
+  end_timer_.reset();
+  const wire::Envelope message = request(true);
+  const wire::MemberRecord record = group_.record();
+  for (const wire::Member& member : record.members()) {
+    group_.call(member, message, kCallTimeout, [](const CallResult&) {});
+  }
+}
+
+void LeaseKeeper::lose() {
+  if (ended_) return;
+  const std::shared_ptr<LeaseKeeper> self = shared_from_this();
+  release();
+  callbacks_.on_lost();
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/peer_book.cpp
@@ -0,0 +1,88 @@
+#include "cluster/consensus/peer_book.hpp"
+
+#include "cluster/consensus/member_record.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+constexpr unsigned kFailuresOfSilence = 15;
+}
+
+void PeerBook::watch(const wire::MemberRecord& record) {
+  std::erase_if(peers_, [&](const auto& entry) { return find_member(record, entry.first) == nullptr; });
+  for (const wire::Member& member : record.members()) {
+    const auto [entry, added] = peers_.try_emplace(member.id());
+    if (added) entry->second.heard_at = runtime_.now();
+  }
+}
+
+void PeerBook::answered(std::uint64_t member, TimePoint sent_at, bool voting) {
+  const auto found = peers_.find(member);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  peer.failures = 0;
+  if (peer.ever_heard && sent_at < peer.heard_at) return;
+  peer.ever_heard = true;
+  peer.heard_at = sent_at;
+  peer.voting = voting;
+}
+
+void PeerBook::failed(std::uint64_t member) {
+  const auto found = peers_.find(member);
+  if (found != peers_.end()) ++found->second.failures;
+}
+
+void PeerBook::note_leaders(const wire::MemberPing& ping) {
+  for (const wire::ShardLeader& leader : ping.leaders()) {
+    const TimePoint expiry = runtime_.now() + Millis(leader.remaining_ms());
+    ReportedLease& known = leases_[leader.shard()];
+    const bool newer = leader.epoch() > known.leader.epoch();
+    const bool longer = leader.epoch() == known.leader.epoch() && expiry > known.expiry;
+    if (newer || longer) known = {leader, expiry};
+  }
+}
+
+bool PeerBook::heard_within(std::uint64_t member, Millis span) const {
+  const auto found = peers_.find(member);
+  return found != peers_.end() && found->second.ever_heard && runtime_.now() - found->second.heard_at <= span;
+}
+
+bool PeerBook::votes(std::uint64_t member) const {
+  const auto found = peers_.find(member);
+  return found != peers_.end() && found->second.voting;
+}
+
+bool PeerBook::silent_for(std::uint64_t member, Millis span) const {
+  const auto found = peers_.find(member);
+  if (found == peers_.end()) return false;
+  return found->second.failures >= kFailuresOfSilence && runtime_.now() - found->second.heard_at > span;
+}
+
+TimePoint PeerBook::heard_at(std::uint64_t member) const {
+  const auto found = peers_.find(member);
+  return found == peers_.end() ? TimePoint{} : found->second.heard_at;
+}
+
+std::optional<wire::ShardLeader> PeerBook::describe(const ReportedLease& lease) const {
+  const TimePoint now = runtime_.now();
+  if (now >= lease.expiry) return std::nullopt;
+  wire::ShardLeader leader = lease.leader;
+  const auto remaining = std::chrono::duration_cast<Millis>(lease.expiry - now).count();
+  leader.set_remaining_ms(static_cast<std::uint32_t>(remaining + 1));
+  return leader;
+}
+
+std::optional<wire::ShardLeader> PeerBook::leader(const std::string& shard) const {
+  const auto found = leases_.find(shard);
+  return found == leases_.end() ? std::nullopt : describe(found->second);
+}
+
+std::vector<wire::ShardLeader> PeerBook::leaders() const {
+  std::vector<wire::ShardLeader> leaders;
+  for (const auto& [shard, lease] : leases_) {
+    if (std::optional<wire::ShardLeader> leader = describe(lease)) leaders.push_back(std::move(*leader));
+  }
+  return leaders;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/peer_book.hpp
@@ -0,0 +1,54 @@
+// What this node heard from the other members: who answers, who votes, which leases they know of.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster/common/runtime.hpp"
+
+namespace winchhall::cluster {
+
+class PeerBook {
+ public:
+  explicit PeerBook(Runtime& runtime) : runtime_(runtime) {}
+
+  // Forgets members that left and begins to watch new ones.
+  void watch(const wire::MemberRecord& record);
+  // A member answered a ping that was sent at `sent_at`.
+  void answered(std::uint64_t member, TimePoint sent_at, bool voting);
+  void failed(std::uint64_t member);
+  void note_leaders(const wire::MemberPing& ping);
+
+  bool heard_within(std::uint64_t member, Millis span) const;
+  bool votes(std::uint64_t member) const;
+  // True if a member did not answer for the whole span, nor any of many pings in a row.
+  bool silent_for(std::uint64_t member, Millis span) const;
+  TimePoint heard_at(std::uint64_t member) const;
+
+  // The newest lease on a shard that others reported and that is not over yet.
+  std::optional<wire::ShardLeader> leader(const std::string& shard) const;
+  std::vector<wire::ShardLeader> leaders() const;
+
+ private:
+  struct Peer {
+    TimePoint heard_at{};  // sending of the newest answered ping; before that: when it began to be watched
+    bool ever_heard = false;
+    bool voting = false;
+    unsigned failures = 0;
+  };
+  struct ReportedLease {
+    wire::ShardLeader leader;
+    TimePoint expiry{};
+  };
+
+  std::optional<wire::ShardLeader> describe(const ReportedLease& lease) const;
+
+  Runtime& runtime_;
+  std::map<std::uint64_t, Peer> peers_;
+  std::map<std::string, ReportedLease> leases_;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/register_acceptor.cpp
@@ -0,0 +1,112 @@
+#include "cluster/consensus/register_acceptor.hpp"
+
+#include <utility>
+
+#include "cluster/consensus/ballot.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+wire::Envelope envelope(wire::RegisterPromise answer) {
+  wire::Envelope envelope;
+  *envelope.mutable_register_promise() = std::move(answer);
+  return envelope;
+}
+
+wire::Envelope envelope(wire::RegisterAccepted answer) {
+  wire::Envelope envelope;
+  *envelope.mutable_register_accepted() = std::move(answer);
+  return envelope;
+}
+
+}  // namespace
+
+std::string register_store_key(const std::string& key) { return "register/" + key; }
+
+RegisterAcceptor::RegisterAcceptor(Journal& journal, const Standing& standing, ChosenListener on_chosen)
+    : journal_(journal), standing_(standing), on_chosen_(std::move(on_chosen)) {}
+
+void RegisterAcceptor::load(const std::string& key, const wire::RegisterState& state) {
+  states_[key] = state;
+  if (!is_set(state.chosen()) || !same_ballot(state.chosen(), state.accepted())) return;
+  chosen_[key] = RegisterValue{state.accepted(), state.value()};
+}
+
+void RegisterAcceptor::prepare(const wire::RegisterPrepare& request, const Replier& reply) {
+  wire::RegisterPromise answer;
+  answer.set_acceptor(standing_.id);
+  answer.set_member_epoch(standing_.member_epoch);
+  if (request.member_epoch() != standing_.member_epoch) return reply(envelope(std::move(answer)));
+  answer.set_voting(standing_.voting);
+  wire::RegisterState& state = states_[request.key()];
+  if (is_lower(request.ballot(), state.promised())) {
+    *answer.mutable_highest() = state.promised();
+    return reply(envelope(std::move(answer)));
+  }
+  *state.mutable_promised() = request.ballot();
+  answer.set_promised(true);
+  *answer.mutable_highest() = state.promised();
+  *answer.mutable_accepted() = state.accepted();
+  if (!same_ballot(state.accepted(), request.known())) answer.set_value(state.value());
+  journal_.commit({stored(request.key())},
+                  [reply, answer = std::move(answer)]() mutable { reply(envelope(std::move(answer))); });
+}
+
+void RegisterAcceptor::accept(const wire::RegisterAccept& request, const Replier& reply) {
+  wire::RegisterAccepted answer;
+  answer.set_acceptor(standing_.id);
+  answer.set_member_epoch(standing_.member_epoch);
+  if (request.member_epoch() != standing_.member_epoch) return reply(envelope(std::move(answer)));
+  answer.set_voting(standing_.voting);
+  wire::RegisterState& state = states_[request.key()];
+  if (is_lower(request.ballot(), state.promised())) {
+    *answer.mutable_highest() = state.promised();
+    return reply(envelope(std::move(answer)));
+  }
+  *state.mutable_promised() = request.ballot();
+  *state.mutable_accepted() = request.ballot();
+  state.set_value(request.value());
+  answer.set_accepted(true);
+  *answer.mutable_highest() = request.ballot();
+  journal_.commit({stored(request.key())},
+                  [reply, answer = std::move(answer)]() mutable { reply(envelope(std::move(answer))); });
+}
+
+void RegisterAcceptor::learn(const std::string& key, const RegisterValue& value) {
+  if (!is_set(value.ballot)) return;
+  const auto known = chosen_.find(key);
+  if (known != chosen_.end() && !is_lower(known->second.ballot, value.ballot)) return;
+  chosen_[key] = value;
+  wire::RegisterState& state = states_[key];
+  if (!is_lower(value.ballot, state.promised())) {
+    *state.mutable_promised() = value.ballot;
+    *state.mutable_accepted() = value.ballot;
+    state.set_value(value.value);
+  }
+  *state.mutable_chosen() = value.ballot;
+  journal_.commit({stored(key)});
+  on_chosen_(key, value);
+}
+
+std::optional<RegisterValue> RegisterAcceptor::chosen(const std::string& key) const {
+  const auto known = chosen_.find(key);
+  if (known == chosen_.end()) return std::nullopt;
+  return known->second;
+}
+
+void RegisterAcceptor::merge(const std::string& key, const wire::RegisterState& other, StoreBatch& batch) {
+  wire::RegisterState& state = states_[key];
+  if (is_lower(state.promised(), other.promised())) *state.mutable_promised() = other.promised();
+  if (is_lower(state.accepted(), other.accepted())) {
+    *state.mutable_accepted() = other.accepted();
+    state.set_value(other.value());
+  }
+  batch.push_back(stored(key));
+}
+
+StoreWrite RegisterAcceptor::stored(const std::string& key) const {
+  return {register_store_key(key), states_.at(key).SerializeAsString()};
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/register_acceptor.hpp
@@ -0,0 +1,50 @@
+// The acceptor's half of the compare-and-swap registers: promises and accepted values, answered once durable.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cluster/consensus/journal.hpp"
+#include "cluster/consensus/register_client.hpp"
+#include "cluster/consensus/standing.hpp"
+
+namespace winchhall::cluster {
+
+class RegisterAcceptor {
+ public:
+  // Told of every newer value that is known to be chosen.
+  using ChosenListener = std::function<void(const std::string& key, const RegisterValue& value)>;
+
+  RegisterAcceptor(Journal& journal, const Standing& standing, ChosenListener on_chosen);
+
+  // Takes up a stored state at the start.
+  void load(const std::string& key, const wire::RegisterState& state);
+
+  void prepare(const wire::RegisterPrepare& request, const Replier& reply);
+  void accept(const wire::RegisterAccept& request, const Replier& reply);
+  // A value is known to be chosen. Keeps it, also as accepted where no higher ballot was promised.
+  void learn(const std::string& key, const RegisterValue& value);
+
+  // The newest value known to be chosen; none: never heard of one.
+  std::optional<RegisterValue> chosen(const std::string& key) const;
+
+  const std::map<std::string, wire::RegisterState>& states() const { return states_; }
+  // Adds what another acceptor holds, for a newcomer; the changes are appended to `batch`.
+  void merge(const std::string& key, const wire::RegisterState& other, StoreBatch& batch);
+
+ private:
+  StoreWrite stored(const std::string& key) const;
+
+  Journal& journal_;
+  const Standing& standing_;
+  const ChosenListener on_chosen_;
+  std::map<std::string, wire::RegisterState> states_;
+  std::map<std::string, RegisterValue> chosen_;
+};
+
+// Key of a register in the store.
+std::string register_store_key(const std::string& key);
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/shard_acceptor.cpp
@@ -0,0 +1,288 @@
+#include "cluster/consensus/shard_acceptor.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "cluster/consensus/lease_terms.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr std::size_t kPageBytes = 128 << 10;
+constexpr std::size_t kRecordOverheadBytes = 32;
+
+wire::Envelope envelope(wire::LeaseReply answer) {
+  wire::Envelope envelope;
+  *envelope.mutable_lease_reply() = std::move(answer);
+  return envelope;
+}
+
+wire::Envelope envelope(wire::ShardPage answer) {
+  wire::Envelope envelope;
+  *envelope.mutable_shard_page() = std::move(answer);
+  return envelope;
+}
+
+wire::Envelope envelope(wire::ShardWritten answer) {
+  wire::Envelope envelope;
+  *envelope.mutable_shard_written() = std::move(answer);
+  return envelope;
+}
+
+StoreWrite stored_state(const std::string& shard, const wire::ShardState& state) {
+  return {shard_store_key(shard), state.SerializeAsString()};
+}
+
+StoreWrite stored_record(const std::string& shard, const wire::ShardRecord& record) {
+  return {record_store_key(shard, record.key()), record.SerializeAsString()};
+}
+
+// Takes a record into a merged replica if it is newer than what is there.
+void offer(ShardRecords& records, const wire::ShardRecord& record) {
+  const auto [entry, added] = records.try_emplace(record.key(), record);
+  if (!added && is_older(entry->second, record)) entry->second = record;
+}
+
+}  // namespace
+
+std::string shard_store_key(const std::string& shard) { return "shard/" + shard; }
+
+std::string record_store_key(const std::string& shard, const std::string& key) {
+  std::string stored = "record/" + shard;
+  stored.push_back('\0');
+  return stored + key;
+}
+
+bool is_older(const wire::ShardRecord& left, const wire::ShardRecord& right) {
+  return std::make_tuple(left.epoch(), left.sequence()) < std::make_tuple(right.epoch(), right.sequence());
+}
+
+ShardReplica merge_replicas(const std::vector<const ShardReplica*>& replicas) {
+  ShardReplica merged;
+  for (const ShardReplica* replica : replicas) {
+    if (replica->state.epoch() > merged.state.epoch()) {
+      merged.state.set_epoch(replica->state.epoch());
+      merged.state.set_holder(replica->state.holder());
+      merged.state.set_holder_address(replica->state.holder_address());
+    }
+    merged.state.set_base(std::max(merged.state.base(), replica->state.base()));
+  }
+  const std::uint64_t base = merged.state.base();
+  for (const ShardReplica* replica : replicas) {
+    const bool whole = replica->state.base() == base;
+    for (const auto& [key, record] : replica->records) {
+      if (whole || record.epoch() >= base) offer(merged.records, record);
+    }
+  }
+  return merged;
+}
+
+ShardAcceptor::ShardAcceptor(Runtime& runtime, Journal& journal, const Standing& standing)
+    : runtime_(runtime), journal_(journal), standing_(standing) {}
+
+void ShardAcceptor::load_state(const std::string& shard, const wire::ShardState& state) {
+  shards_[shard].replica.state = state;
+  shards_[shard].durable_epoch = state.epoch();
+}
+
+void ShardAcceptor::load_record(const std::string& shard, const wire::ShardRecord& record) {
+  shards_[shard].replica.records[record.key()] = record;
+}
+
+void ShardAcceptor::assume_leases() {
+  for (auto& [name, shard] : shards_) {
+    const wire::ShardState& state = shard.replica.state;
+    if (state.epoch() == 0) continue;
+    shard.lease = {state.epoch(), state.holder(), state.holder_address(), runtime_.now() + kLeaseDuration};
+  }
+}
+
+bool ShardAcceptor::in_force(const Shard& shard) const { return runtime_.now() < shard.lease.expiry; }
+
+void ShardAcceptor::lease(const wire::LeaseRequest& request, const Replier& reply) {
+  wire::LeaseReply answer;
+  answer.set_acceptor(standing_.id);
+  answer.set_member_epoch(standing_.member_epoch);
+  Shard& shard = shards_[request.shard()];
+  if (request.release()) release(shard, request);
+  answer.set_epoch(shard.replica.state.epoch());
+  if (request.release() || request.member_epoch() != standing_.member_epoch) {
+    return reply(envelope(std::move(answer)));
+  }
+  answer.set_voting(standing_.voting);
+  if (may_grant(shard, request)) return grant(request, std::move(answer), reply);
+  if (const std::optional<wire::ShardLeader> leader = describe(request.shard(), shard)) {
+    answer.set_holder(leader->holder());
+    answer.set_holder_address(leader->address());
+    answer.set_remaining_ms(leader->remaining_ms());
+  }
+  reply(envelope(std::move(answer)));
+}
+
+void ShardAcceptor::release(Shard& shard, const wire::LeaseRequest& request) {
+  if (shard.lease.holder != request.holder() || shard.lease.epoch > request.epoch()) return;
+  shard.lease.expiry = TimePoint{};
+}
+
+bool ShardAcceptor::may_grant(const Shard& shard, const wire::LeaseRequest& request) const {
+  const wire::ShardState& state = shard.replica.state;
+  if (request.epoch() == 0 || request.epoch() < state.epoch()) return false;
+  if (request.epoch() == state.epoch() && state.holder() != 0 && state.holder() != request.holder())
+    return false;
+  return !in_force(shard) || shard.lease.holder == request.holder();
+}
+
+void ShardAcceptor::promise(const std::string& name, std::uint64_t epoch, std::uint64_t holder,
+                            const Address& address, StoreBatch& batch) {
+  wire::ShardState& state = shards_[name].replica.state;
+  state.set_epoch(epoch);
+  state.set_holder(holder);
+  state.set_holder_address(address);
+  batch.push_back(stored_state(name, state));
+}
+
+void ShardAcceptor::grant(const wire::LeaseRequest& request, wire::LeaseReply answer, const Replier& reply) {
+  const std::string& name = request.shard();
+  const std::uint64_t epoch = request.epoch();
+  Shard& shard = shards_[name];
+  const wire::ShardState& state = shard.replica.state;
+  shard.lease = {epoch, request.holder(), request.holder_address(), runtime_.now() + kLeaseDuration};
+  answer.set_granted(true);
+  answer.set_epoch(epoch);
+  answer.set_holder(request.holder());
+  const std::function<void()> send = [reply, answer = std::move(answer)] { reply(envelope(answer)); };
+  StoreBatch batch;
+  if (epoch > state.epoch() || state.holder() != request.holder()) {
+    promise(name, epoch, request.holder(), request.holder_address(), batch);
+  } else if (shard.durable_epoch >= epoch) {
+    return send();
+  }
+  journal_.commit(std::move(batch), [this, name, epoch, send] {
+    std::uint64_t& durable = shards_[name].durable_epoch;
+    durable = std::max(durable, epoch);
+    send();
+  });
+}
+
+void ShardAcceptor::read(const wire::ShardRead& request, const Replier& reply) {
+  wire::ShardPage page;
+  page.set_acceptor(standing_.id);
+  page.set_voting(standing_.voting);
+  const ShardReplica& replica = shards_[request.shard()].replica;
+  page.set_epoch(replica.state.epoch());
+  page.set_base(replica.state.base());
+  if (request.epoch() != replica.state.epoch()) return reply(envelope(std::move(page)));
+  page.set_ok(true);
+  page.set_last(true);
+  std::size_t bytes = 0;
+  for (auto entry = replica.records.upper_bound(request.after_key()); entry != replica.records.end();
+       ++entry) {
+    if (bytes >= kPageBytes) {
+      page.set_last(false);
+      break;
+    }
+    *page.add_records() = entry->second;
+    bytes += entry->first.size() + entry->second.value().size() + kRecordOverheadBytes;
+  }
+  journal_.barrier([reply, page = std::move(page)]() mutable { reply(envelope(std::move(page))); });
+}
+
+void ShardAcceptor::write(const wire::ShardWrite& request, const Replier& reply) {
+  wire::ShardWritten answer;
+  answer.set_acceptor(standing_.id);
+  answer.set_member_epoch(standing_.member_epoch);
+  const std::string& name = request.shard();
+  const std::uint64_t promised = shards_[name].replica.state.epoch();
+  answer.set_epoch(promised);
+  if (request.member_epoch() != standing_.member_epoch || request.epoch() < promised ||
+      request.epoch() == 0) {
+    return reply(envelope(std::move(answer)));
+  }
+  answer.set_voting(standing_.voting);
+  answer.set_ok(true);
+  answer.set_epoch(request.epoch());
+  StoreBatch batch;
+  if (request.epoch() > promised) promise(name, request.epoch(), 0, Address(), batch);
+  apply(request, batch);
+  if (request.establishes()) establish(name, request.epoch(), batch);
+  journal_.commit(std::move(batch),
+                  [this, name, epoch = request.epoch(), reply, answer = std::move(answer)]() mutable {
+                    std::uint64_t& durable = shards_[name].durable_epoch;
+                    durable = std::max(durable, epoch);
+                    reply(envelope(std::move(answer)));
+                  });
+}
+
+void ShardAcceptor::apply(const wire::ShardWrite& request, StoreBatch& batch) {
+  ShardRecords& records = shards_[request.shard()].replica.records;
+  for (const wire::ShardRecord& record : request.records()) {
+    const auto [entry, added] = records.try_emplace(record.key(), record);
+    if (!added && !is_older(entry->second, record)) continue;
+    entry->second = record;
+    batch.push_back(stored_record(request.shard(), record));
+  }
+}
+
+void ShardAcceptor::establish(const std::string& name, std::uint64_t epoch, StoreBatch& batch) {
+  ShardReplica& replica = shards_[name].replica;
+  replica.state.set_base(std::max(replica.state.base(), epoch));
+  batch.push_back(stored_state(name, replica.state));
+  // Marks of removed records from earlier epochs have done their work: no older version counts any more.
+  std::erase_if(replica.records, [&](const auto& entry) {
+    const wire::ShardRecord& record = entry.second;
+    if (!record.deleted() || record.epoch() >= epoch) return false;
+    batch.push_back({record_store_key(name, record.key()), std::nullopt});
+    return true;
+  });
+}
+
+std::optional<wire::ShardLeader> ShardAcceptor::describe(const std::string& name, const Shard& shard) const {
+  if (!in_force(shard)) return std::nullopt;
+  wire::ShardLeader leader;
+  leader.set_shard(name);
+  leader.set_epoch(shard.lease.epoch);
+  leader.set_holder(shard.lease.holder);
+  leader.set_address(shard.lease.address);
+  const auto remaining = std::chrono::duration_cast<Millis>(shard.lease.expiry - runtime_.now()).count();
+  leader.set_remaining_ms(static_cast<std::uint32_t>(remaining + 1));
+  return leader;
+}
+
+std::optional<wire::ShardLeader> ShardAcceptor::lease_in_force(const std::string& shard) const {
+  const auto found = shards_.find(shard);
+  return found == shards_.end() ? std::nullopt : describe(shard, found->second);
+}
+
+std::vector<wire::ShardLeader> ShardAcceptor::leases_in_force() const {
+  std::vector<wire::ShardLeader> leaders;
+  for (const auto& [name, shard] : shards_) {
+    if (std::optional<wire::ShardLeader> leader = describe(name, shard))
+      leaders.push_back(std::move(*leader));
+  }
+  return leaders;
+}
+
+std::uint64_t ShardAcceptor::promised_epoch(const std::string& shard) const {
+  const auto found = shards_.find(shard);
+  return found == shards_.end() ? 0 : found->second.replica.state.epoch();
+}
+
+std::map<std::string, const ShardReplica*> ShardAcceptor::replicas() const {
+  std::map<std::string, const ShardReplica*> replicas;
+  for (const auto& [name, shard] : shards_) replicas[name] = &shard.replica;
+  return replicas;
+}
+
+void ShardAcceptor::replace(const std::string& name, ShardReplica replica, StoreBatch& batch) {
+  ShardReplica& current = shards_[name].replica;
+  for (const auto& [key, record] : current.records) {
+    if (!replica.records.contains(key)) batch.push_back({record_store_key(name, key), std::nullopt});
+  }
+  for (const auto& [key, record] : replica.records) batch.push_back(stored_record(name, record));
+  batch.push_back(stored_state(name, replica.state));
+  current = std::move(replica);
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/consensus/shard_follower.cpp
@@ -0,0 +1,102 @@
+#include "cluster/consensus/shard_follower.hpp"
+
+#include <utility>
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr unsigned kMessagesInFlight = 4;
+constexpr std::size_t kMessageBytes = 128 << 10;
+
+}  // namespace
+
+void ShardFollower::mark(const std::string& key, std::uint64_t change) {
+  const auto [entry, added] = lacking_.try_emplace(key);
+  if (added) {
+    entry->second.since = change;
+    by_change_.emplace(change, key);
+  }
+  unsent_.push_back(key);
+}
+
+void ShardFollower::take_content(const ShardRecords& content, HeldRecords& records) {
+  constexpr std::uint64_t kFirstChange = 1;
+  content_known_ = true;
+  tracked_ = true;
+  for (const auto& [key, replica_record] : content) {
+    const HeldRecord* held = records.find(key);
+    const bool stray = held ? is_older(held->record, replica_record) : !replica_record.deleted();
+    if (stray) records.renew(key);
+    if (stray || (held && is_older(replica_record, held->record))) mark(key, kFirstChange);
+  }
+  for (const auto& [key, held] : records.all()) {
+    if (!held.record.deleted() && !content.contains(key)) mark(key, kFirstChange);
+  }
+}
+
+std::optional<FollowerMessage> ShardFollower::next_message(const HeldRecords& records) {
+  // One at a time until the replica is established, so that the last message can complete it.
+  const bool completing = content_known_ && !established_;
+  const unsigned limit = completing || !responsive ? 1 : kMessagesInFlight;
+  if (in_flight_ >= limit) return std::nullopt;
+  FollowerMessage message;
+  std::size_t bytes = 0;
+  while (!unsent_.empty() && bytes < kMessageBytes) {
+    const std::string key = std::move(unsent_.front());
+    unsent_.pop_front();
+    const auto entry = lacking_.find(key);
+    if (entry == lacking_.end()) continue;
+    const HeldRecord& held = *records.find(key);
+    if (entry->second.sent == held.change) continue;
+    entry->second.sent = held.change;
+    bytes += key.size() + held.record.value().size();
+    message.sent.push_back({key, held.change});
+  }
+  message.establishes = completing && unsent_.empty();
+  if (message.sent.empty() && !message.establishes) return std::nullopt;
+  ++in_flight_;
+  return message;
+}
+
+void ShardFollower::confirmed(const FollowerMessage& message, const HeldRecords& records) {
+  --in_flight_;
+  if (message.establishes) established_ = true;
+  for (const FollowerMessage::Sent& sent : message.sent) {
+    const auto entry = lacking_.find(sent.key);
+    if (entry == lacking_.end()) continue;
+    if (records.find(sent.key)->change == sent.change) {
+      by_change_.erase({entry->second.since, sent.key});
+      lacking_.erase(entry);
+      continue;
+    }
+    // A newer version was made meanwhile: the replica lacks only that.
+    if (entry->second.since <= sent.change) {
+      by_change_.erase({entry->second.since, sent.key});
+      entry->second.since = sent.change + 1;
+      by_change_.emplace(entry->second.since, sent.key);
+    }
+    send_again(sent);
+  }
+}
+
+void ShardFollower::send_again(const FollowerMessage::Sent& sent) {
+  Lacking& lacking = lacking_.at(sent.key);
+  if (lacking.sent != sent.change) return;
+  lacking.sent = kNotSent;
+  unsent_.push_back(sent.key);
+}
+
+void ShardFollower::failed(const FollowerMessage& message) {
+  --in_flight_;
+  for (const FollowerMessage::Sent& sent : message.sent) {
+    if (lacking_.contains(sent.key)) send_again(sent);
+  }
+}
+
+std::uint64_t ShardFollower::holds_up_to(std::uint64_t last_change) const {
+  if (!tracked_) return 0;
+  return by_change_.empty() ? last_change : by_change_.begin()->first - 1;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/control/configuration_answers.cpp
@@ -0,0 +1,54 @@
+#include "cluster/control/configuration_answers.hpp"
+
+#include <json/value.h>
+
+#include "cluster/config/json_fields.hpp"
+
+namespace winchhall::cluster {
+namespace {
+
+std::string version_body(std::uint64_t version) {
+  Json::Value body;
+  body["version"] = Json::UInt64{version};
+  return write_json(body);
+}
+
+std::string error_body(const InvalidInput& error) {
+  Json::Value body;
+  Json::Value& fields = body["error"];
+  fields["source"] = error.source;
+  fields["field"] = error.field;
+  fields["value"] = error.value;
+  fields["allowed"] = error.allowed;
+  return write_json(body);
+}
+
+}  // namespace
+
+HttpResponse change_response(const ConfigurationOutcome& outcome) {
+  switch (outcome.kind) {
+    case ConfigurationOutcomeKind::applied:
+      return json_response(200, version_body(outcome.version));
+    case ConfigurationOutcomeKind::conflict:
+      return json_response(412, version_body(outcome.version));
+    case ConfigurationOutcomeKind::invalid:
+      return json_response(400, error_body(outcome.error));
+    case ConfigurationOutcomeKind::unavailable:
+      break;
+  }
+  return json_response(503, "{}");
+}
+
+HttpResponse read_response(const ConfigurationRead& read) {
+  switch (read.kind) {
+    case ConfigurationReadKind::found:
+      return json_response(200, read.json);
+    case ConfigurationReadKind::missing:
+      return json_response(404, "{}");
+    case ConfigurationReadKind::unavailable:
+      break;
+  }
+  return json_response(503, "{}");
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/control/control_node.cpp
@@ -0,0 +1,98 @@
+#include "cluster/control/control_node.hpp"
+
+#include "cluster/common/log.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kReleaseTime{150};  // for the last answers and the release of the leases to leave
+constexpr Millis kSummaryInterval{5000};
+
+ConfigurationSurroundings surroundings_of(const ControlGroup& group) {
+  ConfigurationSurroundings surroundings;
+  surroundings.leaders = [&group] { return group.leaders(); };
+  surroundings.members = [&group] {
+    const auto& members = group.members().members();
+    return std::vector<wire::Member>(members.begin(), members.end());
+  };
+  surroundings.in_touch = [&group] { return group.in_touch(); };
+  return surroundings;
+}
+
+}  // namespace
+
+ControlNode::ControlNode(Runtime& runtime, DurableStore& store, const NodeSettings& settings)
+    : runtime_(runtime),
+      settings_(settings),
+      group_(runtime, store, settings_),
+      configuration_(runtime, group_.registers(), surroundings_of(group_)),
+      api_(configuration_) {}
+
+void ControlNode::start() {
+  configuration_.set_listener([this](const Configuration& configuration) { open_services(configuration); });
+  group_.watch_register(kConfigurationRegister,
+                        [this](const RegisterValue& value) { configuration_.on_register_value(value); });
+  group_.start();
+  schedule_summary();
+}
+
+void ControlNode::open_services(const Configuration& configuration) {
+  log_event(LogLevel::info, "configuration", {{"version", static_cast<std::int64_t>(configuration.version)}});
+  for (const Service& service : configuration.services) {
+    std::unique_ptr<ServiceLeader>& leader = services_[service.name];
+    if (!leader) leader = std::make_unique<ServiceLeader>(runtime_, group_, settings_, service.name);
+  }
+}
+
+bool ControlNode::handle(const wire::Envelope& request, const Replier& reply) {
+  if (request.has_job_request()) {
+    handle_job(request.job_request(), reply);
+    return true;
+  }
+  if (request.has_worker_report()) {
+    handle_report(request.worker_report(), reply);
+    return true;
+  }
+  return configuration_.handle(request, reply) || group_.handle(request, reply);
+}
+
+ServiceLeader* ControlNode::find_service(const std::string& service) {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : found->second.get();
+}
+
+void ControlNode::handle_job(const wire::JobRequest& request, const Replier& reply) {
+  if (ServiceLeader* service = find_service(request.service())) return service->handle(request, reply);
+  wire::Envelope answer;
+  answer.mutable_job_reply()->set_outcome(wire::JOB_NOT_LEADER);
+  reply(std::move(answer));
+}
+
+void ControlNode::handle_report(const wire::WorkerReport& report, const Replier& reply) {
+  if (ServiceLeader* service = find_service(report.leaf().service())) return service->handle(report, reply);
+  wire::Envelope answer;
+  answer.mutable_worker_orders();
+  reply(std::move(answer));
+}
+
+void ControlNode::shut_down(std::function<void()> done) {
+  for (const auto& [name, service] : services_) service->step_down();
+  configuration_.stop();
+  shut_down_timer_ = runtime_.after(kReleaseTime, [this, done = std::move(done)] {
+    group_.stop();
+    done();
+  });
+}
+
+void ControlNode::schedule_summary() {
+  summary_timer_ = runtime_.after(kSummaryInterval, [this] {
+    for (const auto& [name, service] : services_) {
+      const std::string summary = service->summary();
+      if (!summary.empty()) log_event(LogLevel::info, "summary", {{"service", name}, {"figures", summary}});
+    }
+    schedule_summary();
+  });
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/control/service_leader.cpp
@@ -0,0 +1,247 @@
+#include "cluster/control/service_leader.hpp"
+
+#include "cluster/common/log.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kReportWait{300};  // a report without orders is answered after so long
+constexpr Millis kStepDelay{1};     // requests that come together are planned together
+constexpr Millis kTick{50};         // planning goes on without requests: due times, holds that end
+constexpr std::uint32_t kRetryAfterMs = 1000;
+const std::string kShardPrefix = "service/";
+
+wire::Envelope envelope(wire::JobReply answer) {
+  wire::Envelope envelope;
+  *envelope.mutable_job_reply() = std::move(answer);
+  return envelope;
+}
+
+wire::Envelope envelope(wire::WorkerOrders orders) {
+  wire::Envelope envelope;
+  *envelope.mutable_worker_orders() = std::move(orders);
+  return envelope;
+}
+
+Address leader_address(const ControlGroup& group, const std::string& shard) {
+  for (const wire::ShardLeader& leader : group.leaders()) {
+    if (leader.shard() == shard) return leader.address();
+  }
+  return Address();
+}
+
+}  // namespace
+
+ServiceLeader::ServiceLeader(Runtime& runtime, ControlGroup& group, const NodeSettings& settings,
+                             std::string service)
+    : runtime_(runtime), group_(group) {
+  terms_.service = std::move(service);
+  terms_.bounds = settings.bounds;
+  terms_.grant = settings.bounds.hold_max;
+  ShardCallbacks callbacks;
+  callbacks.on_lead = [this](std::uint64_t epoch, const std::vector<ShardEntry>& entries) {
+    start_leading(epoch, entries);
+  };
+  callbacks.on_lost = [this] { stop_leading(); };
+  shard_ = group_.open_shard(kShardPrefix + terms_.service, std::move(callbacks));
+}
+
+void ServiceLeader::start_leading(std::uint64_t epoch, const std::vector<ShardEntry>& entries) {
+  ++generation_;
+  scheduler_ = make_scheduler(terms_, epoch, runtime_.random());
+  scheduler_->restore(entries, runtime_.now(), runtime_.wall_clock_ms());
+  log_event(LogLevel::info, "lease_acquired",
+            {{"service", terms_.service},
+             {"epoch", static_cast<std::int64_t>(epoch)},
+             {"records", static_cast<std::int64_t>(entries.size())}});
+  schedule_tick();
+}
+
+void ServiceLeader::stop_leading() {
+  if (!scheduler_) return;
+  log_event(LogLevel::info, "lease_lost", {{"service", terms_.service}});
+  ++generation_;
+  scheduler_.reset();
+  tick_timer_.reset();
+  step_timer_.reset();
+  step_due_ = false;
+  const std::vector<WaitingAnswer> waiting = std::exchange(waiting_, {});
+  for (const WaitingAnswer& answer : waiting) {
+    wire::JobReply in_doubt;
+    in_doubt.set_outcome(wire::JOB_IN_DOUBT);
+    in_doubt.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+    answer.reply(envelope(std::move(in_doubt)));
+  }
+  const std::map<std::string, ParkedReport> parked = std::exchange(parked_, {});
+  for (const auto& [node, report] : parked) {
+    wire::WorkerOrders orders;
+    orders.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+    report.reply(envelope(std::move(orders)));
+  }
+}
+
+void ServiceLeader::step_down() {
+  shard_->step_down();
+  stop_leading();
+}
+
+std::string ServiceLeader::summary() const { return leads() ? scheduler_->summary() : std::string(); }
+
+void ServiceLeader::handle(const wire::JobRequest& request, const Replier& reply) {
+  if (!leads()) return answer_not_leader(reply);
+  switch (request.verb()) {
+    case wire::JOB_SUBMIT:
+      return submit(request, reply);
+    case wire::JOB_CANCEL:
+      return cancel(request, reply);
+    case wire::JOB_QUERY:
+      return query(request, reply);
+    case wire::JOB_COUNT: {
+      wire::JobReply answer;
+      answer.set_outcome(wire::JOB_OK);
+      answer.set_pending(scheduler_->pending(request.terms().queue()));
+      return reply(envelope(std::move(answer)));
+    }
+    default: {
+      wire::JobReply answer;
+      answer.set_outcome(wire::JOB_INVALID);
+      answer.set_reason("unknown verb");
+      return reply(envelope(std::move(answer)));
+    }
+  }
+}
+
+void ServiceLeader::answer_not_leader(const Replier& reply) const {
+  wire::JobReply answer;
+  answer.set_outcome(wire::JOB_NOT_LEADER);
+  answer.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+  reply(envelope(std::move(answer)));
+}
+
+void ServiceLeader::submit(const wire::JobRequest& request, const Replier& reply) {
+  const SubmitResult result = scheduler_->submit(request.id(), request.spec(), request.terms(),
+                                                 runtime_.now(), runtime_.wall_clock_ms());
+  wire::JobReply answer;
+  answer.set_outcome(result.outcome);
+  answer.set_reason(result.reason);
+  if (result.outcome == wire::JOB_REJECTED) answer.set_retry_after_ms(kRetryAfterMs);
+  answer_when_durable(result.durable_after, std::move(answer), reply);
+}
+
+void ServiceLeader::cancel(const wire::JobRequest& request, const Replier& reply) {
+  const CancelResult result = scheduler_->cancel(request.id(), runtime_.now(), runtime_.wall_clock_ms());
+  wire::JobReply answer;
+  answer.set_outcome(result.found ? wire::JOB_OK : wire::JOB_NOT_FOUND);
+  answer_when_durable(result.durable_after, std::move(answer), reply);
+}
+
+void ServiceLeader::query(const wire::JobRequest& request, const Replier& reply) {
+  const wire::JobState state = scheduler_->state(request.id());
+  wire::JobReply answer;
+  answer.set_outcome(state == wire::JOB_UNKNOWN ? wire::JOB_NOT_FOUND : wire::JOB_OK);
+  answer.set_state(state);
+  reply(envelope(std::move(answer)));
+}
+
+void ServiceLeader::answer_when_durable(ChangeNumber number, wire::JobReply answer, const Replier& reply) {
+  if (number == 0) {
+    reply(envelope(std::move(answer)));
+  } else {
+    waiting_.push_back({number, std::move(answer), reply});
+  }
+  schedule_step();
+}
+
+void ServiceLeader::handle(const wire::WorkerReport& report, const Replier& reply) {
+  if (!leads()) {
+    wire::WorkerOrders orders;
+    orders.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+    return reply(envelope(std::move(orders)));
+  }
+  scheduler_->report(report, runtime_.now(), runtime_.wall_clock_ms());
+  park(report, reply);
+  schedule_step();
+}
+
+void ServiceLeader::park(const wire::WorkerReport& report, const Replier& reply) {
+  ParkedReport parked{reply, runtime_.now() + kReportWait, report.report_number(), report.leaf().leaf_id()};
+  const auto found = parked_.find(report.node_name());
+  if (found != parked_.end()) {
+    answer_report(found->second);
+    found->second = std::move(parked);
+  } else {
+    parked_.emplace(report.node_name(), std::move(parked));
+  }
+}
+
+void ServiceLeader::answer_report(const ParkedReport& parked) {
+  wire::WorkerOrders orders = scheduler_->orders(parked.leaf_id, runtime_.now());
+  orders.set_report_number(parked.report_number);
+  parked.reply(envelope(std::move(orders)));
+}
+
+void ServiceLeader::answer_reports_with_news() {
+  const TimePoint now = runtime_.now();
+  for (auto entry = parked_.begin(); entry != parked_.end();) {
+    const ParkedReport& parked = entry->second;
+    if (now < parked.answer_by && !scheduler_->has_news(parked.leaf_id)) {
+      ++entry;
+      continue;
+    }
+    answer_report(parked);
+    entry = parked_.erase(entry);
+  }
+}
+
+void ServiceLeader::schedule_step() {
+  if (step_due_) return;
+  step_due_ = true;
+  step_timer_ = runtime_.after(kStepDelay, [this] {
+    step_due_ = false;
+    step();
+  });
+}
+
+void ServiceLeader::step() {
+  if (!leads()) return;
+  scheduler_->plan(runtime_.now(), runtime_.wall_clock_ms());
+  write_changes();
+  answer_reports_with_news();
+}
+
+void ServiceLeader::schedule_tick() {
+  tick_timer_ = runtime_.after(kTick, [this] {
+    step();
+    schedule_tick();
+  });
+}
+
+void ServiceLeader::write_changes() {
+  Scheduler::Changes changes = scheduler_->take_changes();
+  if (changes.changes.empty()) return;
+  const ChangeNumber number = changes.number;
+  shard_->write(std::move(changes.changes),
+                [this, number, generation = generation_](ShardWriteOutcome outcome) {
+                  if (generation == generation_) changes_written(number, outcome);
+                });
+}
+
+void ServiceLeader::changes_written(ChangeNumber number, ShardWriteOutcome outcome) {
+  if (outcome != ShardWriteOutcome::durable || !scheduler_) return;
+  scheduler_->changes_durable(number);
+  if (leads()) release_waiting_answers(number);
+  schedule_step();
+}
+
+void ServiceLeader::release_waiting_answers(ChangeNumber durable) {
+  std::vector<WaitingAnswer> released;
+  std::erase_if(waiting_, [&](WaitingAnswer& answer) {
+    if (answer.durable_after > durable) return false;
+    released.push_back(std::move(answer));
+    return true;
+  });
+  for (WaitingAnswer& answer : released) answer.reply(envelope(std::move(answer.answer)));
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/control/service_leader.hpp
@@ -0,0 +1,79 @@
+// Leads one service while this node holds its lease: job requests and worker reports in, orders and records
+// out.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/common/settings.hpp"
+#include "cluster/consensus/control_group.hpp"
+#include "cluster/scheduler/scheduler.hpp"
+
+namespace winchhall::cluster {
+
+class ServiceLeader {
+ public:
+  ServiceLeader(Runtime& runtime, ControlGroup& group, const NodeSettings& settings, std::string service);
+
+  // Answers a request of an agent; JOB_NOT_LEADER where another node leads.
+  void handle(const wire::JobRequest& request, const Replier& reply);
+  // Answers a report of a worker-agent once there are orders, or after a short wait.
+  void handle(const wire::WorkerReport& report, const Replier& reply);
+  // Gives up the lease, for a planned end of the process.
+  void step_down();
+
+  bool leads() const { return scheduler_ && shard_->leads(); }
+  // One line of figures; empty: another node leads.
+  std::string summary() const;
+
+ private:
+  // An answer that waits until changes of records are durable.
+  struct WaitingAnswer {
+    ChangeNumber durable_after = 0;
+    wire::JobReply answer;
+    Replier reply;
+  };
+  // A report whose answer is held back until there are orders.
+  struct ParkedReport {
+    Replier reply;
+    TimePoint answer_by;
+    std::uint64_t report_number = 0;
+    std::string leaf_id;
+  };
+
+  void start_leading(std::uint64_t epoch, const std::vector<ShardEntry>& entries);
+  void stop_leading();
+
+  void submit(const wire::JobRequest& request, const Replier& reply);
+  void cancel(const wire::JobRequest& request, const Replier& reply);
+  void query(const wire::JobRequest& request, const Replier& reply);
+  void answer_when_durable(ChangeNumber number, wire::JobReply answer, const Replier& reply);
+  void answer_not_leader(const Replier& reply) const;
+
+  void park(const wire::WorkerReport& report, const Replier& reply);
+  void answer_report(const ParkedReport& parked);
+  void answer_reports_with_news();
+
+  void schedule_step();
+  void step();
+  void schedule_tick();
+  void write_changes();
+  void changes_written(ChangeNumber number, ShardWriteOutcome outcome);
+  void release_waiting_answers(ChangeNumber durable);
+
+  Runtime& runtime_;
+  ControlGroup& group_;
+  SchedulerTerms terms_;
+  std::unique_ptr<ReplicatedShard> shard_;
+  std::unique_ptr<Scheduler> scheduler_;
+  std::vector<WaitingAnswer> waiting_;
+  std::map<std::string, ParkedReport> parked_;  // by node name
+  std::unique_ptr<Timer> step_timer_;
+  std::unique_ptr<Timer> tick_timer_;
+  bool step_due_ = false;
+  std::uint64_t generation_ = 0;  // tells callbacks of an earlier leadership apart
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/ingress/configuration_feed.hpp
@@ -0,0 +1,43 @@
+// Keeps the newest configuration by long polls on the agent of the same machine.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "cluster/common/runtime.hpp"
+#include "cluster/config/configuration.hpp"
+
+namespace winchhall::cluster {
+
+class ConfigurationFeed {
+ public:
+  using OnNewer = std::function<void(const Configuration&)>;
+
+  // `agent`: the agent's listener. `on_newer` is called for every newer configuration.
+  ConfigurationFeed(Runtime& runtime, Address agent, OnNewer on_newer);
+
+  void start();
+  // Null before the first; its version never goes back.
+  std::shared_ptr<const Configuration> current() const { return current_; }
+  // The agent has answered lately and said that it hears the control group.
+  bool in_touch() const;
+
+ private:
+  void poll();
+  void poll_after(Millis pause);
+  void on_answer(const CallResult& result, TimePoint sent);
+  // How long to wait before the next poll.
+  Millis take_update(const wire::ConfigurationUpdate& update, TimePoint sent);
+  bool adopt(const wire::ConfigurationUpdate& update);
+
+  Runtime& runtime_;
+  Address agent_;
+  OnNewer on_newer_;
+  std::shared_ptr<const Configuration> current_;
+  std::optional<TimePoint> last_answer_;
+  bool agent_in_touch_ = false;
+  std::unique_ptr<Timer> timer_;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/ingress/job_answers.hpp
@@ -0,0 +1,21 @@
+// Turns the outcome of a job request into the answer that its client gets.
+#pragma once
+
+#include "cluster/common/errors.hpp"
+#include "cluster/http/server.hpp"
+
+namespace winchhall::cluster {
+
+// The answer to a request of kind `verb`. A reply without a clear outcome counts as in doubt.
+HttpResponse job_answer(wire::JobVerb verb, const wire::JobReply& reply);
+
+// 503 with Retry-After: certainly not taken; worth trying again after `retry_after`.
+HttpResponse not_taken_answer(Millis retry_after);
+
+// 504: may or may not have been taken; the same ID may be sent again.
+HttpResponse in_doubt_answer();
+
+// An answer with the body {"error":{"source","field","value","allowed"}}.
+HttpResponse error_answer(unsigned status, const InvalidInput& error);
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/ingress/job_gateway.cpp
@@ -0,0 +1,149 @@
+#include "cluster/ingress/job_gateway.hpp"
+
+#include <algorithm>
+#include <optional>
+
+#include "cluster/ingress/job_answers.hpp"
+#include "cluster/ingress/job_json.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+// Kept back of what a client waits, for the answer's way.
+constexpr Millis kAnswerReserve{100};
+constexpr Millis kLeastTimeout{200};
+// Kept back of the agent's call, so that its own answer arrives before the call times out.
+constexpr Millis kAgentReserve{50};
+constexpr Millis kCountTimeout{300};
+constexpr Millis kRetryPause{50};
+constexpr Millis kRetryWithoutConfiguration{1000};
+
+Millis timeout_of(const RequestTarget& target, const HttpRequest& request) {
+  if (target.verb == wire::JOB_COUNT) return kCountTimeout;
+  const Millis route_timeout(target.route->timeout_ms);
+  const Millis wait = std::min(client_deadline(request).value_or(route_timeout), route_timeout);
+  return std::max(wait - kAnswerReserve, kLeastTimeout);
+}
+
+wire::QueueTerms terms_of(const Route& route) {
+  wire::QueueTerms terms;
+  terms.set_queue(route.name);
+  terms.set_priority(route.priority);
+  terms.set_max_retries(route.max_retries);
+  terms.set_stretch(route.stretch);
+  terms.set_target_latency_ms(route.target_latency_ms);
+  return terms;
+}
+
+HttpResponse target_error_answer(TargetError error) {
+  switch (error) {
+    case TargetError::wrong_method:
+      return json_response(405, "{}");
+    case TargetError::malformed:
+      return error_answer(400, {"request", "path", "", "the path prefix of a queue and 16 hex digits"});
+    default:
+      return json_response(404, "{}");
+  }
+}
+
+// The job in a body; none: `reply` has been told why it can't be read.
+std::optional<wire::JobSpec> read_job(const HttpRequest& request, const HttpReplier& reply) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<wire::JobSpec>> {
+        BOOST_LEAF_AUTO(job, parse_job(request.body()));
+        return std::optional<wire::JobSpec>(std::move(job));
+      },
+      [&](const InvalidInput& error) -> std::optional<wire::JobSpec> {
+        reply(error_answer(400, error));
+        return std::nullopt;
+      },
+      [&]() -> std::optional<wire::JobSpec> {
+        reply(json_response(400, "{}"));
+        return std::nullopt;
+      });
+}
+
+wire::JobReply reply_in_doubt() {
+  wire::JobReply reply;
+  reply.set_outcome(wire::JOB_IN_DOUBT);
+  return reply;
+}
+
+}  // namespace
+
+JobGateway::JobGateway(Runtime& runtime, Address agent) : runtime_(runtime), agent_(std::move(agent)) {}
+
+void JobGateway::handle(const Configuration* configuration, const HttpRequest& request, HttpReplier reply) {
+  if (configuration == nullptr) return reply(not_taken_answer(kRetryWithoutConfiguration));
+  const RequestTarget target = find_target(*configuration, request);
+  if (target.error != TargetError::none) return reply(target_error_answer(target.error));
+  if (target.verb != wire::JOB_SUBMIT) return hand_on(target, request, {}, std::move(reply));
+  auto job = read_job(request, reply);
+  if (job) hand_on(target, request, std::move(*job), std::move(reply));
+}
+
+void JobGateway::give_up_all() {
+  while (!calls_.empty()) finish(calls_.begin()->first, reply_in_doubt());
+}
+
+void JobGateway::hand_on(const RequestTarget& target, const HttpRequest& request, wire::JobSpec spec,
+                         HttpReplier reply) {
+  const std::uint64_t number = ++last_number_;
+  OpenCall& call = calls_[number];
+  call.deadline = runtime_.now() + timeout_of(target, request);
+  call.reply = std::move(reply);
+  call.request.set_verb(target.verb);
+  call.request.set_service(target.route->backend);
+  call.request.set_id(target.id);
+  *call.request.mutable_terms() = terms_of(*target.route);
+  if (target.verb == wire::JOB_SUBMIT) *call.request.mutable_spec() = std::move(spec);
+  send(number);
+}
+
+void JobGateway::send(std::uint64_t number) {
+  const auto found = calls_.find(number);
+  if (found == calls_.end()) return;
+  OpenCall& call = found->second;
+  const auto left = std::chrono::duration_cast<Millis>(call.deadline - runtime_.now());
+  if (left <= Millis::zero()) return finish(number, reply_in_doubt());
+  wire::Envelope envelope;
+  *envelope.mutable_job_request() = call.request;
+  const Millis agent_time = std::max(left - kAgentReserve, left / 2);
+  envelope.mutable_job_request()->set_deadline_ms(
+      static_cast<std::uint32_t>(std::max<std::int64_t>(1, agent_time.count())));
+  runtime_.call(agent_, std::move(envelope), left,
+                [this, number](CallResult result) { on_result(number, result); });
+}
+
+void JobGateway::on_result(std::uint64_t number, const CallResult& result) {
+  if (calls_.count(number) == 0) return;
+  if (result.answer && result.answer->has_job_reply()) return finish(number, result.answer->job_reply());
+  if (!result.answer && result.error == CallError::unreachable) return retry_later(number);
+  finish(number, reply_in_doubt());
+}
+
+// The agent is down for the moment: the ID makes it safe to ask again.
+void JobGateway::retry_later(std::uint64_t number) {
+  calls_.at(number).retry = runtime_.after(kRetryPause, [this, number] { send(number); });
+}
+
+void JobGateway::finish(std::uint64_t number, const wire::JobReply& reply) {
+  auto node = calls_.extract(number);
+  const OpenCall& call = node.mapped();
+  const wire::JobVerb verb = call.request.verb();
+  if (verb == wire::JOB_COUNT) return call.reply(count_answer(call.request.terms().queue(), reply));
+  call.reply(job_answer(verb, reply));
+}
+
+// A queue that is in force has a count, though it may be an old one.
+HttpResponse JobGateway::count_answer(const std::string& queue, const wire::JobReply& reply) {
+  std::uint32_t& newest = newest_counts_[queue];
+  if (reply.outcome() == wire::JOB_OK) newest = reply.pending();
+  wire::JobReply answer;
+  answer.set_outcome(wire::JOB_OK);
+  answer.set_pending(newest);
+  return job_answer(wire::JOB_COUNT, answer);
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/rpc/dialer.cpp
@@ -0,0 +1,64 @@
+#include "cluster/rpc/dialer.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include "cluster/rpc/peer_link.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr Millis kSweepInterval{5000};
+constexpr Millis kIdleLink{20000};                  // a link unused for so long is closed
+constexpr std::uint32_t kCallIdMask = 0x7fffffffu;  // the library keeps the highest bit for itself
+
+}  // namespace
+
+NngDialer::NngDialer(boost::asio::io_context& loop, Runtime& runtime)
+    : loop_(loop),
+      runtime_(runtime),
+      last_call_id_(static_cast<std::uint32_t>(runtime.random()) & kCallIdMask) {
+  schedule_sweep();
+}
+
+NngDialer::~NngDialer() = default;
+
+void NngDialer::call(const Address& peer, wire::Envelope request, Millis timeout,
+                     std::function<void(CallResult)> done) {
+  last_call_id_ = (last_call_id_ + 1) & kCallIdMask;
+  const std::uint32_t call_id = last_call_id_;
+  request.set_call_id(call_id);
+  std::unique_ptr<PeerLink>& link = links_[peer];
+  if (!link) {
+    link = std::make_unique<PeerLink>(loop_, runtime_, peer, [this](wire::Envelope reply) {
+      const std::uint32_t id = reply.call_id();
+      finish(id, CallResult{std::move(reply), CallError::timed_out});
+    });
+  }
+  OpenCall open{peer, std::move(done),
+                runtime_.after(timeout, [this, call_id] { finish(call_id, CallResult{}); })};
+  calls_.insert_or_assign(call_id, std::move(open));
+  link->send(request.SerializeAsString(), call_id);
+}
+
+void NngDialer::finish(std::uint32_t call_id, CallResult result) {
+  const auto found = calls_.find(call_id);
+  if (found == calls_.end()) return;
+  const auto done = std::move(found->second.done);
+  calls_.erase(found);
+  done(std::move(result));
+}
+
+void NngDialer::schedule_sweep() {
+  sweep_timer_ = runtime_.after(kSweepInterval, [this] {
+    sweep();
+    schedule_sweep();
+  });
+}
+
+void NngDialer::sweep() {
+  const TimePoint oldest = runtime_.now() - kIdleLink;
+  std::erase_if(links_, [oldest](const auto& entry) { return entry.second->last_used() < oldest; });
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/rpc/send_aio.cpp
@@ -0,0 +1,35 @@
+#include "cluster/rpc/send_aio.hpp"
+
+#include <memory>
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr nng_duration kSendTimeoutMs = 400;
+
+// Owns the operation from its start to its callback.
+struct SendOperation {
+  nng_aio* aio = nullptr;
+};
+
+// Runs on a thread of the library.
+void send_done(void* argument) {
+  const std::unique_ptr<SendOperation> operation(static_cast<SendOperation*>(argument));
+  if (nng_aio_result(operation->aio) != 0) nng_msg_free(nng_aio_get_msg(operation->aio));
+  nng_aio_reap(operation->aio);
+}
+
+}  // namespace
+
+void send_message(nng_socket socket, NngMessage message) {
+  auto operation = std::make_unique<SendOperation>();
+  if (nng_aio_alloc(&operation->aio, &send_done, operation.get()) != 0) return;
+  nng_aio* aio = operation->aio;
+  nng_aio_set_timeout(aio, kSendTimeoutMs);
+  nng_aio_set_msg(aio, message.release());
+  static_cast<void>(operation.release());  // the callback takes it
+  nng_send_aio(socket, aio);
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/scheduler/eligibility.cpp
@@ -0,0 +1,63 @@
+// Which leaf may take a task of a stage.
+#include "cluster/scheduler/eligibility.hpp"
+
+#include <algorithm>
+
+namespace winchhall::cluster::scheduling {
+namespace {
+
+constexpr Millis kHeardWithin{2500};
+constexpr Millis kPlacedWithin{1500};     // age of the newest report
+constexpr Millis kGangPlacedWithin{700};  // the same, for members of a gang: they wait for one another
+constexpr std::uint32_t kHeartbeatPlacedWithinMs = 2000;
+constexpr std::uint32_t kHeartbeatGangPlacedWithinMs = 1000;
+constexpr double kClaimMargin = 1.2;  // of an estimate, for a task to end before a claim is used
+
+}  // namespace
+
+bool is_heard(const SchedulerState& state, const Leaf& leaf) {
+  return leaf.reported && state.now - leaf.reported_at <= kHeardWithin &&
+         leaf.heartbeat_age_ms <= kFreshHeartbeatMs;
+}
+
+bool may_ever_take(const Leaf& leaf, const StageInstance& stage) {
+  const std::string& label = stage.spec->requirements();
+  if (!label.empty() && std::find(leaf.labels.begin(), leaf.labels.end(), label) == leaf.labels.end())
+    return false;
+  return leaf.adopted && !leaf.draining && !leaf.left && stage.demand.fits_in(leaf.capacity);
+}
+
+bool may_take_now(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage) {
+  bool gang = stage.spec->gang();
+  if (!may_ever_take(leaf, stage) || leaf.unknown_runs > 0) return false;
+  if (!leaf.recorded || !state.records.is_durable(leaf.record_change)) return false;
+  if (state.now - leaf.reported_at > (gang ? kGangPlacedWithin : kPlacedWithin)) return false;
+  if (leaf.heartbeat_age_ms > (gang ? kHeartbeatGangPlacedWithinMs : kHeartbeatPlacedWithinMs)) return false;
+  return !state.set_aside(leaf);
+}
+
+std::uint64_t places_for(const Leaf& leaf, const StageInstance& stage, const Resources& room) {
+  std::uint64_t places = room.times(stage.demand);
+  if (leaf.health.suspect()) places = std::min<std::uint64_t>(places, 1);
+  std::uint32_t bound = stage.spec->anti_affinity();
+  if (bound == 0) return places;
+  auto there = stage.on_leaf.find(&leaf);
+  std::uint32_t taken = there == stage.on_leaf.end() ? 0 : there->second;
+  return std::min<std::uint64_t>(places, bound - std::min(bound, taken));
+}
+
+double distance_factor(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage) {
+  const std::string& rack = stage.spec->colocation();
+  return rack.empty() || leaf.rack == rack ? 1 : state.terms.bounds.far_factor;
+}
+
+bool leaves_claim_alone(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage) {
+  if (leaf.claimed_by == nullptr || leaf.claimed_by == &stage) return true;
+  if (stage.spec->long_running()) return false;
+  double ms = stage.hint * distance_factor(state, leaf, stage) * kClaimMargin;
+  return state.now + Millis(static_cast<std::int64_t>(ms)) <= leaf.claimed_until;
+}
+
+bool may_start(const SchedulerState& state, const Job& job) { return !job.restored || state.unheard.empty(); }
+
+}  // namespace winchhall::cluster::scheduling
--- /dev/null
+++ b/src/cluster/scheduler/placer.hpp
@@ -0,0 +1,37 @@
+// Gives waiting tasks to leaves: by queue order, each to the eligible leaf with the least summed hinted cost.
+#pragma once
+
+#include "cluster/scheduler/claims.hpp"
+#include "cluster/scheduler/run_ledger.hpp"
+
+namespace winchhall::cluster::scheduling {
+
+class Placer {
+ public:
+  Placer(SchedulerState& state, RunLedger& ledger, Claims& claims)
+      : state_(state), ledger_(ledger), claims_(claims) {}
+
+  // Offers the room there is to all waiting stages once.
+  void place_all();
+
+ private:
+  // Demand of which no leaf with this label had room.
+  struct Exhausted {
+    std::string label;
+    Resources demand;
+  };
+  void place_stage(StageInstance& stage);
+  void place_singles(StageInstance& stage);
+  Leaf* choose(const StageInstance& stage, const Task& task);
+  bool place_gang(StageInstance& stage);
+  bool is_exhausted(const StageInstance& stage) const;
+  void note_blocked(StageInstance& stage);
+
+  SchedulerState& state_;
+  RunLedger& ledger_;
+  Claims& claims_;
+  std::vector<Leaf*> candidates_;     // of the stage in hand
+  std::vector<Exhausted> exhausted_;  // in this round
+};
+
+}  // namespace winchhall::cluster::scheduling
--- /dev/null
+++ b/src/cluster/scheduler/watchdog.hpp
@@ -0,0 +1,32 @@
+// Looks after what runs: tasks that stand still, tasks that take too long, leaves that leave or fall silent.
+#pragma once
+
+#include "cluster/scheduler/task_ends.hpp"
+
+namespace winchhall::cluster::scheduling {
+
+class Watchdog {
+ public:
+  Watchdog(SchedulerState& state, RunLedger& ledger, TaskEnds& ends)
+      : state_(state), ledger_(ledger), ends_(ends) {}
+
+  // To be called with every plan; does its work at its own pace.
+  void look();
+
+ private:
+  void look_at_leaves();
+  void look_at_runs(Leaf& leaf);
+  bool stands_still(const Run& run) const;
+  bool must_move(const Leaf& leaf, const Run& run) const;
+  void copy_slow_runs();
+  void copy_slow(StageInstance& stage);
+  double usual_ms(const StageInstance& stage) const;
+
+  SchedulerState& state_;
+  RunLedger& ledger_;
+  TaskEnds& ends_;
+  TimePoint next_look_;
+  bool percent_told_ = false;  // some run has told a percentage between 0 and 100
+};
+
+}  // namespace winchhall::cluster::scheduling
--- /dev/null
+++ b/src/cluster/worker_agent/heartbeat_json.cpp
@@ -0,0 +1,250 @@
+#include "cluster/worker_agent/heartbeat_json.hpp"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <limits>
+
+namespace winchhall::cluster {
+namespace {
+
+namespace json = boost::json;
+
+constexpr const char* kSource = "Instances.Heartbeat";
+constexpr std::size_t kShownValueBytes = 80;
+constexpr std::size_t kLongestLeafId = 128;
+constexpr std::size_t kEscapedBytesPerByte = 6;  // of a text, at most
+constexpr std::size_t kOrderFrameBytes = 64;     // quotes, commas and numbers of an order
+
+leaf::error_id invalid(std::string field, const json::value* found, std::string allowed) {
+  std::string shown = found != nullptr ? json::serialize(*found) : std::string();
+  if (shown.size() > kShownValueBytes) shown.resize(kShownValueBytes);
+  return leaf::new_error(InvalidInput{kSource, std::move(field), std::move(shown), std::move(allowed)});
+}
+
+// Null: the field is missing.
+const json::value* field_of(const json::object& object, std::string_view name) {
+  const json::value* const found = object.if_contains(name);
+  return found != nullptr && !found->is_null() ? found : nullptr;
+}
+
+leaf::result<std::string> read_text(const json::value* value, const std::string& field) {
+  if (value == nullptr) return std::string();
+  const json::string* const text = value->if_string();
+  if (text == nullptr) return invalid(field, value, "a text");
+  return std::string(text->data(), text->size());
+}
+
+leaf::result<std::uint64_t> read_number(const json::value* value, const std::string& field) {
+  if (value == nullptr) return 0;
+  if (const std::uint64_t* const number = value->if_uint64()) return *number;
+  const std::int64_t* const number = value->if_int64();
+  if (number != nullptr && *number >= 0) return static_cast<std::uint64_t>(*number);
+  const double* const fraction = value->if_double();
+  constexpr double kLargest = 9e15;
+  if (fraction != nullptr && *fraction >= 0 && *fraction <= kLargest) {
+    return static_cast<std::uint64_t>(*fraction);
+  }
+  return invalid(field, value, "a number that is not negative");
+}
+
+// Numbers beyond the field's type count as its largest.
+leaf::result<std::uint32_t> read_small_number(const json::value* value, const std::string& field) {
+  BOOST_LEAF_AUTO(number, read_number(value, field));
+  constexpr std::uint64_t kLargest = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(number, kLargest));
+}
+
+leaf::result<const json::array*> read_list(const json::object& object, std::string_view name) {
+  const json::value* const value = field_of(object, name);
+  if (value == nullptr) return nullptr;
+  if (!value->is_array()) return invalid(std::string(name), value, "a list");
+  return &value->get_array();
+}
+
+// One entry of a list of lists, with the number of fields that it must have at least.
+leaf::result<const json::array*> read_entry(const json::value& entry, const std::string& field,
+                                            std::size_t least) {
+  const json::array* const items = entry.if_array();
+  if (items == nullptr || items->size() < least) {
+    return invalid(field, &entry, "a list of at least " + std::to_string(least));
+  }
+  return items;
+}
+
+const json::value* item_of(const json::array& items, std::size_t position) {
+  return position < items.size() ? &items[position] : nullptr;
+}
+
+leaf::result<wire::RunningTask> read_running(const json::value& entry, const std::string& field) {
+  BOOST_LEAF_AUTO(items, read_entry(entry, field, 2));
+  wire::RunningTask task;
+  BOOST_LEAF_AUTO(name, read_text(item_of(*items, 0), field));
+  BOOST_LEAF_AUTO(run, read_number(item_of(*items, 1), field));
+  BOOST_LEAF_AUTO(saved, read_text(item_of(*items, 2), field));
+  BOOST_LEAF_AUTO(percent, read_small_number(item_of(*items, 3), field));
+  task.set_task(std::move(name));
+  task.set_run(run);
+  task.set_saved(std::move(saved));
+  task.set_percent(percent);
+  return task;
+}
+
+wire::EndKind end_kind(std::string_view how) {
+  if (how == "done") return wire::END_DONE;
+  if (how == "failed") return wire::END_FAILED;
+  if (how == "stopped") return wire::END_STOPPED;
+  if (how == "lapsed") return wire::END_LAPSED;
+  if (how == "broken") return wire::END_BROKEN;
+  if (how == "alone") return wire::END_ALONE;
+  if (how == "refused") return wire::END_REFUSED;
+  return wire::END_UNKNOWN;
+}
+
+leaf::result<wire::FinishedTask> read_finished(const json::value& entry, const std::string& field) {
+  BOOST_LEAF_AUTO(items, read_entry(entry, field, 4));
+  wire::FinishedTask task;
+  BOOST_LEAF_AUTO(number, read_number(item_of(*items, 0), field));
+  BOOST_LEAF_AUTO(name, read_text(item_of(*items, 1), field));
+  BOOST_LEAF_AUTO(run, read_number(item_of(*items, 2), field));
+  BOOST_LEAF_AUTO(how, read_text(item_of(*items, 3), field));
+  BOOST_LEAF_AUTO(saved, read_text(item_of(*items, 4), field));
+  task.set_number(number);
+  task.set_task(std::move(name));
+  task.set_run(run);
+  task.set_how(end_kind(how));
+  task.set_saved(std::move(saved));
+  return task;
+}
+
+leaf::result<void> read_lists(const json::object& root, Heartbeat& heartbeat) {
+  BOOST_LEAF_AUTO(running, read_list(root, "running"));
+  if (running != nullptr) {
+    heartbeat.running.reserve(running->size());
+    for (const json::value& entry : *running) {
+      BOOST_LEAF_AUTO(task, read_running(entry, "running"));
+      heartbeat.running.push_back(std::move(task));
+    }
+  }
+  BOOST_LEAF_AUTO(finished, read_list(root, "finished"));
+  if (finished != nullptr) {
+    heartbeat.finished.reserve(finished->size());
+    for (const json::value& entry : *finished) {
+      BOOST_LEAF_AUTO(task, read_finished(entry, "finished"));
+      heartbeat.finished.push_back(std::move(task));
+    }
+  }
+  return {};
+}
+
+leaf::result<void> read_capacity(const json::object& root, wire::LeafDescription& leaf) {
+  const json::value* const value = field_of(root, "capacity");
+  if (value == nullptr) return {};
+  const json::object* const capacity = value->if_object();
+  if (capacity == nullptr) return invalid("capacity", value, "an object");
+  BOOST_LEAF_AUTO(cpu, read_small_number(field_of(*capacity, "cpu"), "capacity.cpu"));
+  BOOST_LEAF_AUTO(mem_mb, read_small_number(field_of(*capacity, "mem_mb"), "capacity.mem_mb"));
+  BOOST_LEAF_AUTO(gpu, read_small_number(field_of(*capacity, "gpu"), "capacity.gpu"));
+  leaf.set_cpu(cpu);
+  leaf.set_mem_mb(mem_mb);
+  leaf.set_gpu(gpu);
+  return {};
+}
+
+leaf::result<void> read_state(const json::object& root, wire::LeafDescription& leaf) {
+  BOOST_LEAF_AUTO(state, read_text(field_of(root, "state"), "state"));
+  BOOST_LEAF_AUTO(remaining_ms, read_small_number(field_of(root, "remaining_ms"), "remaining_ms"));
+  BOOST_LEAF_AUTO(warmup_left_ms, read_small_number(field_of(root, "warmup_left_ms"), "warmup_left_ms"));
+  leaf.set_draining(state == "draining");
+  leaf.set_remaining_ms(remaining_ms);
+  leaf.set_warmup_left_ms(warmup_left_ms);
+  return {};
+}
+
+leaf::result<void> read_labels(const json::object& root, wire::LeafDescription& leaf) {
+  BOOST_LEAF_AUTO(labels, read_list(root, "labels"));
+  if (labels == nullptr) return {};
+  for (const json::value& label : *labels) {
+    BOOST_LEAF_AUTO(text, read_text(&label, "labels"));
+    leaf.add_labels(std::move(text));
+  }
+  return {};
+}
+
+leaf::result<void> read_identity(const json::object& root, wire::LeafDescription& leaf) {
+  BOOST_LEAF_AUTO(service, read_text(field_of(root, "backend"), "backend"));
+  BOOST_LEAF_AUTO(address, read_text(field_of(root, "address"), "address"));
+  BOOST_LEAF_AUTO(zone, read_text(field_of(root, "zone"), "zone"));
+  BOOST_LEAF_AUTO(version, read_text(field_of(root, "version"), "version"));
+  BOOST_LEAF_AUTO(slots, read_small_number(field_of(root, "slots"), "slots"));
+  leaf.set_service(std::move(service));
+  leaf.set_address(std::move(address));
+  leaf.set_zone(std::move(zone));
+  leaf.set_version(std::move(version));
+  leaf.set_slots(slots);
+  return {};
+}
+
+}  // namespace
+
+bool is_leaf_id(std::string_view leaf_id) {
+  if (leaf_id.empty() || leaf_id.size() > kLongestLeafId) return false;
+  return std::all_of(leaf_id.begin(), leaf_id.end(),
+                     [](char letter) { return letter > ' ' && letter <= '~' && letter != '/'; });
+}
+
+leaf::result<Heartbeat> parse_heartbeat(const std::string& leaf_id, std::string_view body) {
+  if (!is_leaf_id(leaf_id)) {
+    return leaf::new_error(InvalidInput{kSource, "id", "", "printable characters, 128 at most"});
+  }
+  boost::system::error_code failure;
+  const json::value root = json::parse(body, failure);
+  if (failure || !root.is_object()) {
+    return leaf::new_error(InvalidInput{kSource, "body", failure.message(), "one whole JSON object"});
+  }
+  const json::object& fields = root.get_object();
+  Heartbeat heartbeat;
+  heartbeat.leaf.set_leaf_id(leaf_id);
+  BOOST_LEAF_CHECK(read_identity(fields, heartbeat.leaf));
+  BOOST_LEAF_CHECK(read_state(fields, heartbeat.leaf));
+  BOOST_LEAF_CHECK(read_capacity(fields, heartbeat.leaf));
+  BOOST_LEAF_CHECK(read_labels(fields, heartbeat.leaf));
+  BOOST_LEAF_CHECK(read_lists(fields, heartbeat));
+  if (const json::value* const sequence = field_of(fields, "sequence")) {
+    BOOST_LEAF_ASSIGN(heartbeat.sequence, read_number(sequence, "sequence"));
+  }
+  return heartbeat;
+}
+
+std::string heartbeat_answer_json(const HeartbeatAnswer& answer) {
+  json::object root;
+  if (answer.hold) root["hold_ms"] = answer.hold->count();
+  if (answer.last_seen != 0) root["last_seen"] = answer.last_seen;
+  if (answer.fence_token != 0) root["fence_token"] = answer.fence_token;
+  if (!answer.starts.empty()) {
+    json::array& starts = root["started_at"].emplace_array();
+    for (const wire::StartOrder& start : answer.starts) {
+      starts.push_back(json::array{start.task(), start.run(), start.spec(), start.saved()});
+    }
+  }
+  if (!answer.stops.empty()) {
+    json::array& stops = root["stopped_at"].emplace_array();
+    for (const wire::StopOrder& stop : answer.stops) stops.push_back(json::array{stop.task(), stop.run()});
+  }
+  if (answer.retry_after.count() != 0) root["retry_after_ms"] = answer.retry_after.count();
+  return json::serialize(root);
+}
+
+std::string error_json(const InvalidInput& error) {
+  const json::object fields{
+      {"source", error.source}, {"field", error.field}, {"value", error.value}, {"allowed", error.allowed}};
+  return json::serialize(json::object{{"error", fields}});
+}
+
+std::size_t answer_bytes_of(const wire::StartOrder& start) {
+  const std::size_t text = start.task().size() + start.spec().size() + start.saved().size();
+  return text * kEscapedBytesPerByte + kOrderFrameBytes;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/worker_agent/leader_finder.cpp
@@ -0,0 +1,100 @@
+#include "cluster/worker_agent/leader_finder.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace winchhall::cluster {
+namespace {
+
+constexpr Millis kAskTimeout{300};
+constexpr Millis kPause{100};
+constexpr std::uint64_t kPauseJitterMs = 50;
+constexpr std::size_t kMostNodes = 64;
+
+std::vector<Address> seed_listeners(const NodeSettings& settings) {
+  std::vector<Address> listeners;
+  for (const Address& seed : settings.seeds) listeners.push_back(settings.internal_address_of(seed));
+  return listeners;
+}
+
+}  // namespace
+
+LeaderFinder::LeaderFinder(Runtime& runtime, const NodeSettings& settings, Found found)
+    : runtime_(runtime),
+      found_(std::move(found)),
+      seeds_(seed_listeners(settings)),
+      nodes_(seeds_),
+      next_node_(static_cast<std::size_t>(runtime.random() % std::max<std::size_t>(1, nodes_.size()))),
+      alive_(std::make_shared<bool>(true)) {}
+
+LeaderFinder::~LeaderFinder() { *alive_ = false; }
+
+void LeaderFinder::search(const std::string& service, std::uint64_t least_epoch) {
+  shard_ = "service/" + service;
+  least_epoch_ = least_epoch;
+  if (searching_ || nodes_.empty()) return;
+  searching_ = true;
+  if (asking_) return;
+  const bool too_soon = asked_at_ != TimePoint{} && runtime_.now() - asked_at_ < kPause;
+  if (too_soon) {
+    pause();
+  } else {
+    ask_next();
+  }
+}
+
+void LeaderFinder::stop() {
+  searching_ = false;
+  timer_.reset();
+}
+
+const Address& LeaderFinder::next_node() {
+  next_node_ = (next_node_ + 1) % nodes_.size();
+  return nodes_[next_node_];
+}
+
+void LeaderFinder::ask_next() { ask(next_node()); }
+
+void LeaderFinder::ask(const Address& node) {
+  wire::Envelope request;
+  wire::ConfigurationWatch& watch = *request.mutable_configuration_watch();
+  watch.set_version(std::numeric_limits<std::uint64_t>::max());  // the configuration itself is not wanted
+  asking_ = true;
+  asked_at_ = runtime_.now();
+  runtime_.call(node, std::move(request), kAskTimeout, [this, alive = alive_](const CallResult& result) {
+    if (*alive) on_answer(result);
+  });
+}
+
+void LeaderFinder::on_answer(const CallResult& result) {
+  asking_ = false;
+  if (!result.answer || !result.answer->has_configuration_update()) return pause();
+  const wire::ConfigurationUpdate& update = result.answer->configuration_update();
+  learn_members(update);
+  if (!searching_) return;
+  FoundLeader best;
+  for (const wire::ShardLeader& leader : update.leaders()) {
+    const bool better = leader.shard() == shard_ && !leader.address().empty() && leader.epoch() >= best.epoch;
+    if (better) best = FoundLeader{leader.address(), leader.epoch()};
+  }
+  if (best.address.empty() || best.epoch < least_epoch_) return pause();
+  stop();
+  found_(best);
+}
+
+void LeaderFinder::learn_members(const wire::ConfigurationUpdate& update) {
+  if (update.members().empty()) return;
+  nodes_ = seeds_;
+  for (const wire::Member& member : update.members()) {
+    const bool known = std::find(nodes_.begin(), nodes_.end(), member.address()) != nodes_.end();
+    if (!known && !member.address().empty() && nodes_.size() < kMostNodes) nodes_.push_back(member.address());
+  }
+}
+
+void LeaderFinder::pause() {
+  if (!searching_) return;
+  const Millis jitter(static_cast<std::int64_t>(runtime_.random() % kPauseJitterMs));
+  timer_ = runtime_.after(kPause + jitter, [this] { ask_next(); });
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/worker_agent/worker_agent.hpp
@@ -0,0 +1,58 @@
+// The process beside a leaf: takes its heartbeats, reports them to the leader of its service and answers them
+// with the leader's orders and holds.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cluster/common/runtime.hpp"
+#include "cluster/common/settings.hpp"
+#include "cluster/worker_agent/leader_link.hpp"
+#include "cluster/worker_agent/leaf_session.hpp"
+
+namespace winchhall::cluster {
+
+// An HTTP answer to the leaf: status and JSON body.
+struct LeafAnswer {
+  unsigned status = 200;
+  std::string body;
+};
+// Answers a call of the leaf. Destroyed uncalled: the call gets no answer.
+using LeafReplier = std::function<void(LeafAnswer)>;
+
+class WorkerAgent {
+ public:
+  // Both references outlive the agent.
+  WorkerAgent(Runtime& runtime, const NodeSettings& settings);
+
+  // Looks for the leader, so that it is known when the leaf calls.
+  void start();
+  // Instances.Heartbeat. An answer is held back for a short while where orders may still come.
+  void on_heartbeat(const std::string& leaf_id, const std::string& body, LeafReplier reply);
+  // Instances.Deregister.
+  void on_deregister(const std::string& leaf_id, const LeafReplier& reply);
+  // Requests of other processes: none is for a worker-agent.
+  bool handle(const wire::Envelope& request, const Replier& reply);
+  // Answers what is held back, without orders; `done` is called once the answer has had time to leave.
+  void shut_down(std::function<void()> done);
+
+  const LeafSession& session() const { return session_; }
+
+ private:
+  void take_heartbeat(Heartbeat heartbeat, LeafReplier reply);
+  void hold_answer(LeafReplier reply);
+  void answer_if_news();
+  void answer_held();
+
+  Runtime& runtime_;
+  LeafSession session_;
+  LeaderLink link_;
+  LeafReplier held_reply_;  // of the newest heartbeat, not yet answered
+  TimePoint held_since_{};
+  std::unique_ptr<Timer> hold_timer_;
+  bool shutting_down_ = false;
+  std::unique_ptr<Timer> shut_down_timer_;
+};
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/tests/cluster/rpc_test.cpp
@@ -0,0 +1,154 @@
+// Calls between processes over NNG on loopback: answers, time-outs, late answers, peers that start later.
+// The library wants its main header first.
+#include <nng/nng.h>
+//
+#include <nng/protocol/reqrep0/req.h>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "cluster/rpc/dialer.hpp"
+#include "cluster/rpc/listener.hpp"
+
+using namespace winchhall::cluster;
+
+namespace {
+
+constexpr Millis kPatience{5000};
+
+// One event loop with a dialer; `run_until` drives it without sleeping in the test itself.
+struct Caller {
+  boost::asio::io_context loop{1};
+  AsioRuntime runtime{loop};
+  NngDialer dialer{loop, runtime};
+
+  Caller() { runtime.use(dialer); }
+
+  bool run_until(const std::function<bool()>& reached) {
+    const TimePoint limit = runtime.now() + kPatience;
+    while (!reached() && runtime.now() < limit) loop.run_one_for(Millis(100));
+    return reached();
+  }
+};
+
+wire::Envelope count_request(const std::string& queue) {
+  wire::Envelope request;
+  request.mutable_job_request()->set_verb(wire::JOB_COUNT);
+  request.mutable_job_request()->mutable_terms()->set_queue(queue);
+  return request;
+}
+
+std::shared_ptr<NngListener> listen(Caller& caller, const Address& address, RequestHandler handler) {
+  return leaf::try_handle_all([&] { return NngListener::open(caller.loop, address, std::move(handler)); },
+                              [] { return std::shared_ptr<NngListener>(); });
+}
+
+// A listener on the first free port of a range.
+std::shared_ptr<NngListener> listen_anywhere(Caller& caller, Address& address,
+                                             const RequestHandler& handler) {
+  for (int port = 23100; port < 23400; ++port) {
+    address = "127.0.0.1:" + std::to_string(port);
+    if (auto listener = listen(caller, address, handler)) return listener;
+  }
+  return nullptr;
+}
+
+bool answer_with_length(const wire::Envelope& request, const Replier& reply) {
+  wire::Envelope answer;
+  answer.mutable_job_reply()->set_pending(
+      static_cast<std::uint32_t>(request.job_request().terms().queue().size()));
+  reply(answer);
+  return true;
+}
+
+// Sends bytes that are no message of ours over a socket of the same protocol.
+bool send_garbage(const Address& address) {
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  if (nng_req0_open(&socket) != 0) return false;
+  std::string garbage = "\xff\xff\xff not a message";
+  const bool dialled = nng_dial(socket, ("tcp://" + address).c_str(), nullptr, 0) == 0;
+  const bool sent = dialled && nng_send(socket, garbage.data(), garbage.size(), 0) == 0;
+  nng_close(socket);
+  return sent;
+}
+
+}  // namespace
+
+TEST_CASE("a call brings the answer of its own request") {
+  Caller caller;
+  Address address;
+  const auto listener = listen_anywhere(caller, address, answer_with_length);
+  REQUIRE(listener);
+  std::vector<std::uint32_t> answers(20, 0);
+  std::size_t ended = 0;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    caller.runtime.call(address, count_request(std::string(i + 1, 'q')), kPatience,
+                        [&, i](CallResult result) {
+                          if (result.answer) answers[i] = result.answer->job_reply().pending();
+                          ++ended;
+                        });
+  }
+  REQUIRE(caller.run_until([&] { return ended == answers.size(); }));
+  for (std::size_t i = 0; i < answers.size(); ++i) CHECK(answers[i] == i + 1);
+}
+
+TEST_CASE("an unanswered call ends at its time-out, once, and a late answer is dropped") {
+  Caller caller;
+  Address address;
+  Replier kept;
+  const auto listener =
+      listen_anywhere(caller, address, [&kept](const wire::Envelope&, const Replier& reply) {
+        kept = reply;
+        return true;
+      });
+  REQUIRE(listener);
+  int ended = 0;
+  bool answered = false;
+  caller.runtime.call(address, count_request("a"), Millis(300), [&](CallResult result) {
+    ++ended;
+    answered = result.answer.has_value();
+  });
+  REQUIRE(caller.run_until([&] { return ended == 1; }));
+  CHECK_FALSE(answered);
+  REQUIRE(kept);
+  kept(count_request("late"));
+  bool waited = false;
+  const auto timer = caller.runtime.after(Millis(100), [&] { waited = true; });
+  REQUIRE(caller.run_until([&] { return waited; }));
+  CHECK(ended == 1);
+}
+
+TEST_CASE("a call to a peer that starts to listen later is answered") {
+  Caller caller;
+  Address address;
+  { REQUIRE(listen_anywhere(caller, address, answer_with_length)); }
+  bool answered = false;
+  int calls = 0;
+  std::function<void()> ask = [&] {
+    ++calls;
+    caller.runtime.call(address, count_request("abc"), Millis(200), [&](CallResult result) {
+      if (result.answer) {
+        answered = true;
+      } else {
+        ask();
+      }
+    });
+  };
+  ask();
+  REQUIRE(caller.run_until([&] { return calls >= 2; }));
+  const auto listener = listen(caller, address, answer_with_length);
+  REQUIRE(listener);
+  CHECK(caller.run_until([&] { return answered; }));
+}
+
+TEST_CASE("a message that is no envelope is dropped and the listener goes on") {
+  Caller caller;
+  Address address;
+  const auto listener = listen_anywhere(caller, address, answer_with_length);
+  REQUIRE(listener);
+  CHECK(send_garbage(address));
+  bool answered = false;
+  caller.runtime.call(address, count_request("abc"), kPatience,
+                      [&](CallResult result) { answered = result.answer.has_value(); });
+  CHECK(caller.run_until([&] { return answered; }));
+}
