--- a/src/cluster/agent/agent.cpp
+++ b/src/cluster/agent/agent.cpp
@@ -1,6 +1,9 @@
 #include "cluster/agent/agent.hpp"
 
 #include <algorithm>
+#include <utility>
+
+#include "cluster/common/log.hpp"
 
 namespace winchhall::cluster {
 
@@ -55,13 +58,23 @@
 }
 
 void Agent::on_change(const ViewChanges& changes) {
-  watch_server_.set_in_touch(watcher_.in_touch());
-  if (changes.configuration) watch_server_.on_newer_configuration();
+  note_link();
+  if (changes.configuration) {
+    log_event(LogLevel::info, "configuration", {{"version", static_cast<std::int64_t>(view_.version())}});
+    watch_server_.on_newer_configuration();
+  }
   if (changes.leaders) relay_.on_leaders_changed();
 }
 
+void Agent::note_link() {
+  const bool in_touch = watcher_.in_touch();
+  if (std::exchange(in_touch_, in_touch) == in_touch) return;
+  log_event(LogLevel::info, in_touch ? "control_group_found" : "control_group_lost");
+  watch_server_.set_in_touch(in_touch);
+}
+
 void Agent::check_link() {
-  watch_server_.set_in_touch(watcher_.in_touch());
+  note_link();
   link_timer_ = runtime_.after(kLinkCheck, [this] { check_link(); });
 }
 
--- a/src/cluster/agent/agent.hpp
+++ b/src/cluster/agent/agent.hpp
@@ -34,6 +34,8 @@
 
  private:
   void on_change(const ViewChanges& changes);
+  // Tells the ingress when the control group is lost or found.
+  void note_link();
   void check_link();
   void watch_end();
   bool ingress_is_gone() const;
@@ -47,6 +49,7 @@
   RetryBudget budget_;
   JobRelay relay_;
   TimePoint last_ingress_call_;
+  bool in_touch_ = false;
   std::unique_ptr<Timer> link_timer_;
   TimePoint end_;
   std::function<void()> done_;
--- a/src/cluster/agent/job_relay.cpp
+++ b/src/cluster/agent/job_relay.cpp
@@ -7,6 +7,13 @@
 namespace {
 
 constexpr Millis kDefaultDeadline{3000};
+// A request that joined a relay and has this much more time than it gets a relay of its own.
+constexpr Millis kWorthRelayingAnew{200};
+
+std::string key_of(const wire::JobRequest& request) {
+  return std::to_string(request.verb()) + "/" + request.service() + "/" + request.terms().queue() + "/" +
+         request.id();
+}
 
 wire::JobReply reply_of(wire::JobOutcome outcome) {
   wire::JobReply reply;
@@ -47,13 +54,16 @@
 void JobRelay::handle(const wire::JobRequest& request, const Replier& reply) {
   const Millis time = request.deadline_ms() == 0 ? kDefaultDeadline : Millis(request.deadline_ms());
   const TimePoint deadline = context_.runtime.now() + time;
-  ++open_;
-  const Done done = [this, reply](const wire::JobReply& answer) {
-    --open_;
-    wire::Envelope envelope;
-    *envelope.mutable_job_reply() = answer;
-    reply(std::move(envelope));
-  };
+  const std::string key = key_of(request);
+  const auto [entry, is_new] = open_.try_emplace(key);
+  entry->second.waiting.push_back({deadline, reply});
+  if (!is_new) return;
+  entry->second.request = request;
+  entry->second.deadline = deadline;
+  start(request, deadline, [this, key](const wire::JobReply& answer) { finish(key, answer); });
+}
+
+void JobRelay::start(const wire::JobRequest& request, TimePoint deadline, const Done& done) {
   switch (request.verb()) {
     case wire::JOB_SUBMIT:
       return submit(request, deadline, done);
@@ -67,6 +77,26 @@
   }
 }
 
+// Whoever joined a relay that has run out of time and has more of it is served by a new relay.
+void JobRelay::finish(const std::string& key, const wire::JobReply& answer) {
+  const auto node = open_.extract(key);
+  const OpenRequest& finished = node.mapped();
+  const TimePoint now = context_.runtime.now();
+  const bool out_of_time = answer.outcome() == wire::JOB_IN_DOUBT && now >= finished.deadline;
+  for (const Waiting& waiting : finished.waiting) {
+    const auto left = std::chrono::duration_cast<Millis>(waiting.deadline - now);
+    if (out_of_time && left >= kWorthRelayingAnew) {
+      wire::JobRequest again = finished.request;
+      again.set_deadline_ms(static_cast<std::uint32_t>(left.count()));
+      handle(again, waiting.reply);
+      continue;
+    }
+    wire::Envelope envelope;
+    *envelope.mutable_job_reply() = answer;
+    waiting.reply(std::move(envelope));
+  }
+}
+
 void JobRelay::on_leaders_changed() {
   for (auto next = calls_.begin(); next != calls_.end();) {
     const auto call = *next++;
--- a/src/cluster/agent/job_relay.hpp
+++ b/src/cluster/agent/job_relay.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,11 +20,24 @@
   void handle(const wire::JobRequest& request, const Replier& reply);
   void on_leaders_changed();
   // Requests that are not answered yet.
-  std::size_t open() const { return open_; }
+  std::size_t open() const { return open_.size(); }
 
  private:
   using Done = LeaderCall::Done;
 
+  // The same request, perhaps sent several times: one relay serves all.
+  struct Waiting {
+    TimePoint deadline;
+    Replier reply;
+  };
+  struct OpenRequest {
+    wire::JobRequest request;
+    TimePoint deadline;  // of the relay
+    std::vector<Waiting> waiting;
+  };
+
+  void start(const wire::JobRequest& request, TimePoint deadline, const Done& done);
+  void finish(const std::string& key, const wire::JobReply& answer);
   void submit(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   void find_and(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   // Services in force other than the request's that the queue was sent to lately.
@@ -37,7 +51,7 @@
 
   LeaderCallContext context_;
   std::list<std::shared_ptr<LeaderCall>> calls_;  // that have not ended
-  std::size_t open_ = 0;
+  std::map<std::string, OpenRequest> open_;
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/agent/leader_call.cpp
+++ b/src/cluster/agent/leader_call.cpp
@@ -10,7 +10,7 @@
 constexpr Millis kLeastBackoff{30};
 constexpr Millis kMostBackoff{200};
 constexpr unsigned kMostHints = 3;
-// A submit that certainly was not taken is given up after this long, so that its client may come back later.
+// A submit that was sent nowhere is given up after this long, so that its client may come back later.
 constexpr Millis kSubmitPatience{1200};
 constexpr std::uint32_t kRetryAfterMs = 1000;
 
@@ -39,7 +39,6 @@
   if (leader.empty() || leader == out_at_) return;
   const bool waits = out_at_.empty() && timer_ != nullptr;
   const bool elsewhere = !out_at_.empty();
-  if (elsewhere) unclear_ = true;
   if (waits || elsewhere) send(leader);
 }
 
@@ -81,7 +80,6 @@
   }
   out_at_.clear();
   if (answered) return on_reply(result.answer->job_reply(), target);
-  unclear_ = true;
   retry_after_failure(target);
 }
 
@@ -93,12 +91,11 @@
     case wire::JOB_NO_QUEUE:
       return finish(reply);
     case wire::JOB_REJECTED:
-      // An earlier leader may have taken it all the same.
-      return certainly_not_taken() ? finish(reply) : give_up();
+      // With an earlier try, another node may have taken it all the same.
+      return tries_ == 1 ? finish(reply) : give_up();
     case wire::JOB_NOT_LEADER:
       return on_not_leader(reply, target);
     default:
-      unclear_ = true;
       return retry_after_failure(target);
   }
 }
@@ -135,8 +132,6 @@
 }
 
 void LeaderCall::give_up() {
-  // A try that is under way may yet be taken.
-  if (!out_at_.empty()) unclear_ = true;
   wire::JobReply reply;
   const bool rejected = request_.verb() == wire::JOB_SUBMIT && certainly_not_taken();
   reply.set_outcome(rejected ? wire::JOB_REJECTED : wire::JOB_IN_DOUBT);
--- a/src/cluster/agent/leader_call.hpp
+++ b/src/cluster/agent/leader_call.hpp
@@ -41,7 +41,8 @@
   void retry_after_failure(const Address& failed);
   void back_off();
   void wait(Millis pause);
-  bool certainly_not_taken() const { return !unclear_; }
+  // Nothing was sent that may have been taken.
+  bool certainly_not_taken() const { return tries_ == 0; }
   TimePoint patience_end() const;
   void give_up();
   void finish(wire::JobReply reply);
--- a/src/cluster/consensus/admission.cpp
+++ b/src/cluster/consensus/admission.cpp
@@ -12,8 +12,10 @@
 
 constexpr Millis kVerifyTimeout{500};
 constexpr Millis kChangeTimeout{2000};
-constexpr Millis kMissing{1500};  // a member silent for so long may be about to be replaced
-constexpr Millis kGone{10000};    // a member silent for so long gives way to a candidate
+constexpr Millis kMissing{700};    // a member silent for so long may be about to be replaced
+constexpr Millis kFounding{5000};  // after its start a node lets the group grow at once
+constexpr Millis kObserved{1000};  // later a candidate has to wait so long, as a member may just have gone
+constexpr Millis kGone{10000};     // a member silent for so long gives way to a candidate
 
 // Voting members heard, without one of them.
 std::size_t voters_without(const GroupView& group, std::uint64_t id) {
@@ -67,7 +69,7 @@
 }  // namespace
 
 std::optional<wire::MemberRecord> next_record(const wire::MemberRecord& record, const wire::Member& candidate,
-                                              const GroupView& group, const PeerBook& peers) {
+                                              const GroupView& group, const PeerBook& peers, Growth growth) {
   const bool member = find_member(record, candidate.id()) != nullptr;
   if (const wire::Member* predecessor = find_predecessor(record, candidate)) {
     if (can_remove(record, predecessor->id(), group)) return without_member(record, predecessor->id());
@@ -78,7 +80,7 @@
   if (size_of(record) >= record.largest()) {
     const wire::Member* silent = find_silent(record, peers, kGone);
     if (silent && can_remove(record, silent->id(), group)) return without_member(record, silent->id());
-    if (missing_member(record, group, peers)) return std::nullopt;
+    if (growth == Growth::too_early || missing_member(record, group, peers)) return std::nullopt;
   }
   if (!can_add(record, group)) return std::nullopt;
   return with_member(record, candidate);
@@ -86,7 +88,11 @@
 
 Admission::Admission(GroupView& group, RegisterClient& registers, const PeerBook& peers,
                      std::function<void(const wire::MemberRecord&)> on_record)
-    : group_(group), registers_(registers), peers_(peers), on_record_(std::move(on_record)) {}
+    : group_(group),
+      registers_(registers),
+      peers_(peers),
+      on_record_(std::move(on_record)),
+      started_at_(group.runtime().now()) {}
 
 void Admission::handle(const wire::JoinRequest& request, const Replier& reply) {
   wire::Envelope envelope;
@@ -105,6 +111,15 @@
   return !settled && group_.voting() && group_.in_touch();
 }
 
+Growth Admission::growth(std::uint64_t candidate) {
+  constexpr std::size_t kRemembered = 64;
+  const TimePoint now = group_.runtime().now();
+  if (now - started_at_ < kFounding) return Growth::allowed;
+  if (first_asked_.size() >= kRemembered) first_asked_.clear();
+  const TimePoint first_asked = first_asked_.try_emplace(candidate, now).first->second;
+  return now - first_asked >= kObserved ? Growth::allowed : Growth::too_early;
+}
+
 void Admission::verify(const wire::Member& candidate) {
   busy_ = true;
   wire::Envelope request;
@@ -121,7 +136,8 @@
 
 void Admission::change_record(const wire::Member& candidate) {
   const wire::MemberRecord base = group_.record();
-  const std::optional<wire::MemberRecord> next = next_record(base, candidate, group_, peers_);
+  const std::optional<wire::MemberRecord> next =
+      next_record(base, candidate, group_, peers_, growth(candidate.id()));
   if (!next) return;
   busy_ = true;
   const auto change = [base, next = *next](const std::string& current) -> std::optional<std::string> {
--- a/src/cluster/consensus/admission.hpp
+++ b/src/cluster/consensus/admission.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 
 #include "cluster/consensus/group_view.hpp"
@@ -13,11 +14,17 @@
 // Key of the register that holds the member record.
 inline const std::string kMembersRegister = "members";
 
+// How a candidate stands that would make the group larger than it ever was.
+enum class Growth {
+  allowed,
+  too_early,  // a member may just have gone whose place it is to take
+};
+
 // The next record on the way to a group with this candidate in it; none: nothing to change now. A member at
 // the candidate's address under another id has lost its disk. A member that has been silent for long gives
 // way to a candidate from elsewhere; the group never gets smaller than its largest size less one.
 std::optional<wire::MemberRecord> next_record(const wire::MemberRecord& record, const wire::Member& candidate,
-                                              const GroupView& group, const PeerBook& peers);
+                                              const GroupView& group, const PeerBook& peers, Growth growth);
 
 class Admission {
  public:
@@ -31,6 +38,7 @@
 
  private:
   bool may_admit(const wire::Member& candidate) const;
+  Growth growth(std::uint64_t candidate);
   // Asks the candidate itself: a request may be late and its sender long gone.
   void verify(const wire::Member& candidate);
   void change_record(const wire::Member& candidate);
@@ -39,6 +47,8 @@
   RegisterClient& registers_;
   const PeerBook& peers_;
   const std::function<void(const wire::MemberRecord&)> on_record_;
+  const TimePoint started_at_;
+  std::map<std::uint64_t, TimePoint> first_asked_;  // by candidate
   bool busy_ = false;
 };
 
--- a/src/cluster/ingress/configuration_feed.cpp
+++ b/src/cluster/ingress/configuration_feed.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr Millis kWait{2000};
-constexpr Millis kCallTimeout{2600};
+constexpr Millis kWait{1000};
+constexpr Millis kCallTimeout{1500};
 constexpr Millis kRetryPause{50};
 constexpr Millis kUnusablePause{1000};
 // Answers without news that come faster than this are spaced.
--- a/src/cluster/ingress/ingress.cpp
+++ b/src/cluster/ingress/ingress.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cluster/common/log.hpp"
+
 namespace winchhall::cluster {
 
 namespace {
@@ -24,6 +26,8 @@
       loop_(loop),
       feed_(runtime, settings.feed_address(),
             [this](const Configuration& configuration) {
+              log_event(LogLevel::info, "configuration",
+                        {{"version", static_cast<std::int64_t>(configuration.version)}});
               if (front_) front_->set_limits(configuration.limits);
             }),
       gateway_(runtime, settings.feed_address()) {}
--- a/src/cluster/ingress/job_gateway.cpp
+++ b/src/cluster/ingress/job_gateway.cpp
@@ -16,6 +16,9 @@
 // Kept back of the agent's call, so that its own answer arrives before the call times out.
 constexpr Millis kAgentReserve{50};
 constexpr Millis kCountTimeout{300};
+// Without an answer a request is sent to the agent again: a restarted agent knows nothing of the first. The
+// ID makes that safe.
+constexpr Millis kTryTimeout{1400};
 constexpr Millis kRetryPause{50};
 constexpr Millis kRetryWithoutConfiguration{1000};
 
@@ -107,23 +110,24 @@
   OpenCall& call = found->second;
   const auto left = std::chrono::duration_cast<Millis>(call.deadline - runtime_.now());
   if (left <= Millis::zero()) return finish(number, reply_in_doubt());
+  ++call.tries;
+  const Millis agent_time = std::max({left - kAgentReserve, left / 2, Millis(1)});
   wire::Envelope envelope;
   *envelope.mutable_job_request() = call.request;
-  const Millis agent_time = std::max(left - kAgentReserve, left / 2);
-  envelope.mutable_job_request()->set_deadline_ms(
-      static_cast<std::uint32_t>(std::max<std::int64_t>(1, agent_time.count())));
-  runtime_.call(agent_, std::move(envelope), left,
+  envelope.mutable_job_request()->set_deadline_ms(static_cast<std::uint32_t>(agent_time.count()));
+  // A rest too short for another try is left to this one.
+  const Millis timeout = left < kTryTimeout + kLeastTimeout ? left : kTryTimeout;
+  runtime_.call(agent_, std::move(envelope), timeout,
                 [this, number](CallResult result) { on_result(number, result); });
 }
 
 void JobGateway::on_result(std::uint64_t number, const CallResult& result) {
   if (calls_.count(number) == 0) return;
   if (result.answer && result.answer->has_job_reply()) return finish(number, result.answer->job_reply());
-  if (!result.answer && result.error == CallError::unreachable) return retry_later(number);
-  finish(number, reply_in_doubt());
+  if (!result.answer && result.error == CallError::timed_out) return send(number);
+  retry_later(number);
 }
 
-// The agent is down for the moment: the ID makes it safe to ask again.
 void JobGateway::retry_later(std::uint64_t number) {
   calls_.at(number).retry = runtime_.after(kRetryPause, [this, number] { send(number); });
 }
@@ -133,6 +137,9 @@
   const OpenCall& call = node.mapped();
   const wire::JobVerb verb = call.request.verb();
   if (verb == wire::JOB_COUNT) return call.reply(count_answer(call.request.terms().queue(), reply));
+  // With an earlier try, the job may have been taken all the same.
+  const bool uncertain = reply.outcome() == wire::JOB_REJECTED && call.tries > 1;
+  if (uncertain) return call.reply(in_doubt_answer());
   call.reply(job_answer(verb, reply));
 }
 
--- a/src/cluster/ingress/job_gateway.hpp
+++ b/src/cluster/ingress/job_gateway.hpp
@@ -29,6 +29,7 @@
   struct OpenCall {
     wire::JobRequest request;
     TimePoint deadline;
+    unsigned tries = 0;
     HttpReplier reply;
     std::unique_ptr<Timer> retry;
   };
--- a/src/cluster/scheduler/watchdog.cpp
+++ b/src/cluster/scheduler/watchdog.cpp
@@ -108,11 +108,9 @@
     if (may_start(state_, *stage->job)) copy_slow(*stage);
 }
 
-double Watchdog::usual_ms(const StageInstance& stage) const { return stage.hint; }
-
 void Watchdog::copy_slow(StageInstance& stage) {
   if (stage.spec->long_running() || stage.job->final()) return;
-  double bound = std::max(static_cast<double>(kCopyAfter.count()), usual_ms(stage) * kCopyAfterTimes);
+  double bound = std::max(static_cast<double>(kCopyAfter.count()), stage.hint * kCopyAfterTimes);
   for (Task& task : stage.tasks) {
     if (task.done || task.runs.size() != 1) continue;
     const Run& run = *task.runs.front();
--- a/src/cluster/scheduler/watchdog.hpp
+++ b/src/cluster/scheduler/watchdog.hpp
@@ -20,7 +20,6 @@
   bool must_move(const Leaf& leaf, const Run& run) const;
   void copy_slow_runs();
   void copy_slow(StageInstance& stage);
-  double usual_ms(const StageInstance& stage) const;
 
   SchedulerState& state_;
   RunLedger& ledger_;
--- /dev/null
+++ b/tests/cluster/agent_configuration_test.cpp
@@ -0,0 +1,125 @@
+// How an agent keeps up with the control group and feeds its ingress.
+#include <catch2/catch.hpp>
+
+#include "agent_fixture.hpp"
+
+using namespace winchhall::cluster;
+using namespace winchhall::cluster::testing;
+
+namespace {
+
+std::uint64_t version_in(const std::shared_ptr<AgentAnswer>& answer) {
+  return answer->answer ? answer->answer->configuration_update().version() : 0;
+}
+
+}  // namespace
+
+TEST_CASE_METHOD(AgentFixture, "a started agent soon has the configuration and is in touch") {
+  start_agent();
+  runtime.run_for(Millis(50));
+  CHECK(agent->view().version() == 1);
+  CHECK(agent->in_touch());
+  CHECK(agent->view().leader_of("first") == address_of(0));
+}
+
+TEST_CASE_METHOD(AgentFixture, "a held poll is answered as soon as a newer configuration is there") {
+  start_agent();
+  runtime.run_for(Millis(1500));
+  const auto poll = watch(1, Millis(2000));
+  runtime.run_for(Millis(300));
+  REQUIRE_FALSE(poll->answer);
+  set_configuration(5, {{"/a/", "first"}});
+  runtime.run_for(Millis(150));
+  CHECK(version_in(poll) == 5);
+  CHECK_FALSE(poll->answer->configuration_update().configuration().empty());
+}
+
+TEST_CASE_METHOD(AgentFixture, "a poll without news ends after its wait") {
+  start_agent();
+  runtime.run_for(Millis(1000));
+  const auto poll = watch(1, Millis(2000));
+  runtime.run_for(Millis(1990));
+  REQUIRE_FALSE(poll->answer);
+  runtime.run_for(Millis(20));
+  REQUIRE(poll->answer);
+  CHECK(poll->answer->configuration_update().configuration().empty());
+}
+
+TEST_CASE_METHOD(AgentFixture, "an ingress that is ahead is told nothing older") {
+  start_agent();
+  runtime.run_for(Millis(1000));
+  const auto poll = watch(7, Millis(100));
+  runtime.run_for(Millis(200));
+  REQUIRE(poll->answer);
+  CHECK(poll->answer->configuration_update().configuration().empty());
+}
+
+TEST_CASE_METHOD(AgentFixture, "an older configuration of a node that lags changes nothing") {
+  start_agent();
+  runtime.run_for(Millis(100));
+  set_configuration(9, {{"/a/", "second"}});
+  runtime.run_for(Millis(200));
+  REQUIRE(agent->view().version() == 9);
+  for (auto& control : controls) control->set_configuration(4, configuration_json(4, {{"/a/", "first"}}));
+  runtime.run_for(Millis(5000));
+  CHECK(agent->view().version() == 9);
+}
+
+TEST_CASE_METHOD(AgentFixture, "nodes that are down or hang are replaced by others") {
+  controls[0]->stop();
+  controls[1]->hang();
+  start_agent();
+  runtime.run_for(Millis(3000));
+  CHECK(agent->in_touch());
+  set_configuration(2, {{"/a/", "first"}});
+  runtime.run_for(Millis(200));
+  CHECK(agent->view().version() == 2);
+}
+
+TEST_CASE_METHOD(AgentFixture, "an agent that hears no node in touch says so and finds the way back") {
+  start_agent();
+  runtime.run_for(Millis(500));
+  const auto before = watch(1, Millis(0));
+  CHECK(before->answer->configuration_update().in_touch());
+  for (auto& control : controls) control->stop();
+  runtime.run_for(Millis(5000));
+  CHECK_FALSE(agent->in_touch());
+  const auto cut_off = watch(1, Millis(0));
+  CHECK_FALSE(cut_off->answer->configuration_update().in_touch());
+  const auto poll = watch(1, Millis(2000));
+  controls[4]->start();
+  runtime.run_for(Millis(1500));
+  CHECK(agent->in_touch());
+  REQUIRE(poll->answer);
+  CHECK(poll->answer->configuration_update().in_touch());
+}
+
+TEST_CASE_METHOD(AgentFixture, "watching three nodes at rest costs about three calls a second") {
+  start_agent();
+  runtime.run_for(Millis(2000));
+  const auto before = runtime.calls_made;
+  runtime.run_for(Millis(10000));
+  CHECK(runtime.calls_made - before >= 27);
+  CHECK(runtime.calls_made - before <= 33);
+}
+
+TEST_CASE_METHOD(AgentFixture, "while no node answers the agent does not storm") {
+  for (auto& control : controls) control->stop();
+  start_agent();
+  runtime.run_for(Millis(10000));
+  CHECK(runtime.calls_made <= 310);
+}
+
+TEST_CASE_METHOD(AgentFixture, "an ending agent serves until its ingress is silent") {
+  start_agent();
+  runtime.run_for(Millis(500));
+  bool done = false;
+  agent->shut_down([&] { done = true; });
+  for (int count = 0; count < 5; ++count) {
+    watch(1, Millis(2000));
+    runtime.run_for(Millis(400));
+  }
+  CHECK_FALSE(done);
+  runtime.run_for(Millis(1200));
+  CHECK(done);
+}
--- /dev/null
+++ b/tests/cluster/agent_fixture.hpp
@@ -0,0 +1,213 @@
+// An agent amid scripted control nodes.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster/agent/agent.hpp"
+#include "fake_runtime.hpp"
+
+namespace winchhall::cluster::testing {
+
+// A control node: serves watches like a real one and answers job requests as told.
+class ScriptedControl {
+ public:
+  using JobHandler = std::function<void(const wire::JobRequest&, const Replier&)>;
+
+  ScriptedControl(FakeRuntime& runtime, Address address) : address_(std::move(address)), runtime_(runtime) {
+    start();
+  }
+
+  const Address& address() const { return address_; }
+  void start() {
+    runtime_.peers[address_] = [this](const wire::Envelope& request, const Replier& reply) {
+      take(request, reply);
+    };
+  }
+  // The node is down: calls to it fail at once.
+  void stop() {
+    runtime_.peers.erase(address_);
+    polls_.clear();
+  }
+  // The node takes calls and never answers.
+  void hang() {
+    polls_.clear();
+    runtime_.peers[address_] = [](const wire::Envelope&, const Replier&) {};
+  }
+
+  void set_configuration(std::uint64_t version, std::string json) {
+    update_.set_version(version);
+    update_.set_configuration(std::move(json));
+    answer_polls();
+  }
+  void set_in_touch(bool in_touch) { update_.set_in_touch(in_touch); }
+  void add_member(const Address& address, const std::string& zone) {
+    auto& member = *update_.add_members();
+    member.set_id(static_cast<std::uint64_t>(update_.members_size()));
+    member.set_address(address);
+    member.set_zone(zone);
+  }
+  void set_leader(const std::string& service, std::uint64_t epoch, const Address& leader) {
+    auto& entry = *update_.add_leaders();
+    entry.set_shard("service/" + service);
+    entry.set_epoch(epoch);
+    entry.set_address(leader);
+    update_.set_leaders_digest(update_.leaders_digest() + 1);
+    answer_polls();
+  }
+
+  JobHandler on_job;
+  std::vector<wire::JobRequest> jobs;
+  unsigned watches = 0;
+
+ private:
+  struct Poll {
+    wire::ConfigurationWatch watch;
+    Replier reply;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void take(const wire::Envelope& request, const Replier& reply) {
+    if (request.has_job_request()) {
+      jobs.push_back(request.job_request());
+      if (on_job) on_job(request.job_request(), reply);
+    }
+    if (request.has_configuration_watch()) hold(request.configuration_watch(), reply);
+  }
+
+  void hold(const wire::ConfigurationWatch& watch, const Replier& reply) {
+    ++watches;
+    if (has_news(watch)) return answer(watch, reply);
+    polls_.push_back({watch, reply, nullptr});
+    const auto poll = std::prev(polls_.end());
+    poll->timer = runtime_.after(Millis(watch.wait_ms()), [this, poll] {
+      answer(poll->watch, poll->reply);
+      polls_.erase(poll);
+    });
+  }
+
+  bool has_news(const wire::ConfigurationWatch& watch) const {
+    return update_.version() > watch.version() || update_.leaders_digest() != watch.leaders_digest();
+  }
+
+  void answer(const wire::ConfigurationWatch& watch, const Replier& reply) const {
+    wire::Envelope envelope;
+    auto& update = *envelope.mutable_configuration_update();
+    update = update_;
+    if (update.version() <= watch.version()) update.clear_configuration();
+    reply(std::move(envelope));
+  }
+
+  void answer_polls() {
+    std::list<Poll> polls;
+    polls.swap(polls_);
+    for (auto& poll : polls) {
+      if (has_news(poll.watch)) {
+        answer(poll.watch, poll.reply);
+      } else {
+        hold(poll.watch, poll.reply);
+      }
+    }
+  }
+
+  Address address_;
+  FakeRuntime& runtime_;
+  wire::ConfigurationUpdate update_;
+  std::list<Poll> polls_;
+};
+
+inline ScriptedControl::JobHandler answer_with(wire::JobOutcome outcome, const Address& leader = {}) {
+  return [outcome, leader](const wire::JobRequest&, const Replier& reply) {
+    wire::Envelope envelope;
+    envelope.mutable_job_reply()->set_outcome(outcome);
+    envelope.mutable_job_reply()->set_leader_address(leader);
+    reply(std::move(envelope));
+  };
+}
+
+// What a call to the agent brought.
+struct AgentAnswer {
+  std::optional<wire::Envelope> answer;
+  TimePoint at;
+};
+
+// Five control nodes (ports 7380), of which the first three are seeds; services "first" and "second", led by
+// nodes 0 and 1; queues "/a/" and "/b/".
+struct AgentFixture {
+  FakeRuntime runtime;
+  std::vector<std::unique_ptr<ScriptedControl>> controls;
+  std::unique_ptr<Agent> agent;
+
+  AgentFixture() {
+    for (int number = 0; number < 5; ++number) {
+      controls.push_back(std::make_unique<ScriptedControl>(runtime, address_of(number)));
+    }
+    for (auto& control : controls) {
+      control->set_in_touch(true);
+      control->set_configuration(1, configuration_json(1, {{"/a/", "first"}, {"/b/", "second"}}));
+      for (int number = 0; number < 5; ++number) control->add_member(address_of(number), zone_of(number));
+    }
+    set_leader("first", 1, address_of(0));
+    set_leader("second", 1, address_of(1));
+  }
+
+  static Address ip_of(int number) { return "10.0.0." + std::to_string(number + 1); }
+  static Address address_of(int number) { return ip_of(number) + ":7380"; }
+  static std::string zone_of(int number) { return number < 3 ? "far" : "near"; }
+
+  void set_leader(const std::string& service, std::uint64_t epoch, const Address& leader) {
+    for (auto& control : controls) control->set_leader(service, epoch, leader);
+  }
+  void set_configuration(std::uint64_t version, const std::map<std::string, std::string>& services) {
+    for (auto& control : controls) control->set_configuration(version, configuration_json(version, services));
+  }
+
+  void start_agent() {
+    NodeSettings settings;
+    settings.zone = "near";
+    settings.ip = "10.0.1.1";
+    settings.internal_port_first = 7380;
+    settings.internal_port_last = 7395;
+    for (int number = 0; number < 3; ++number) settings.seeds.push_back(ip_of(number) + ":8144");
+    agent = std::make_unique<Agent>(runtime, settings);
+    agent->start();
+  }
+
+  std::shared_ptr<AgentAnswer> send(const wire::Envelope& request) {
+    auto answer = std::make_shared<AgentAnswer>();
+    agent->handle(request, [this, answer](wire::Envelope envelope) {
+      answer->answer = std::move(envelope);
+      answer->at = runtime.now();
+    });
+    return answer;
+  }
+
+  std::shared_ptr<AgentAnswer> job(wire::JobVerb verb, const std::string& service = "first",
+                                   const std::string& queue = "queue/a/") {
+    wire::Envelope request;
+    auto& job = *request.mutable_job_request();
+    job.set_verb(verb);
+    job.set_service(service);
+    job.set_id("5c0e7a21d94b36f8");
+    job.mutable_terms()->set_queue(queue);
+    job.set_deadline_ms(2800);
+    return send(request);
+  }
+
+  std::shared_ptr<AgentAnswer> watch(std::uint64_t version, Millis wait) {
+    wire::Envelope request;
+    request.mutable_configuration_watch()->set_version(version);
+    request.mutable_configuration_watch()->set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+    return send(request);
+  }
+};
+
+inline wire::JobOutcome outcome_of(const std::shared_ptr<AgentAnswer>& answer) {
+  return answer->answer ? answer->answer->job_reply().outcome() : wire::JOB_OUTCOME_NONE;
+}
+
+}  // namespace winchhall::cluster::testing
--- /dev/null
+++ b/tests/cluster/agent_relay_test.cpp
@@ -0,0 +1,201 @@
+// How an agent relays job requests: only what is certain is said for certain.
+#include <catch2/catch.hpp>
+
+#include "agent_fixture.hpp"
+
+using namespace winchhall::cluster;
+using namespace winchhall::cluster::testing;
+
+namespace {
+
+struct RelayFixture : AgentFixture {
+  RelayFixture() {
+    start_agent();
+    runtime.run_for(Millis(500));
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(RelayFixture, "a request goes to the leader and its answer comes back") {
+  controls[0]->on_job = answer_with(wire::JOB_OK);
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(answer) == wire::JOB_OK);
+  CHECK(controls[0]->jobs.size() == 1);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a node that does not lead names the leader") {
+  controls[0]->on_job = answer_with(wire::JOB_NOT_LEADER, address_of(2));
+  controls[2]->on_job = answer_with(wire::JOB_OK);
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(answer) == wire::JOB_OK);
+}
+
+TEST_CASE_METHOD(RelayFixture, "nodes that name each other are not followed for ever") {
+  controls[0]->on_job = answer_with(wire::JOB_NOT_LEADER, address_of(2));
+  controls[2]->on_job = answer_with(wire::JOB_NOT_LEADER, address_of(0));
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(2900));
+  // A copy of the request may still reach a node that leads by then.
+  CHECK(outcome_of(answer) == wire::JOB_IN_DOUBT);
+  CHECK(controls[0]->jobs.size() + controls[2]->jobs.size() <= 25);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a rejection after a node that did not lead is in doubt") {
+  controls[0]->on_job = answer_with(wire::JOB_NOT_LEADER, address_of(2));
+  controls[2]->on_job = answer_with(wire::JOB_REJECTED);
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(answer) == wire::JOB_IN_DOUBT);
+}
+
+TEST_CASE_METHOD(RelayFixture, "the same request sent twice is relayed once and answered twice") {
+  Replier held;
+  controls[0]->on_job = [&](const wire::JobRequest&, const Replier& reply) { held = reply; };
+  const auto first = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(50));
+  const auto second = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(50));
+  REQUIRE(controls[0]->jobs.size() == 1);
+  wire::Envelope success;
+  success.mutable_job_reply()->set_outcome(wire::JOB_OK);
+  held(success);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(first) == wire::JOB_OK);
+  CHECK(outcome_of(second) == wire::JOB_OK);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a request that joined another has its own time") {
+  controls[0]->hang();
+  const auto first = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(1500));
+  const auto second = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(1400));
+  CHECK(outcome_of(first) == wire::JOB_IN_DOUBT);
+  REQUIRE_FALSE(second->answer);
+  set_leader("first", 2, address_of(3));
+  controls[3]->on_job = answer_with(wire::JOB_OK);
+  runtime.run_for(Millis(300));
+  CHECK(outcome_of(second) == wire::JOB_OK);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a submit without any leader is rejected before its deadline") {
+  const auto answer = job(wire::JOB_SUBMIT, "unled", "queue/new/");
+  runtime.run_for(Millis(1500));
+  REQUIRE(outcome_of(answer) == wire::JOB_REJECTED);
+  CHECK(answer->answer->job_reply().retry_after_ms() == 1000);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a submit that a leader may have taken is in doubt") {
+  controls[0]->hang();
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(2900));
+  CHECK(outcome_of(answer) == wire::JOB_IN_DOUBT);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a rejection after an unclear try is in doubt") {
+  unsigned tries = 0;
+  controls[0]->on_job = [&](const wire::JobRequest& request, const Replier& reply) {
+    if (++tries > 1) answer_with(wire::JOB_REJECTED)(request, reply);
+  };
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(2900));
+  CHECK(tries == 2);
+  CHECK(outcome_of(answer) == wire::JOB_IN_DOUBT);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a rejection of the first try is passed on") {
+  controls[0]->on_job = answer_with(wire::JOB_REJECTED);
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(answer) == wire::JOB_REJECTED);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a request waiting on a lost leader goes to the new one at once") {
+  controls[0]->hang();
+  controls[3]->on_job = answer_with(wire::JOB_OK);
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(200));
+  for (int number = 1; number < 5; ++number) controls[number]->set_leader("first", 2, address_of(3));
+  runtime.run_for(Millis(250));
+  CHECK(outcome_of(answer) == wire::JOB_OK);
+}
+
+TEST_CASE_METHOD(RelayFixture, "the late success of a try that was replaced counts") {
+  Replier late;
+  controls[0]->on_job = [&](const wire::JobRequest&, const Replier& reply) { late = reply; };
+  const auto answer = job(wire::JOB_SUBMIT);
+  runtime.run_for(Millis(100));
+  set_leader("first", 2, address_of(3));
+  runtime.run_for(Millis(150));
+  REQUIRE(controls[3]->jobs.size() == 1);
+  wire::Envelope success;
+  success.mutable_job_reply()->set_outcome(wire::JOB_OK);
+  late(success);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(answer) == wire::JOB_OK);
+}
+
+TEST_CASE_METHOD(RelayFixture, "a lost job is looked for in every other service") {
+  controls[0]->on_job = answer_with(wire::JOB_NOT_FOUND);
+  SECTION("found there") {
+    controls[1]->on_job = answer_with(wire::JOB_OK);
+    const auto answer = job(wire::JOB_QUERY);
+    runtime.run_for(Millis(10));
+    CHECK(outcome_of(answer) == wire::JOB_OK);
+    REQUIRE(controls[1]->jobs.size() == 1);
+    CHECK(controls[1]->jobs[0].service() == "second");
+  }
+  SECTION("found nowhere") {
+    controls[1]->on_job = answer_with(wire::JOB_NOT_FOUND);
+    const auto answer = job(wire::JOB_CANCEL);
+    runtime.run_for(Millis(10));
+    CHECK(outcome_of(answer) == wire::JOB_NOT_FOUND);
+  }
+  SECTION("another service does not answer") {
+    const auto answer = job(wire::JOB_QUERY);
+    runtime.run_for(Millis(2900));
+    CHECK(outcome_of(answer) == wire::JOB_IN_DOUBT);
+  }
+}
+
+TEST_CASE_METHOD(RelayFixture, "a submit to a queue that moved asks the earlier service first") {
+  controls[1]->on_job = answer_with(wire::JOB_OK);
+  set_configuration(2, {{"/a/", "second"}, {"/b/", "first"}});
+  runtime.run_for(Millis(200));
+  SECTION("the earlier service knows the job") {
+    controls[0]->on_job = answer_with(wire::JOB_OK);
+    const auto answer = job(wire::JOB_SUBMIT, "second");
+    runtime.run_for(Millis(10));
+    CHECK(outcome_of(answer) == wire::JOB_OK);
+    CHECK(controls[1]->jobs.empty());
+    REQUIRE(controls[0]->jobs.size() == 1);
+    CHECK(controls[0]->jobs[0].verb() == wire::JOB_QUERY);
+  }
+  SECTION("the earlier service does not know it") {
+    controls[0]->on_job = answer_with(wire::JOB_NOT_FOUND);
+    const auto answer = job(wire::JOB_SUBMIT, "second");
+    runtime.run_for(Millis(10));
+    CHECK(outcome_of(answer) == wire::JOB_OK);
+    REQUIRE(controls[1]->jobs.size() == 1);
+    CHECK(controls[1]->jobs[0].verb() == wire::JOB_SUBMIT);
+  }
+  SECTION("the earlier service does not answer") {
+    const auto answer = job(wire::JOB_SUBMIT, "second");
+    runtime.run_for(Millis(2900));
+    CHECK(outcome_of(answer) == wire::JOB_IN_DOUBT);
+    CHECK(controls[1]->jobs.empty());
+  }
+}
+
+TEST_CASE_METHOD(RelayFixture, "retries of many requests at once stay within the budget") {
+  controls[0]->hang();
+  for (int count = 0; count < 200; ++count) job(wire::JOB_SUBMIT);
+  const auto before = runtime.calls_made;
+  runtime.run_for(Millis(2900));
+  const auto extra = runtime.calls_made - before;
+  // Shares of the 200 first tries, three seconds' floor, what was saved up, and the agent's own polls.
+  CHECK(extra <= 40 + 60 + 30 + 60);
+}
--- /dev/null
+++ b/tests/cluster/agent_route_history_test.cpp
@@ -0,0 +1,48 @@
+// Which services a queue was sent to earlier.
+#include <catch2/catch.hpp>
+
+#include "cluster/agent/route_history.hpp"
+#include "fake_runtime.hpp"
+
+using namespace winchhall::cluster;
+using testing::configuration_json;
+
+namespace {
+
+Configuration configuration(std::uint64_t version, const std::map<std::string, std::string>& services) {
+  return leaf::try_handle_all(
+      [&] { return parse_configuration(configuration_json(version, services), "test"); },
+      []() -> Configuration { throw std::runtime_error("the test's configuration is invalid"); });
+}
+
+using Names = std::vector<std::string>;
+
+}  // namespace
+
+TEST_CASE("a queue that never moved has no other service") {
+  RouteHistory history;
+  const TimePoint now{std::chrono::hours(1)};
+  history.observe(configuration(1, {{"/a/", "first"}, {"/b/", "second"}}), now);
+  CHECK(history.other_services("queue/a/", "first", now).empty());
+  CHECK(history.other_services("unknown", "first", now).empty());
+}
+
+TEST_CASE("a queue that moved names its earlier service for a while") {
+  RouteHistory history;
+  const TimePoint now{std::chrono::hours(1)};
+  history.observe(configuration(1, {{"/a/", "first"}}), now);
+  history.observe(configuration(2, {{"/a/", "second"}}), now + Millis(1000));
+  CHECK(history.other_services("queue/a/", "second", now + Millis(2000)) == Names{"first"});
+  CHECK(history.other_services("queue/a/", "second", now + Millis(62000)).empty());
+  // An ingress with the older configuration must ask the newer service.
+  CHECK(history.other_services("queue/a/", "first", now + Millis(62000)) == Names{"second"});
+}
+
+TEST_CASE("a queue removed and added again elsewhere has moved") {
+  RouteHistory history;
+  const TimePoint now{std::chrono::hours(1)};
+  history.observe(configuration(1, {{"/a/", "first"}, {"/b/", "second"}}), now);
+  history.observe(configuration(2, {{"/b/", "second"}}), now + Millis(1000));
+  history.observe(configuration(3, {{"/a/", "second"}, {"/b/", "second"}}), now + Millis(2000));
+  CHECK(history.other_services("queue/a/", "second", now + Millis(3000)) == Names{"first"});
+}
--- /dev/null
+++ b/tests/cluster/configuration_service_test.cpp
@@ -0,0 +1,224 @@
+// The operator's changes: lost answers, races, repeats, invalid ones; watches.
+#include <catch2/catch.hpp>
+
+#include "cluster/configuration_fixture.hpp"
+#include "cluster/control/configuration_answers.hpp"
+#include "cluster/worker_fixture.hpp"
+
+using namespace winchhall::cluster;
+using namespace winchhall::cluster::configuration_test;
+using winchhall::cluster::worker_test::ScriptedRuntime;
+
+namespace {
+
+using Fate = SharedRegister::Fate;
+using Outcome = ConfigurationOutcomeKind;
+
+struct ServiceFixture {
+  ServiceFixture()
+      : service(runtime, registers,
+                ConfigurationSurroundings{[this] { return leaders; },
+                                          [] { return std::vector<wire::Member>(); }, [] { return true; }}) {}
+
+  ConfigurationOutcome put(const std::string& base, const std::string& body, Fate fate = Fate::delivered) {
+    return change(base, body, fate, &ConfigurationService::put);
+  }
+  ConfigurationOutcome patch(const std::string& base, const std::string& body, Fate fate = Fate::delivered) {
+    return change(base, body, fate, &ConfigurationService::patch);
+  }
+  ConfigurationRead get() {
+    ConfigurationRead result;
+    service.get([&](ConfigurationRead read) { result = std::move(read); });
+    registers.carry_out();
+    return result;
+  }
+  std::shared_ptr<std::optional<wire::ConfigurationUpdate>> watch(std::uint64_t version, std::uint64_t digest,
+                                                                  std::uint32_t wait_ms = 1000) {
+    auto update = std::make_shared<std::optional<wire::ConfigurationUpdate>>();
+    wire::Envelope request;
+    request.mutable_configuration_watch()->set_version(version);
+    request.mutable_configuration_watch()->set_leaders_digest(digest);
+    request.mutable_configuration_watch()->set_wait_ms(wait_ms);
+    service.handle(request,
+                   [update](const wire::Envelope& answer) { *update = answer.configuration_update(); });
+    return update;
+  }
+
+  ScriptedRuntime runtime;
+  SharedRegister registers;
+  std::vector<wire::ShardLeader> leaders;
+  ConfigurationService service;
+
+ private:
+  using Change = void (ConfigurationService::*)(const std::optional<std::string>&, std::string,
+                                                ConfigurationService::ChangeDone);
+  ConfigurationOutcome change(const std::string& base, const std::string& body, Fate fate, Change call) {
+    ConfigurationOutcome result;
+    (service.*call)(base, body, [&](ConfigurationOutcome outcome) { result = std::move(outcome); });
+    if (registers.waiting() > 0) registers.carry_out(fate);
+    return result;
+  }
+};
+
+std::string route_patch(std::uint64_t version, const std::string& name) {
+  return R"({"version":)" + std::to_string(version) + R"(,"upsert":{"routes":[)" + route_json(name, name) +
+         "]}}";
+}
+
+}  // namespace
+
+TEST_CASE_METHOD(ServiceFixture, "a first configuration is taken and read back as it was sent") {
+  CHECK(get().kind == ConfigurationReadKind::missing);
+  CHECK(put("0", small_configuration(5)).kind == Outcome::applied);
+  const ConfigurationRead read = get();
+  CHECK(read.kind == ConfigurationReadKind::found);
+  CHECK(read.json == small_configuration(5));
+  REQUIRE(service.newest() != nullptr);
+  CHECK(service.newest()->version == 5);
+}
+
+TEST_CASE_METHOD(ServiceFixture, "a change that was applied is acknowledged again, also after newer ones") {
+  put("0", small_configuration(5));
+  CHECK(patch("5", route_patch(7, "r-2")).kind == Outcome::applied);
+  CHECK(patch("7", route_patch(9, "r-3")).kind == Outcome::applied);
+  const ConfigurationOutcome again = put("0", small_configuration(5));
+  CHECK(again.kind == Outcome::applied);
+  CHECK(again.version == 5);
+  CHECK(patch("5", route_patch(7, "r-2")).kind == Outcome::applied);
+  CHECK(get().version == 9);
+}
+
+TEST_CASE_METHOD(ServiceFixture, "a change whose answer was lost is acknowledged when it is sent again") {
+  put("0", small_configuration(5));
+  CHECK(patch("5", route_patch(7, "r-2"), Fate::answer_lost).kind == Outcome::unavailable);
+  CHECK(patch("5", route_patch(7, "r-2")).kind == Outcome::applied);
+  CHECK(patch("7", route_patch(8, "r-3"), Fate::never_tried).kind == Outcome::unavailable);
+  CHECK(patch("7", route_patch(8, "r-3")).kind == Outcome::applied);
+}
+
+TEST_CASE_METHOD(ServiceFixture, "of two changes on top of the same version one is applied") {
+  put("0", small_configuration(5));
+  CHECK(patch("5", route_patch(7, "r-2")).kind == Outcome::applied);
+  const ConfigurationOutcome other = patch("5", route_patch(7, "r-3"));
+  CHECK(other.kind == Outcome::conflict);
+  CHECK(other.version == 7);
+  CHECK(put("5", small_configuration(8)).kind == Outcome::conflict);
+  CHECK(put("4", small_configuration(8)).kind == Outcome::conflict);
+  CHECK(get().json.find("r-3") == std::string::npos);
+}
+
+TEST_CASE_METHOD(ServiceFixture, "the same body on another base or as another kind is another change") {
+  put("0", small_configuration(5));
+  CHECK(put("5", small_configuration(5)).kind == Outcome::invalid);
+  CHECK(patch("0", small_configuration(5)).kind == Outcome::conflict);
+}
+
+TEST_CASE_METHOD(ServiceFixture, "invalid changes are refused and change nothing") {
+  put("0", small_configuration(5));
+  CHECK(put("5", small_configuration(5)).kind == Outcome::invalid);
+  CHECK(put("5", small_configuration(4)).kind == Outcome::invalid);
+  CHECK(put("5", small_configuration(7).substr(0, 200)).kind == Outcome::invalid);
+  CHECK(put("five", small_configuration(7)).kind == Outcome::invalid);
+  CHECK(put("-1", small_configuration(7)).kind == Outcome::invalid);
+  CHECK(patch("5", route_patch(5, "r-2")).kind == Outcome::invalid);
+  CHECK(patch("5", R"({"version":7,"delete":{"services":["core"]}})").kind == Outcome::invalid);
+  CHECK(get().json == small_configuration(5));
+}
+
+TEST_CASE_METHOD(ServiceFixture, "two nodes race: one change wins, the other is a conflict") {
+  ConfigurationService other(
+      runtime, registers,
+      ConfigurationSurroundings{[] { return std::vector<wire::ShardLeader>(); },
+                                [] { return std::vector<wire::Member>(); }, [] { return true; }});
+  put("0", small_configuration(5));
+  ConfigurationOutcome first;
+  ConfigurationOutcome second;
+  service.put("5", small_configuration(8), [&](const ConfigurationOutcome& outcome) { first = outcome; });
+  other.put("5", configuration_json(8, route_json("r-9", "nine")),
+            [&](const ConfigurationOutcome& outcome) { second = outcome; });
+  registers.carry_out();
+  registers.carry_out();
+  CHECK(first.kind == Outcome::applied);
+  CHECK(second.kind == Outcome::conflict);
+  CHECK(get().json == small_configuration(8));
+}
+
+TEST_CASE_METHOD(ServiceFixture, "the list of applied changes is bounded, the newest are kept") {
+  put("0", small_configuration(1));
+  for (std::uint64_t version = 2; version <= 1100; ++version) {
+    put(std::to_string(version - 1), small_configuration(version));
+  }
+  CHECK(put("1099", small_configuration(1100)).kind == Outcome::applied);
+  CHECK(put("200", small_configuration(201)).kind == Outcome::applied);
+  CHECK(put("2", small_configuration(3)).kind == Outcome::conflict);
+  CHECK(registers.value().value.size() < 64 * 1024);
+}
+
+TEST_CASE_METHOD(ServiceFixture, "a watcher is told of a newer version at once") {
+  put("0", small_configuration(5));
+  const std::uint64_t digest = [&] { return watch(0, 0).get()->value().leaders_digest(); }();
+  const auto waiting = watch(5, digest);
+  CHECK_FALSE(waiting->has_value());
+  put("5", small_configuration(6));
+  REQUIRE(waiting->has_value());
+  CHECK((*waiting)->version() == 6);
+  CHECK((*waiting)->configuration() == small_configuration(6));
+  CHECK((*waiting)->in_touch());
+}
+
+TEST_CASE_METHOD(ServiceFixture, "a watch without news ends after its wait, empty") {
+  put("0", small_configuration(5));
+  const std::uint64_t digest = watch(0, 0)->value().leaders_digest();
+  const auto waiting = watch(5, digest, 1000);
+  runtime.advance(Millis(940));
+  CHECK_FALSE(waiting->has_value());
+  runtime.advance(Millis(120));
+  REQUIRE(waiting->has_value());
+  CHECK((*waiting)->version() == 5);
+  CHECK((*waiting)->configuration().empty());
+  const auto at_once = watch(5, digest, 0);
+  CHECK(at_once->has_value());
+}
+
+TEST_CASE_METHOD(ServiceFixture, "a watcher is told of a new leader, not of a lease that runs on") {
+  put("0", small_configuration(5));
+  const std::uint64_t digest = watch(0, 0)->value().leaders_digest();
+  const auto waiting = watch(5, digest);
+  wire::ShardLeader leader;
+  leader.set_shard("service/core");
+  leader.set_epoch(3);
+  leader.set_address("10.0.0.1:7000");
+  leader.set_remaining_ms(900);
+  leaders.push_back(leader);
+  runtime.advance(Millis(60));
+  REQUIRE(waiting->has_value());
+  REQUIRE((*waiting)->leaders_size() == 1);
+  const auto next = watch(5, (*waiting)->leaders_digest());
+  leaders[0].set_remaining_ms(500);
+  runtime.advance(Millis(60));
+  CHECK_FALSE(next->has_value());
+  service.stop();
+  CHECK(next->has_value());
+}
+
+TEST_CASE_METHOD(ServiceFixture, "an older chosen value never replaces a newer one") {
+  put("0", small_configuration(5));
+  const RegisterValue older = registers.value();
+  put("5", small_configuration(6));
+  service.on_register_value(older);
+  CHECK(service.newest()->version == 6);
+  service.on_register_value(RegisterValue{{}, "no record"});
+  CHECK(service.newest()->version == 6);
+  CHECK(watch(0, 0)->value().version() == 6);
+}
+
+TEST_CASE("outcomes become HTTP answers") {
+  CHECK(change_response({Outcome::applied, 7, {}}).result_int() == 200);
+  CHECK(change_response({Outcome::applied, 7, {}}).body() == R"({"version":7})");
+  CHECK(change_response({Outcome::conflict, 8, {}}).result_int() == 412);
+  CHECK(change_response({Outcome::invalid, 0, {"Config.Put", "version", "0", "more"}}).result_int() == 400);
+  CHECK(change_response({Outcome::unavailable, 0, {}}).result_int() == 503);
+  CHECK(read_response({ConfigurationReadKind::found, 7, "{}"}).result_int() == 200);
+  CHECK(read_response({ConfigurationReadKind::missing, 0, ""}).result_int() == 404);
+  CHECK(read_response({ConfigurationReadKind::unavailable, 0, ""}).result_int() == 503);
+}
--- /dev/null
+++ b/tests/cluster/consensus_fixture.hpp
@@ -0,0 +1,246 @@
+// A simulated control group: machines that run a ControlGroup each, and troubles that befall them.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/common/settings.hpp"
+#include "cluster/consensus/control_group.hpp"
+#include "sim_runtime.hpp"
+
+namespace winchhall::cluster::sim {
+
+inline std::string machine_ip(std::size_t index) { return "10.0.0." + std::to_string(index + 1); }
+
+inline NodeSettings control_settings(std::size_t index, bool bootstrap) {
+  NodeSettings settings;
+  settings.node_name = "core-" + std::to_string(index);
+  settings.ip = machine_ip(index);
+  settings.zone = "zone-" + std::to_string(index % 3);
+  settings.internal_port_first = 7000;
+  settings.internal_port_last = 7015;
+  settings.control = machine_ip(index) + ":8000";
+  for (std::size_t seed = 0; seed < 3; ++seed) settings.seeds.push_back(machine_ip(seed) + ":8000");
+  settings.bootstrap = bootstrap;
+  settings.counts_for_quorum = true;
+  return settings;
+}
+
+// What runs on one machine. `Extra` is built beside the group and destroyed before it.
+template <typename Extra>
+struct ControlProgram {
+  ControlProgram(SimNode& node, bool bootstrap)
+      : group(node, node.store(), control_settings(node.index(), bootstrap)), extra(node, group) {
+    group.start();
+  }
+  ControlGroup group;
+  Extra extra;
+};
+
+// Nothing beside the group.
+struct NoExtra {
+  NoExtra(SimNode&, ControlGroup&) {}
+};
+
+template <typename Extra = NoExtra>
+class ControlCluster {
+ public:
+  ControlCluster(std::uint64_t seed, std::size_t machines, SimTerms terms = {})
+      : world_(seed, terms), programs_(64) {
+    for (std::size_t index = 0; index < machines; ++index) add_machine();
+  }
+  ~ControlCluster() { crash_all(); }
+
+  SimWorld& world() { return world_; }
+  std::size_t size() const { return world_.size(); }
+  SimNode& node(std::size_t index) { return world_.node(index); }
+  bool running(std::size_t index) { return world_.node(index).running(); }
+  ControlGroup& group(std::size_t index) { return programs_.at(index)->group; }
+  Extra& extra(std::size_t index) { return programs_.at(index)->extra; }
+
+  std::size_t add_machine() {
+    const std::size_t index = world_.size();
+    world_.add_node(machine_ip(index) + ":7000", [this, index](SimNode& node) {
+      auto program = std::make_shared<ControlProgram<Extra>>(node, first_start_);
+      programs_[index] = program.get();
+      ControlGroup& group = program->group;
+      return SimNode::Program{program, [&group](const wire::Envelope& request, const Replier& reply) {
+                                return group.handle(request, reply);
+                              }};
+    });
+    return index;
+  }
+
+  // All machines start for the first time, in any order within 0.3 s.
+  void bootstrap() {
+    first_start_ = true;
+    for (std::size_t index = 0; index < size(); ++index) {
+      world_.in(Millis(world_.random_between(0, 300)), [this, index] { world_.node(index).start(); });
+    }
+    world_.run_for(Millis(301));
+    first_start_ = false;
+  }
+  void start(std::size_t index) {
+    if (!running(index)) world_.node(index).start();
+  }
+  void crash(std::size_t index) {
+    if (running(index)) world_.node(index).crash();
+  }
+  void crash_all() {
+    for (std::size_t index = 0; index < size(); ++index) crash(index);
+  }
+  void start_all() {
+    for (std::size_t index = 0; index < size(); ++index) start(index);
+  }
+  // The machine comes back at once with an empty disk.
+  void wipe(std::size_t index) {
+    crash(index);
+    world_.node(index).lose_disk();
+    start(index);
+  }
+
+  bool is_member(std::size_t index) {
+    if (!running(index)) return false;
+    for (const wire::Member& member : group(index).members().members()) {
+      if (member.id() == group(index).member_id()) return true;
+    }
+    return false;
+  }
+  // True once every running machine is a member that votes and all know the same record of just these.
+  bool settled() {
+    std::size_t machines = 0;
+    std::uint64_t epoch = 0;
+    for (std::size_t index = 0; index < size(); ++index) {
+      if (!running(index)) continue;
+      ++machines;
+      if (node(index).frozen() || !is_member(index)) return false;
+      if (!group(index).votes() || !group(index).in_touch()) return false;
+      if (epoch == 0) epoch = group(index).members().epoch();
+      if (epoch != group(index).members().epoch()) return false;
+    }
+    for (std::size_t index = 0; index < size(); ++index) {
+      if (running(index) && static_cast<std::size_t>(group(index).members().members_size()) != machines)
+        return false;
+    }
+    return machines > 0;
+  }
+
+ private:
+  SimWorld world_;
+  std::vector<ControlProgram<Extra>*> programs_;
+  bool first_start_ = false;
+};
+
+// Which troubles a schedule may hold.
+struct TroubleTerms {
+  bool crashes = true;
+  bool power_loss = true;
+  bool freezes = true;
+  bool cuts = true;
+  bool disks = true;
+  bool wipes = false;  // one at a time: the next only once the machine before votes again
+};
+
+// By then every trouble is over that was begun before.
+constexpr Millis kLongestTrouble{4000};
+
+// Brings random troubles on a cluster, and takes them away.
+template <typename Extra>
+class Troubles {
+ public:
+  Troubles(ControlCluster<Extra>& cluster, TroubleTerms terms) : cluster_(cluster), terms_(terms) {}
+
+  void one() {
+    SimWorld& world = cluster_.world();
+    const auto index =
+        static_cast<std::size_t>(world.random_between(0, static_cast<std::int64_t>(cluster_.size()) - 1));
+    switch (world.random_between(0, 9)) {
+      case 0:
+      case 1:
+        if (terms_.crashes) return crash(index);
+        break;
+      case 2:
+        if (terms_.power_loss && world.chance(0.3)) return lose_power();
+        break;
+      case 3:
+      case 4:
+        if (terms_.freezes) world.node(index).freeze_for(Millis(world.random_between(50, 4000)));
+        break;
+      case 5:
+      case 6:
+        if (terms_.cuts) return cut(index);
+        break;
+      case 7:
+        if (terms_.disks) world.node(index).hang_disk_for(Millis(world.random_between(50, 3000)));
+        break;
+      case 8:
+        if (terms_.disks) return refuse_writes(index);
+        break;
+      default:
+        if (terms_.wipes) wipe(index);
+    }
+  }
+
+  void end() {
+    cluster_.world().heal();
+    for (std::size_t index = 0; index < cluster_.size(); ++index) cluster_.node(index).refuse_writes(false);
+    cluster_.start_all();
+  }
+
+ private:
+  void crash(std::size_t index) {
+    cluster_.crash(index);
+    start_later(index);
+  }
+  void start_later(std::size_t index) {
+    SimWorld& world = cluster_.world();
+    world.in(Millis(world.random_between(1, 2500)), [this, index] { cluster_.start(index); });
+  }
+  void lose_power() {
+    cluster_.crash_all();
+    for (std::size_t index = 0; index < cluster_.size(); ++index) start_later(index);
+  }
+  void cut(std::size_t index) {
+    SimWorld& world = cluster_.world();
+    const std::int64_t kind = world.random_between(0, 2);
+    const auto other =
+        static_cast<std::size_t>(world.random_between(0, static_cast<std::int64_t>(cluster_.size()) - 1));
+    if (kind == 0) {
+      world.isolate(index);
+    } else if (kind == 1) {
+      world.cut(index, other);
+    } else {
+      split();
+    }
+    world.in(Millis(world.random_between(100, 4000)), [&world] { world.heal(); });
+  }
+  void split() {
+    SimWorld& world = cluster_.world();
+    std::vector<bool> side(cluster_.size());
+    for (std::size_t index = 0; index < side.size(); ++index) side[index] = world.chance(0.5);
+    for (std::size_t left = 0; left < side.size(); ++left) {
+      for (std::size_t right = left + 1; right < side.size(); ++right) {
+        if (side[left] != side[right]) world.cut_both(left, right);
+      }
+    }
+  }
+  void refuse_writes(std::size_t index) {
+    SimWorld& world = cluster_.world();
+    world.node(index).refuse_writes(true);
+    world.in(Millis(world.random_between(10, 2000)),
+             [&world, index] { world.node(index).refuse_writes(false); });
+  }
+  void wipe(std::size_t index) {
+    if (wiped_ && !(cluster_.running(*wiped_) && cluster_.group(*wiped_).votes())) return;
+    if (!cluster_.running(index) || !cluster_.group(index).votes()) return;
+    cluster_.wipe(index);
+    wiped_ = index;
+  }
+
+  ControlCluster<Extra>& cluster_;
+  const TroubleTerms terms_;
+  std::optional<std::size_t> wiped_;
+};
+
+}  // namespace winchhall::cluster::sim
--- /dev/null
+++ b/tests/cluster/consensus_register_test.cpp
@@ -0,0 +1,226 @@
+// Registers on a simulated control group: every schedule of troubles must look like one register that is
+// changed by one update after another.
+#include <catch2/catch.hpp>
+
+#include "consensus_fixture.hpp"
+
+namespace winchhall::cluster::sim {
+namespace {
+
+const std::string kKey = "list";
+
+// Appends unique marks to one register from many nodes and checks what the updates return: the values form
+// one chain of prefixes, each holds its mark once, and whatever ended before an update began is a prefix of
+// its value.
+class AppendHistory {
+ public:
+  explicit AppendHistory(ControlCluster<>& cluster) : cluster_(cluster) {}
+
+  void append(std::size_t index) {
+    const std::string mark = "<" + std::to_string(++marks_) + ">";
+    update(index, mark, [mark](const std::string& current) -> std::optional<std::string> {
+      if (current.find(mark) != std::string::npos) return std::nullopt;
+      return current + mark;
+    });
+  }
+  void read(std::size_t index) {
+    update(index, "", [](const std::string&) -> std::optional<std::string> { return std::nullopt; });
+  }
+
+  std::size_t ended() const { return ended_; }
+  std::size_t acknowledged() const { return acknowledged_.size(); }
+  // True if a value holds every acknowledged mark.
+  bool complete(const std::string& value) const {
+    return std::all_of(acknowledged_.begin(), acknowledged_.end(),
+                       [&](const std::string& mark) { return value.find(mark) != std::string::npos; });
+  }
+  const std::string& longest() const { return longest_; }
+
+ private:
+  void update(std::size_t index, const std::string& mark, RegisterChange change) {
+    if (!cluster_.running(index)) return;
+    const std::string before = longest_;
+    cluster_.group(index).registers().update(kKey, std::move(change), Millis(2500),
+                                             [this, mark, before](const std::optional<RegisterValue>& value) {
+                                               if (value) check(mark, before, value->value);
+                                             });
+  }
+  void check(const std::string& mark, const std::string& before, const std::string& value) {
+    ++ended_;
+    if (!mark.empty()) {
+      acknowledged_.push_back(mark);
+      const std::size_t at = value.find(mark);
+      REQUIRE(at != std::string::npos);
+      REQUIRE(value.find(mark, at + 1) == std::string::npos);
+    }
+    REQUIRE(value.starts_with(before));
+    REQUIRE((value.starts_with(longest_) || longest_.starts_with(value)));
+    if (value.size() > longest_.size()) longest_ = value;
+  }
+
+  ControlCluster<>& cluster_;
+  std::size_t marks_ = 0;
+  std::size_t ended_ = 0;
+  std::vector<std::string> acknowledged_;
+  std::string longest_;
+};
+
+void require_all_acknowledged_found(ControlCluster<>& cluster, AppendHistory& history) {
+  const std::size_t ended = history.ended();
+  for (std::size_t index = 0; index < cluster.size(); ++index) history.read(index);
+  REQUIRE(cluster.world().run_until([&] { return history.ended() >= ended + cluster.size(); }, Millis(6000)));
+  REQUIRE(history.complete(history.longest()));
+}
+
+void play(std::uint64_t seed, std::size_t machines, SimTerms terms, TroubleTerms trouble_terms) {
+  CAPTURE(seed, machines);
+  ControlCluster<> cluster(seed, machines, terms);
+  AppendHistory history(cluster);
+  Troubles<NoExtra> troubles(cluster, trouble_terms);
+  SimWorld& world = cluster.world();
+  cluster.bootstrap();
+  const std::int64_t end_ms = world.now_ms() + 25000;
+  std::int64_t next_trouble_ms = 2500;
+  while (world.now_ms() < end_ms) {
+    const auto index =
+        static_cast<std::size_t>(world.random_between(0, static_cast<std::int64_t>(machines) - 1));
+    if (world.chance(0.7)) {
+      history.append(index);
+    } else {
+      history.read(index);
+    }
+    world.run_for(Millis(world.random_between(1, 150)));
+    if (world.now_ms() < next_trouble_ms) continue;
+    troubles.one();
+    next_trouble_ms = world.now_ms() + world.random_between(50, 2500);
+  }
+  troubles.end();
+  world.run_for(kLongestTrouble);
+  world.terms().loss = 0;
+  world.terms().late = 0;
+  REQUIRE(world.run_until([&] { return cluster.settled(); }, Millis(15000)));
+  require_all_acknowledged_found(cluster, history);
+  REQUIRE(history.acknowledged() > 5);
+}
+
+TEST_CASE("a calm group takes changes at once and tells all its members") {
+  ControlCluster<> cluster(1, 5);
+  cluster.bootstrap();
+  REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(5000)));
+  std::optional<RegisterValue> chosen;
+  const std::int64_t begun_ms = cluster.world().now_ms();
+  cluster.group(4).registers().update(
+      kKey, [](const std::string& current) { return current + "x"; }, Millis(2000),
+      [&](std::optional<RegisterValue> value) { chosen = std::move(value); });
+  REQUIRE(cluster.world().run_until([&] { return chosen.has_value(); }, Millis(2000)));
+  CHECK(chosen->value == "x");
+  CHECK(cluster.world().now_ms() - begun_ms < 80);
+}
+
+TEST_CASE("watches hear of every newer chosen value, also after a restart of all") {
+  ControlCluster<> cluster(2, 5);
+  cluster.bootstrap();
+  REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(5000)));
+  std::vector<std::string> heard(5);
+  const auto watch = [&] {
+    for (std::size_t index = 0; index < 5; ++index) {
+      cluster.group(index).watch_register(
+          "configuration", [&heard, index](const RegisterValue& value) { heard[index] = value.value; });
+    }
+  };
+  watch();
+  bool done = false;
+  cluster.group(0).registers().update(
+      "configuration", [](const std::string&) { return "v1"; }, Millis(2000),
+      [&](const std::optional<RegisterValue>& value) { done = value.has_value(); });
+  REQUIRE(cluster.world().run_until([&] { return done; }, Millis(2000)));
+  REQUIRE(
+      cluster.world().run_until([&] { return heard == std::vector<std::string>(5, "v1"); }, Millis(1000)));
+  cluster.crash_all();
+  heard.assign(5, "");
+  cluster.start_all();
+  watch();
+  REQUIRE(
+      cluster.world().run_until([&] { return heard == std::vector<std::string>(5, "v1"); }, Millis(3000)));
+}
+
+TEST_CASE("a value that was only just acknowledged is told to watches after all lost power") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    ControlCluster<> cluster(seed, 5);
+    cluster.bootstrap();
+    REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(5000)));
+    bool done = false;
+    cluster.group(seed % 5).registers().update(
+        "configuration", [](const std::string&) { return "v1"; }, Millis(2000),
+        [&](const std::optional<RegisterValue>& value) { done = value.has_value(); });
+    REQUIRE(cluster.world().run_until([&] { return done; }, Millis(2000)));
+    cluster.crash_all();
+    cluster.node(seed % 5).lose_disk();
+    cluster.start_all();
+    std::size_t heard = 0;
+    for (std::size_t index = 0; index < 5; ++index) {
+      cluster.group(index).watch_register("configuration", [&](const RegisterValue&) { ++heard; });
+    }
+    REQUIRE(cluster.world().run_until([&] { return heard == 5; }, Millis(6000)));
+  }
+}
+
+TEST_CASE("without a majority an update ends without an answer") {
+  ControlCluster<> cluster(3, 5);
+  cluster.bootstrap();
+  REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(5000)));
+  for (std::size_t index = 1; index < 4; ++index) cluster.crash(index);
+  bool ended = false;
+  cluster.group(0).registers().update(
+      kKey, [](const std::string&) { return "x"; }, Millis(1000),
+      [&](const std::optional<RegisterValue>& value) {
+        ended = true;
+        CHECK_FALSE(value);
+      });
+  cluster.world().run_for(Millis(1100));
+  CHECK(ended);
+}
+
+TEST_CASE("one member that is slow, hung or dead does not delay a change") {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    CAPTURE(seed);
+    ControlCluster<> cluster(seed, 5);
+    cluster.bootstrap();
+    REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(5000)));
+    const std::size_t slow = 1 + seed % 4;
+    if (seed % 3 == 0) cluster.node(slow).freeze_for(Millis(5000));
+    if (seed % 3 == 1) cluster.node(slow).hang_disk_for(Millis(5000));
+    if (seed % 3 == 2) cluster.world().isolate(slow);
+    bool done = false;
+    cluster.group(0).registers().update(
+        kKey, [](const std::string& current) { return current + "x"; }, Millis(2000),
+        [&](const std::optional<RegisterValue>& value) { done = value.has_value(); });
+    REQUIRE(cluster.world().run_until([&] { return done; }, Millis(100)));
+  }
+}
+
+TEST_CASE("registers are linearizable: crashes, freezes, cuts, disks in trouble") {
+  for (std::uint64_t seed = 1; seed <= 120; ++seed)
+    play(seed, seed % 2 == 0 ? 5 : 3, SimTerms{}, TroubleTerms{});
+}
+
+TEST_CASE("registers are linearizable: messages lost, doubled and late") {
+  SimTerms terms;
+  terms.loss = 0.05;
+  terms.duplication = 0.1;
+  terms.late = 0.05;
+  for (std::uint64_t seed = 1; seed <= 80; ++seed) play(seed, 5, terms, TroubleTerms{});
+}
+
+TEST_CASE("registers are linearizable: members lose their disks one after another") {
+  SimTerms terms;
+  terms.duplication = 0.05;
+  terms.late = 0.05;
+  TroubleTerms troubles;
+  troubles.wipes = true;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) play(seed, seed % 3 == 0 ? 4 : 5, terms, troubles);
+}
+
+}  // namespace
+}  // namespace winchhall::cluster::sim
--- /dev/null
+++ b/tests/cluster/consensus_shard_test.cpp
@@ -0,0 +1,321 @@
+// Shards on a simulated control group: never two leaders, and each leader starts from what the one before it
+// had.
+#include <catch2/catch.hpp>
+
+#include "consensus_fixture.hpp"
+
+namespace winchhall::cluster::sim {
+namespace {
+
+// What was told and acknowledged of one shard, over all nodes and lives.
+//
+// Each leader has a history a key: what it found, then what it wrote. A later leader must find, for every
+// key, the predecessor's last acknowledged version or a later one of the predecessor's, and nothing from
+// before or beside.
+class ShardHistory {
+ public:
+  struct KeyHistory {
+    std::vector<std::string> versions;  // empty text: no such record
+    std::size_t acknowledged = 0;       // index of a version that certainly lasts
+    std::size_t found_by_next = 0;
+  };
+  struct Leadership {
+    std::map<std::string, KeyHistory> keys;
+    bool succeeded = false;
+  };
+
+  void lead(std::uint64_t epoch, const std::vector<ShardEntry>& entries) {
+    std::map<std::string, std::string> found;
+    for (const ShardEntry& entry : entries) found[entry.key] = entry.value;
+    if (!leaderships_.empty()) {
+      REQUIRE(epoch > leaderships_.rbegin()->first);
+      check_succession(leaderships_.rbegin()->second, found);
+    } else {
+      REQUIRE(found.empty());
+    }
+    Leadership& leadership = leaderships_[epoch];
+    for (const auto& [key, value] : found) leadership.keys[key].versions = {value};
+  }
+
+  // Notes a write; the number of the version is for `acknowledged`.
+  std::size_t written(std::uint64_t epoch, const std::string& key, const std::string& value) {
+    KeyHistory& history = leaderships_.at(epoch).keys[key];
+    if (history.versions.empty()) history.versions = {""};
+    history.versions.push_back(value);
+    return history.versions.size() - 1;
+  }
+  void acknowledged(std::uint64_t epoch, const std::string& key, std::size_t version) {
+    ++acknowledgements_;
+    Leadership& leadership = leaderships_.at(epoch);
+    KeyHistory& history = leadership.keys.at(key);
+    history.acknowledged = std::max(history.acknowledged, version);
+    if (leadership.succeeded) REQUIRE(history.found_by_next >= version);
+  }
+
+  std::size_t leaderships() const { return leaderships_.size(); }
+  std::size_t acknowledgements() const { return acknowledgements_; }
+
+ private:
+  void check_succession(Leadership& before, const std::map<std::string, std::string>& found) {
+    before.succeeded = true;
+    for (const auto& [key, value] : found) {
+      CAPTURE(key, value);
+      REQUIRE(before.keys.contains(key));
+    }
+    for (auto& [key, history] : before.keys) {
+      const auto entry = found.find(key);
+      const std::string value = entry == found.end() ? "" : entry->second;
+      const auto first = history.versions.begin() + static_cast<std::ptrdiff_t>(history.acknowledged);
+      const auto version = std::find(first, history.versions.end(), value);
+      CAPTURE(key, value, history.versions, history.acknowledged);
+      REQUIRE(version != history.versions.end());
+      history.found_by_next = static_cast<std::size_t>(version - history.versions.begin());
+      // Removed twice: the same text may stand for a later version.
+      if (value.empty()) history.found_by_next = history.versions.size() - 1;
+    }
+  }
+
+  std::map<std::uint64_t, Leadership> leaderships_;
+  std::size_t acknowledgements_ = 0;
+};
+
+ShardHistory* history_of_test = nullptr;
+
+// Takes part in one shard on one node.
+class ShardUser {
+ public:
+  ShardUser(SimNode& node, ControlGroup& group) : node_(node) {
+    ShardCallbacks callbacks;
+    callbacks.on_lead = [this](std::uint64_t epoch, const std::vector<ShardEntry>& entries) {
+      REQUIRE_FALSE(told_to_lead_);
+      told_to_lead_ = true;
+      history_of_test->lead(epoch, entries);
+    };
+    callbacks.on_lost = [this] {
+      REQUIRE(told_to_lead_);
+      told_to_lead_ = false;
+    };
+    shard_ = group.open_shard("service/one", std::move(callbacks));
+  }
+
+  ReplicatedShard& shard() { return *shard_; }
+  bool leads() const { return shard_->leads(); }
+
+  // Writes one record; this node has to lead.
+  void write(const std::string& key, const std::string& value, std::function<void(ShardWriteOutcome)> done) {
+    const std::uint64_t epoch = shard_->epoch();
+    const std::size_t version = history_of_test->written(epoch, key, value);
+    shard_->write({{key, value}}, [epoch, key, version, done = std::move(done)](ShardWriteOutcome outcome) {
+      if (outcome == ShardWriteOutcome::durable) history_of_test->acknowledged(epoch, key, version);
+      done(outcome);
+    });
+  }
+
+  // Writes or removes one of a few records, if this node leads.
+  void write_something() {
+    if (!leads()) return;
+    SimWorld& world = node_.world();
+    const std::uint64_t epoch = shard_->epoch();
+    std::vector<ShardChange> changes;
+    std::vector<std::pair<std::string, std::size_t>> versions;
+    for (std::int64_t count = world.random_between(1, 3); count > 0; --count) {
+      const std::string key = "key" + std::to_string(world.random_between(0, 30));
+      if (std::any_of(versions.begin(), versions.end(),
+                      [&](const auto& entry) { return entry.first == key; }))
+        continue;
+      const bool removes = world.chance(0.25);
+      const std::string value = removes ? "" : std::to_string(epoch) + ":" + std::to_string(++writes_);
+      changes.push_back({key, removes ? std::nullopt : std::optional(value)});
+      versions.emplace_back(key, history_of_test->written(epoch, key, value));
+    }
+    shard_->write(std::move(changes), [epoch, versions](ShardWriteOutcome outcome) {
+      if (outcome != ShardWriteOutcome::durable) return;
+      for (const auto& [key, version] : versions) history_of_test->acknowledged(epoch, key, version);
+    });
+  }
+
+ private:
+  SimNode& node_;
+  bool told_to_lead_ = false;
+  std::uint64_t writes_ = 0;
+  std::unique_ptr<ReplicatedShard> shard_;
+};
+
+using Cluster = ControlCluster<ShardUser>;
+
+std::optional<std::size_t> leader_of(Cluster& cluster) {
+  for (std::size_t index = 0; index < cluster.size(); ++index) {
+    if (cluster.running(index) && cluster.extra(index).leads()) return index;
+  }
+  return std::nullopt;
+}
+
+// Nobody acts while frozen, but a node that wakes up must not believe that it leads.
+void require_one_leader(Cluster& cluster) {
+  std::size_t leaders = 0;
+  for (std::size_t index = 0; index < cluster.size(); ++index) {
+    if (cluster.running(index) && cluster.extra(index).leads()) ++leaders;
+  }
+  if (leaders > 1) FAIL("two leaders at once");
+}
+
+struct Play {
+  std::uint64_t seed = 0;
+  std::size_t machines = 5;
+  SimTerms terms;
+  TroubleTerms troubles;
+  std::int64_t duration_ms = 25000;
+};
+
+void play(const Play& plan) {
+  CAPTURE(plan.seed, plan.machines);
+  ShardHistory history;
+  history_of_test = &history;
+  Cluster cluster(plan.seed, plan.machines, plan.terms);
+  Troubles<ShardUser> troubles(cluster, plan.troubles);
+  SimWorld& world = cluster.world();
+  world.on_event([&] { require_one_leader(cluster); });
+  cluster.bootstrap();
+  std::int64_t next_trouble_ms = 2500;
+  const std::int64_t end_ms = world.now_ms() + plan.duration_ms;
+  while (world.now_ms() < end_ms) {
+    for (std::size_t index = 0; index < plan.machines; ++index) {
+      if (cluster.running(index) && !cluster.node(index).frozen()) cluster.extra(index).write_something();
+    }
+    world.run_for(Millis(world.random_between(1, 60)));
+    if (world.now_ms() < next_trouble_ms) continue;
+    troubles.one();
+    next_trouble_ms = world.now_ms() + world.random_between(50, 2500);
+  }
+  troubles.end();
+  world.terms().loss = 0;
+  world.terms().late = 0;
+  world.run_for(kLongestTrouble);
+  REQUIRE(world.run_until([&] { return cluster.settled(); }, Millis(15000)));
+  REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(5000)));
+  // One more leader reads what is left.
+  cluster.crash(*leader_of(cluster));
+  REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(6000)));
+  REQUIRE(history.acknowledgements() > 20);
+  world.on_event(nullptr);
+}
+
+TEST_CASE("a lease is taken soon after the start, and again soon after its holder is gone") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    ShardHistory history;
+    history_of_test = &history;
+    Cluster cluster(seed, 5);
+    SimWorld& world = cluster.world();
+    cluster.bootstrap();
+    REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(2500)));
+    REQUIRE(world.run_until([&] { return cluster.settled(); }, Millis(3000)));
+    REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(1000)));
+    const std::size_t first = *leader_of(cluster);
+    cluster.crash(first);
+    REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(2500)));
+    const std::size_t second = *leader_of(cluster);
+    REQUIRE(second != first);
+    cluster.extra(second).shard().step_down();
+    REQUIRE_FALSE(leader_of(cluster).has_value());
+    REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(1000)));
+    REQUIRE(*leader_of(cluster) != second);
+  }
+}
+
+TEST_CASE("a lease is kept for hours without trouble") {
+  ShardHistory history;
+  history_of_test = &history;
+  Cluster cluster(5, 5);
+  SimWorld& world = cluster.world();
+  cluster.bootstrap();
+  REQUIRE(world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(5000)));
+  world.run_for(Millis(1000));
+  const std::size_t leaderships = history.leaderships();
+  world.run_for(Millis(3600000));
+  CHECK(history.leaderships() == leaderships);
+}
+
+TEST_CASE("writes are durable soon and in order, also while one member is down") {
+  ShardHistory history;
+  history_of_test = &history;
+  Cluster cluster(6, 5);
+  SimWorld& world = cluster.world();
+  cluster.bootstrap();
+  REQUIRE(world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(5000)));
+  const std::size_t leader = *leader_of(cluster);
+  cluster.crash((leader + 1) % 5);
+  std::vector<int> ended;
+  const std::int64_t begun_ms = world.now_ms();
+  for (int write = 0; write < 200; ++write) {
+    cluster.extra(leader).write("key" + std::to_string(write % 7), std::to_string(write),
+                                [&ended, write](ShardWriteOutcome outcome) {
+                                  REQUIRE(outcome == ShardWriteOutcome::durable);
+                                  ended.push_back(write);
+                                });
+  }
+  REQUIRE(world.run_until([&] { return ended.size() == 200; }, Millis(1000)));
+  CHECK(std::is_sorted(ended.begin(), ended.end()));
+  CHECK(world.now_ms() - begun_ms < 200);
+}
+
+TEST_CASE("a member that comes back gets what it missed") {
+  ShardHistory history;
+  history_of_test = &history;
+  Cluster cluster(7, 5);
+  SimWorld& world = cluster.world();
+  cluster.bootstrap();
+  REQUIRE(world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(5000)));
+  const std::size_t leader = *leader_of(cluster);
+  const std::size_t away = (leader + 1) % 5;
+  cluster.crash(away);
+  for (int write = 0; write < 50; ++write) {
+    cluster.extra(leader).write("key" + std::to_string(write), "value", [](ShardWriteOutcome) {});
+  }
+  world.run_for(Millis(3000));
+  cluster.start(away);
+  world.run_for(Millis(2000));
+  REQUIRE(leader_of(cluster) == leader);
+  // With two more gone, the one that was away is needed for a majority.
+  const std::size_t gone = (leader + 2) % 5;
+  cluster.crash(gone);
+  cluster.crash(leader);
+  const std::size_t leaderships = history.leaderships();
+  REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(4000)));
+  CHECK(history.leaderships() > leaderships);
+}
+
+TEST_CASE("one leader at a time, nothing acknowledged is lost: crashes, freezes, cuts, disks in trouble") {
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    Play plan;
+    plan.seed = seed;
+    plan.machines = seed % 2 == 0 ? 5 : 3;
+    play(plan);
+  }
+}
+
+TEST_CASE("one leader at a time, nothing acknowledged is lost: messages lost, doubled and late") {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Play plan;
+    plan.seed = seed;
+    plan.terms.loss = 0.05;
+    plan.terms.duplication = 0.1;
+    plan.terms.late = 0.05;
+    play(plan);
+  }
+}
+
+TEST_CASE("one leader at a time, nothing acknowledged is lost: members lose their disks one after another") {
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    Play plan;
+    plan.seed = seed;
+    plan.machines = seed % 3 == 0 ? 4 : 5;
+    plan.terms.duplication = 0.05;
+    plan.terms.late = 0.05;
+    plan.troubles.wipes = true;
+    play(plan);
+  }
+}
+
+}  // namespace
+}  // namespace winchhall::cluster::sim
--- /dev/null
+++ b/tests/cluster/consensus_store_test.cpp
@@ -0,0 +1,177 @@
+// The LevelDB store, and the journal on a store that refuses.
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <queue>
+
+#include "cluster/consensus/journal.hpp"
+#include "cluster/store/level_store.hpp"
+#include "sim_runtime.hpp"
+
+namespace winchhall::cluster {
+namespace {
+
+// A folder that is gone after the test.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "store-test-XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  std::string path(const std::string& name) const { return path_ + "/" + name; }
+
+ private:
+  std::string path_;
+};
+
+// An event loop of the test's own thread.
+class Loop {
+ public:
+  PostToLoop poster() {
+    return [this](std::function<void()> action) {
+      const std::lock_guard lock(mutex_);
+      actions_.push(std::move(action));
+      wake_.notify_one();
+    };
+  }
+  void run_one() {
+    std::unique_lock lock(mutex_);
+    wake_.wait(lock, [this] { return !actions_.empty(); });
+    const std::function<void()> action = std::move(actions_.front());
+    actions_.pop();
+    lock.unlock();
+    action();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::queue<std::function<void()>> actions_;
+};
+
+std::unique_ptr<LevelStore> opened(const std::string& path, Loop& loop) {
+  auto store = open_level_store(path, loop.poster());
+  REQUIRE(store);
+  return std::move(store.value());
+}
+
+std::map<std::string, std::string> content(LevelStore& store) {
+  std::map<std::string, std::string> found;
+  store.load(
+      [&](std::string_view key, std::string_view value) { found[std::string(key)] = std::string(value); });
+  return found;
+}
+
+TEST_CASE("what was committed is there after the store is opened again") {
+  const TemporaryFolder folder;
+  Loop loop;
+  const std::string path = folder.path("deep/data");
+  {
+    const auto store = opened(path, loop);
+    CHECK(content(*store).empty());
+    int durable = 0;
+    const auto count = [&](CommitOutcome outcome) { durable += outcome == CommitOutcome::durable ? 1 : 0; };
+    store->commit({{"a", "1"}, {"b", "2"}}, count);
+    store->commit({{"b", std::nullopt}, {"c", std::string("3\0x", 3)}}, count);
+    store->commit({}, count);
+    while (durable < 3) loop.run_one();
+  }
+  const auto store = opened(path, loop);
+  const std::map<std::string, std::string> expected{{"a", "1"}, {"c", std::string("3\0x", 3)}};
+  CHECK(content(*store) == expected);
+}
+
+TEST_CASE("many commits end in their order") {
+  const TemporaryFolder folder;
+  Loop loop;
+  const auto store = opened(folder.path("data"), loop);
+  std::vector<int> ended;
+  for (int number = 0; number < 500; ++number) {
+    store->commit({{"key" + std::to_string(number), "value"}},
+                  [&ended, number](CommitOutcome) { ended.push_back(number); });
+  }
+  while (ended.size() < 500) loop.run_one();
+  CHECK(std::is_sorted(ended.begin(), ended.end()));
+}
+
+TEST_CASE("a store of an unknown format is not opened") {
+  const TemporaryFolder folder;
+  Loop loop;
+  const std::string path = folder.path("data");
+  {
+    const auto store = opened(path, loop);
+    bool ended = false;
+    store->commit({{"meta/format", "9"}}, [&](CommitOutcome) { ended = true; });
+    while (!ended) loop.run_one();
+  }
+  std::string found;
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_CHECK(open_level_store(path, loop.poster()));
+        return {};
+      },
+      [&](const UnknownStoreFormat& error) { found = error.found; }, [] {});
+  CHECK(found == "9");
+}
+
+TEST_CASE("a folder that can't be made is a failure of the store") {
+  const TemporaryFolder folder;
+  Loop loop;
+  std::ofstream(folder.path("file")) << "in the way";
+  bool failed = false;
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_CHECK(open_level_store(folder.path("file/data"), loop.poster()));
+        return {};
+      },
+      [&](const StoreFailure&) { failed = true; }, [] {});
+  CHECK(failed);
+}
+
+TEST_CASE(
+    "a journal writes what a refusing disk left in doubt once more, in order, before anything waiting goes "
+    "on") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    sim::SimWorld world(seed);
+    std::map<std::string, std::string> memory;
+    std::vector<int> ended;
+    std::shared_ptr<Journal> journal;
+    sim::SimNode& node = world.add_node("10.0.0.1:7000", [&](sim::SimNode& self) {
+      journal = std::make_shared<Journal>(self, self.store());
+      return sim::SimNode::Program{nullptr, [](const wire::Envelope&, const Replier&) { return false; }};
+    });
+    node.start();
+    const auto stored = [&] {
+      std::map<std::string, std::string> found;
+      node.store().load([&](std::string_view key, std::string_view value) {
+        found[std::string(key)] = std::string(value);
+      });
+      return found;
+    };
+    for (int number = 0; number < 60; ++number) {
+      if (world.chance(0.2)) node.refuse_writes(world.chance(0.6));
+      const std::string key = "key" + std::to_string(world.random_between(0, 5));
+      memory[key] = std::to_string(number);
+      journal->commit({{key, memory[key]}}, [&, number, key, least = number] {
+        ended.push_back(number);
+        // Durable: this version or a later one.
+        REQUIRE(std::stoi(stored().at(key)) >= least);
+      });
+      world.run_for(Millis(world.random_between(0, 12)));
+    }
+    node.refuse_writes(false);
+    REQUIRE(world.run_until([&] { return ended.size() == 60; }, Millis(5000)));
+    CHECK(std::is_sorted(ended.begin(), ended.end()));
+    CHECK(stored() == memory);
+    journal.reset();
+  }
+}
+
+}  // namespace
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/tests/cluster/ingress_shutdown_test.cpp
@@ -0,0 +1,135 @@
+// Readiness of an ingress and its planned end, on loopback sockets and virtual time.
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "cluster/ingress/ingress.hpp"
+#include "fake_runtime.hpp"
+#include "loopback_client.hpp"
+
+using namespace winchhall::cluster;
+using namespace winchhall::cluster::testing;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis kStep{10};
+
+using Client = LoopbackClient;
+
+struct IngressFixture {
+  FakeRuntime runtime;
+  asio::io_context loop;
+  NodeSettings settings = make_settings();
+  Ingress ingress{runtime, settings, loop};
+  std::vector<std::unique_ptr<Timer>> held;
+  std::optional<TimePoint> done_at;
+
+  IngressFixture() { ingress.start(); }
+
+  static NodeSettings make_settings() {
+    NodeSettings settings;
+    settings.front = "127.0.0.1:0";
+    settings.ready = "127.0.0.1:0";
+    settings.internal_port_first = 7380;
+    return settings;
+  }
+
+  void start_agent() {
+    runtime.peers[settings.feed_address()] = [this](const wire::Envelope& request, const Replier& reply) {
+      if (!request.has_configuration_watch()) return;
+      wire::Envelope envelope;
+      auto& update = *envelope.mutable_configuration_update();
+      update.set_version(1);
+      update.set_in_touch(true);
+      if (request.configuration_watch().version() == 1) {
+        held.push_back(runtime.after(Millis(request.configuration_watch().wait_ms()),
+                                     [reply, envelope] { reply(envelope); }));
+        return;
+      }
+      update.set_configuration(configuration_json(1, {{"/a/", "first"}}));
+      reply(std::move(envelope));
+    };
+  }
+
+  // Lets virtual time pass, with the sockets served all along.
+  void pass(Millis span) {
+    for (Millis passed{0}; passed < span; passed += kStep) {
+      serve();
+      runtime.run_for(kStep);
+    }
+    serve();
+  }
+  void serve() {
+    loop.restart();
+    while (loop.poll() > 0) {
+    }
+  }
+  template <typename Condition>
+  bool serve_until(Condition condition) {
+    const auto end = SteadyClock::now() + std::chrono::seconds(5);
+    while (!condition() && SteadyClock::now() < end) {
+      loop.restart();
+      loop.run_one_for(Millis(20));
+    }
+    return condition();
+  }
+  void shut_down() {
+    ingress.shut_down([this] { done_at = runtime.now(); });
+  }
+  bool probe_says(const std::string& status) {
+    Client client(loop, ingress.ready_port());
+    client.send("GET /v1/readiness HTTP/1.1\r\nHost: a\r\n\r\n");
+    return serve_until([&] { return client.has("HTTP/1.1 " + status); });
+  }
+};
+
+constexpr char kSubmit[] =
+    "POST /a/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: 24\r\n\r\n"
+    R"({"stages":[{"count":1}]})";
+
+}  // namespace
+
+TEST_CASE_METHOD(IngressFixture, "an ingress is ready once it has a configuration") {
+  pass(Millis(100));
+  CHECK(probe_says("503"));
+  start_agent();
+  pass(Millis(100));
+  CHECK(probe_says("200"));
+  runtime.peers.clear();
+  held.clear();
+  pass(Millis(6000));
+  CHECK(probe_says("503"));
+}
+
+TEST_CASE_METHOD(IngressFixture,
+                 "a planned end is announced, then drained, and every request read is answered") {
+  start_agent();
+  pass(Millis(100));
+  Client resting(loop, ingress.front_port());
+  Client busy(loop, ingress.front_port());
+  shut_down();
+  CHECK(probe_says("503"));
+  pass(Millis(2300));
+  CHECK_FALSE(resting.ended());
+  busy.send(kSubmit);
+  pass(Millis(100));
+  CHECK_FALSE(done_at);
+  pass(Millis(200));
+  REQUIRE(serve_until([&] { return resting.ended(); }));
+  CHECK_FALSE(busy.ended());
+  pass(Millis(2500));
+  REQUIRE(serve_until([&] { return busy.has("HTTP/1.1 504"); }));
+  CHECK(busy.has("Connection: close"));
+  CHECK(done_at);
+}
+
+TEST_CASE_METHOD(IngressFixture, "an ingress without connections ends as soon as the platform has seen it") {
+  start_agent();
+  pass(Millis(100));
+  const auto start = runtime.now();
+  shut_down();
+  pass(Millis(3000));
+  REQUIRE(done_at);
+  CHECK(*done_at - start >= Millis(2500));
+  CHECK(*done_at - start <= Millis(2600));
+}
--- /dev/null
+++ b/tests/cluster/sim_runtime.hpp
@@ -0,0 +1,380 @@
+// A simulated cluster in one program and one thread: clocks, timers, network and disks of many nodes on one
+// virtual time. Everything random comes from one seed, so that a failed schedule can be played again.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cluster/common/runtime.hpp"
+#include "cluster/store/store.hpp"
+
+namespace winchhall::cluster::sim {
+
+// What the network and the disks do. Probabilities are per message or batch.
+struct SimTerms {
+  std::int64_t delay_min_us = 200;
+  std::int64_t delay_max_us = 4000;
+  double loss = 0;
+  double duplication = 0;
+  double late = 0;  // share of messages that take up to `late_max_us`
+  std::int64_t late_max_us = 900000;
+  std::int64_t sync_min_us = 2000;
+  std::int64_t sync_max_us = 10000;
+  double clock_drift = 0.009;  // steady clocks run at speeds within 1 +- this
+};
+
+class SimWorld;
+
+// A disk: what is synced lasts; what is not lasts or is lost, batch by batch, when the machine crashes.
+class SimStore : public DurableStore {
+ public:
+  explicit SimStore(class SimNode& node) : node_(node) {}
+  void commit(StoreBatch batch, std::function<void(CommitOutcome)> done) override;
+  void load(const std::function<void(std::string_view, std::string_view)>& visit) override {
+    for (const auto& [key, value] : durable_) visit(key, value);
+  }
+  std::size_t size() const { return durable_.size(); }
+
+ private:
+  friend class SimNode;
+
+  void apply(const StoreBatch& batch) {
+    for (const StoreWrite& write : batch) {
+      if (write.value) {
+        durable_[write.key] = *write.value;
+      } else {
+        durable_.erase(write.key);
+      }
+    }
+  }
+  void crash();
+
+  SimNode& node_;
+  std::map<std::string, std::string> durable_;
+  std::deque<StoreBatch> unsynced_;
+  std::int64_t busy_until_us_ = 0;
+};
+
+// One process on one machine: a runtime, a disk, an address, and the program that runs there.
+class SimNode : public Runtime {
+ public:
+  // Whatever a program consists of; destroyed when the process ends.
+  struct Program {
+    std::shared_ptr<void> state;
+    RequestHandler handler;
+  };
+  using Boot = std::function<Program(SimNode&)>;
+
+  SimNode(SimWorld& world, std::size_t index, Address address, Boot boot);
+
+  TimePoint now() const override;
+  std::int64_t wall_clock_ms() const override;
+  [[nodiscard]] std::unique_ptr<Timer> after(Millis delay, std::function<void()> action) override;
+  void call(const Address& peer, wire::Envelope request, Millis timeout,
+            std::function<void(CallResult)> done) override;
+  std::uint64_t random() override;
+
+  SimStore& store() { return store_; }
+  SimWorld& world() { return world_; }
+  std::size_t index() const { return index_; }
+  const Address& address() const { return address_; }
+  bool running() const { return running_; }
+  bool frozen() const;
+  // Starts of this process so far.
+  unsigned life() const { return life_; }
+
+  void start();
+  // The process ends at once; batches that are not synced last or not, each at random.
+  void crash();
+  void lose_disk() { store_.durable_.clear(); }
+  void freeze_for(Millis span);
+  // The disk takes no write to its end before then.
+  void hang_disk_for(Millis span);
+  void refuse_writes(bool refuse) { refuse_writes_ = refuse; }
+
+ private:
+  friend class SimWorld;
+  friend class SimStore;
+
+  // Runs an action of this process at a time, later while it is frozen, never in another life.
+  void run_at(std::int64_t time_us, std::function<void()> action);
+
+  SimWorld& world_;
+  const std::size_t index_;
+  const Address address_;
+  const Boot boot_;
+  SimStore store_;
+  Program program_;
+  bool running_ = false;
+  bool refuse_writes_ = false;
+  unsigned life_ = 0;
+  std::int64_t frozen_until_us_ = 0;
+  double clock_rate_ = 1;
+  std::int64_t clock_offset_us_ = 0;
+};
+
+class SimWorld {
+ public:
+  explicit SimWorld(std::uint64_t seed, SimTerms terms = {}) : terms_(terms), generator_(seed) {}
+  // Programs end before the world they run in.
+  ~SimWorld() {
+    for (const auto& node : nodes_) {
+      if (node->running_) node->crash();
+    }
+  }
+
+  // Adds a machine that is not started yet.
+  SimNode& add_node(Address address, SimNode::Boot boot) {
+    nodes_.push_back(std::make_unique<SimNode>(*this, nodes_.size(), std::move(address), std::move(boot)));
+    by_address_[nodes_.back()->address()] = nodes_.back().get();
+    return *nodes_.back();
+  }
+  SimNode& node(std::size_t index) { return *nodes_.at(index); }
+  std::size_t size() const { return nodes_.size(); }
+  // True time since the start.
+  std::int64_t now_us() const { return now_us_; }
+  std::int64_t now_ms() const { return now_us_ / 1000; }
+  SimTerms& terms() { return terms_; }
+
+  // Cuts, or restores, one direction between two machines.
+  void cut(std::size_t from, std::size_t to, bool on = true) {
+    if (on) {
+      cuts_.emplace(from, to);
+    } else {
+      cuts_.erase({from, to});
+    }
+  }
+  void cut_both(std::size_t left, std::size_t right, bool on = true) {
+    cut(left, right, on);
+    cut(right, left, on);
+  }
+  void isolate(std::size_t index, bool on = true) {
+    for (std::size_t other = 0; other < nodes_.size(); ++other) {
+      if (other != index) cut_both(index, other, on);
+    }
+  }
+  void heal() { cuts_.clear(); }
+  bool is_cut(std::size_t from, std::size_t to) const { return cuts_.contains({from, to}); }
+
+  // Runs an action of the test at a true time.
+  void at(std::int64_t time_us, std::function<void()> action) {
+    events_.push(Event{std::max(time_us, now_us_), ++last_event_, std::move(action)});
+  }
+  void in(Millis delay, std::function<void()> action) {
+    at(now_us_ + delay.count() * 1000, std::move(action));
+  }
+  // Called after every event, to check what must hold at all times.
+  void on_event(std::function<void()> check) { check_ = std::move(check); }
+
+  bool step() {
+    if (events_.empty()) return false;
+    Event event = std::move(const_cast<Event&>(events_.top()));
+    events_.pop();
+    now_us_ = event.time_us;
+    event.action();
+    if (check_) check_();
+    return true;
+  }
+  void run_for(Millis span) { run_until_us(now_us_ + span.count() * 1000); }
+  void run_until_us(std::int64_t time_us) {
+    while (!events_.empty() && events_.top().time_us <= time_us) step();
+    now_us_ = std::max(now_us_, time_us);
+  }
+  // Runs until the predicate holds; false: it did not within the limit.
+  bool run_until(const std::function<bool()>& predicate, Millis limit) {
+    const std::int64_t end_us = now_us_ + limit.count() * 1000;
+    while (!predicate()) {
+      if (events_.empty() || events_.top().time_us > end_us) {
+        now_us_ = std::max(now_us_, end_us);
+        return predicate();
+      }
+      step();
+    }
+    return true;
+  }
+
+  std::uint64_t random() { return generator_(); }
+  std::int64_t random_between(std::int64_t least, std::int64_t most) {
+    if (most <= least) return least;
+    return least + static_cast<std::int64_t>(generator_() % static_cast<std::uint64_t>(most - least + 1));
+  }
+  bool chance(double probability) {
+    return probability > 0 && static_cast<double>(generator_() >> 11) * 0x1.0p-53 < probability;
+  }
+
+ private:
+  friend class SimNode;
+  friend class SimStore;
+
+  struct Event {
+    std::int64_t time_us = 0;
+    std::uint64_t number = 0;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::pair(other.time_us, other.number) < std::pair(time_us, number);
+    }
+  };
+
+  SimNode* find(const Address& address) {
+    const auto found = by_address_.find(address);
+    return found == by_address_.end() ? nullptr : found->second;
+  }
+  std::int64_t message_delay_us() {
+    if (chance(terms_.late)) return random_between(terms_.delay_max_us, terms_.late_max_us);
+    return random_between(terms_.delay_min_us, terms_.delay_max_us);
+  }
+  // Carries one message: calls `arrive` never, once or twice, at the receiver's side of the network.
+  void carry(std::size_t from, std::size_t to, const std::function<void()>& arrive) {
+    const int copies = chance(terms_.duplication) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (from != to && (is_cut(from, to) || chance(terms_.loss))) continue;
+      at(now_us_ + message_delay_us(), [this, from, to, arrive] {
+        if (from == to || !is_cut(from, to)) arrive();
+      });
+    }
+  }
+
+  SimTerms terms_;
+  std::mt19937_64 generator_;
+  std::int64_t now_us_ = 0;
+  std::uint64_t last_event_ = 0;
+  std::priority_queue<Event> events_;
+  std::vector<std::unique_ptr<SimNode>> nodes_;
+  std::map<Address, SimNode*> by_address_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::function<void()> check_;
+};
+
+class SimTimer : public Timer {
+ public:
+  explicit SimTimer(std::shared_ptr<bool> wanted) : wanted_(std::move(wanted)) {}
+  ~SimTimer() override { *wanted_ = false; }
+
+ private:
+  std::shared_ptr<bool> wanted_;
+};
+
+inline SimNode::SimNode(SimWorld& world, std::size_t index, Address address, Boot boot)
+    : world_(world), index_(index), address_(std::move(address)), boot_(std::move(boot)), store_(*this) {
+  const double spread = static_cast<double>(world.random_between(-1000, 1000)) / 1000;
+  clock_rate_ = 1 + spread * world.terms().clock_drift;
+  clock_offset_us_ = world.random_between(1, 1000) * 1000000;
+}
+
+inline TimePoint SimNode::now() const {
+  const double elapsed_us = static_cast<double>(world_.now_us()) * clock_rate_;
+  return TimePoint(std::chrono::microseconds(clock_offset_us_ + static_cast<std::int64_t>(elapsed_us)));
+}
+
+inline std::int64_t SimNode::wall_clock_ms() const { return 1700000000000 + world_.now_ms(); }
+
+inline bool SimNode::frozen() const { return world_.now_us() < frozen_until_us_; }
+
+inline std::uint64_t SimNode::random() { return world_.random(); }
+
+inline void SimNode::run_at(std::int64_t time_us, std::function<void()> action) {
+  world_.at(time_us, [this, life = life_, action = std::move(action)]() mutable {
+    if (!running_ || life != life_) return;
+    if (frozen()) return run_at(frozen_until_us_, std::move(action));
+    action();
+  });
+}
+
+inline std::unique_ptr<Timer> SimNode::after(Millis delay, std::function<void()> action) {
+  auto wanted = std::make_shared<bool>(true);
+  const double true_us = static_cast<double>(delay.count()) * 1000 / clock_rate_;
+  run_at(world_.now_us() + static_cast<std::int64_t>(true_us) + 1, [wanted, action = std::move(action)] {
+    if (*wanted) action();
+  });
+  return std::make_unique<SimTimer>(wanted);
+}
+
+inline void SimNode::call(const Address& peer, wire::Envelope request, Millis timeout,
+                          std::function<void(CallResult)> done) {
+  // Set to null once the caller was told.
+  auto caller = std::make_shared<std::function<void(CallResult)>>(std::move(done));
+  const auto tell = [caller](CallResult result) {
+    if (*caller) std::exchange(*caller, nullptr)(std::move(result));
+  };
+  run_at(world_.now_us() + timeout.count() * 1000, [tell] {
+    tell(CallResult{std::nullopt, CallError::timed_out});
+  });
+  SimNode* receiver = world_.find(peer);
+  if (!receiver) return;
+  const std::size_t from = index_;
+  const std::size_t to = receiver->index_;
+  world_.carry(from, to, [this, receiver, from, to, life = life_, tell, request = std::move(request)] {
+    const auto answer_back = [this, from, to, life, tell](CallResult result) {
+      world_.carry(to, from, [this, life, tell, result = std::move(result)] {
+        if (!running_ || life != life_) return;
+        run_at(world_.now_us(), [tell, result] { tell(result); });
+      });
+    };
+    if (!receiver->running_) return answer_back(CallResult{std::nullopt, CallError::unreachable});
+    receiver->run_at(world_.now_us(), [receiver, request, answer_back] {
+      auto answered = std::make_shared<bool>(false);
+      receiver->program_.handler(request, [answered, answer_back](wire::Envelope answer) {
+        if (std::exchange(*answered, true)) return;
+        answer_back(CallResult{std::move(answer), CallError::timed_out});
+      });
+    });
+  });
+}
+
+inline void SimNode::start() {
+  ++life_;
+  running_ = true;
+  frozen_until_us_ = 0;
+  program_ = boot_(*this);
+}
+
+inline void SimNode::crash() {
+  running_ = false;
+  store_.crash();
+  program_ = Program{};
+}
+
+inline void SimNode::freeze_for(Millis span) { frozen_until_us_ = world_.now_us() + span.count() * 1000; }
+
+inline void SimNode::hang_disk_for(Millis span) {
+  store_.busy_until_us_ = std::max(store_.busy_until_us_, world_.now_us() + span.count() * 1000);
+}
+
+inline void SimStore::commit(StoreBatch batch, std::function<void(CommitOutcome)> done) {
+  SimWorld& world = node_.world_;
+  const std::int64_t start_us = std::max(busy_until_us_, world.now_us());
+  // Batches that wait together are synced together.
+  const bool joins = busy_until_us_ > world.now_us() && world.chance(0.5);
+  busy_until_us_ =
+      start_us + (joins ? 1 : world.random_between(world.terms().sync_min_us, world.terms().sync_max_us));
+  unsynced_.push_back(std::move(batch));
+  node_.world_.at(busy_until_us_, [this, life = node_.life_, done = std::move(done)]() mutable {
+    if (!node_.running_ || life != node_.life_) return;
+    const StoreBatch oldest = std::move(unsynced_.front());
+    unsynced_.pop_front();
+    const bool refused = node_.refuse_writes_;
+    if (!refused || node_.world_.chance(0.5)) apply(oldest);
+    const CommitOutcome outcome = refused ? CommitOutcome::failed : CommitOutcome::durable;
+    node_.run_at(node_.world_.now_us(), [done = std::move(done), outcome] { done(outcome); });
+  });
+}
+
+inline void SimStore::crash() {
+  for (const StoreBatch& batch : unsynced_) {
+    if (node_.world_.chance(0.5)) apply(batch);
+  }
+  unsynced_.clear();
+  busy_until_us_ = 0;
+}
+
+}  // namespace winchhall::cluster::sim
--- /dev/null
+++ b/tests/cluster/worker_agent_heartbeat_test.cpp
@@ -0,0 +1,104 @@
+// The leaf's JSON: what is read, what is refused, what is written.
+#include <catch2/catch.hpp>
+
+#include "cluster/worker_fixture.hpp"
+
+using namespace winchhall::cluster;
+using namespace winchhall::cluster::worker_test;
+
+namespace {
+
+// Field that a heartbeat is refused for; empty: it is taken.
+std::string refused_field(const std::string& leaf_id, const std::string& body) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(parse_heartbeat(leaf_id, body));
+        return std::string();
+      },
+      [](const InvalidInput& error) { return error.field; }, [] { return std::string("?"); });
+}
+
+Heartbeat parsed(const std::string& body) {
+  return leaf::try_handle_all([&] { return parse_heartbeat("i-1", body); }, [] { return Heartbeat(); });
+}
+
+}  // namespace
+
+TEST_CASE("a whole heartbeat is read") {
+  const Heartbeat heartbeat = parsed(
+      R"({"backend":"huvo11a","address":"10.128.0.9:8080","zone":"z",)"
+      R"("version":"v1","slots":8,"state":"draining",)"
+      R"("warmup_left_ms":0,"remaining_ms":1500,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},)"
+      R"("labels":["a","r1-3"],"clock_ms":482113,"sequence":4,"unknown":{"x":[1]},)"
+      R"("running":[["5c.0.1.17",2,"00000bb87a21d94b",41]],"finished":[[58,"5c.0.1.9",1,"lapsed","aa"]]})");
+  CHECK(heartbeat.leaf.service() == "huvo11a");
+  CHECK(heartbeat.leaf.draining());
+  CHECK(heartbeat.leaf.remaining_ms() == 1500);
+  CHECK(heartbeat.leaf.gpu() == 2);
+  CHECK(heartbeat.leaf.labels_size() == 2);
+  CHECK(heartbeat.sequence == 4);
+  REQUIRE(heartbeat.running.size() == 1);
+  CHECK(heartbeat.running[0].percent() == 41);
+  REQUIRE(heartbeat.finished.size() == 1);
+  CHECK(heartbeat.finished[0].how() == wire::END_LAPSED);
+  CHECK(heartbeat.finished[0].saved() == "aa");
+}
+
+TEST_CASE("empty lists may be left out") {
+  const Heartbeat heartbeat = parsed(R"({"backend":"b","sequence":1})");
+  CHECK(heartbeat.leaf.leaf_id() == "i-1");
+  CHECK(heartbeat.running.empty());
+}
+
+TEST_CASE("bad heartbeats are refused with the field") {
+  CHECK(refused_field("i-1", "") == "body");
+  CHECK(refused_field("i-1", "[]") == "body");
+  CHECK(refused_field("i-1", R"({"backend":"b")") == "body");
+  CHECK(refused_field("i-1", "{\"backend\":\"\xff\"}") == "body");
+  CHECK(refused_field("i-1", R"({"backend":7})") == "backend");
+  CHECK(refused_field("i-1", R"({"slots":-1})") == "slots");
+  CHECK(refused_field("i-1", R"({"sequence":"4"})") == "sequence");
+  CHECK(refused_field("i-1", R"({"capacity":[]})") == "capacity");
+  CHECK(refused_field("i-1", R"({"capacity":{"cpu":"a"}})") == "capacity.cpu");
+  CHECK(refused_field("i-1", R"({"running":{}})") == "running");
+  CHECK(refused_field("i-1", R"({"running":[["t"]]})") == "running");
+  CHECK(refused_field("i-1", R"({"finished":[[1,"t",1]]})") == "finished");
+  CHECK(refused_field("i-1", R"({"labels":[1]})") == "labels");
+  CHECK(refused_field("", "{}") == "id");
+  CHECK(refused_field("a/b", "{}") == "id");
+  CHECK(refused_field("i-1", "{}").empty());
+}
+
+TEST_CASE_METHOD(WorkerFixture, "a bad heartbeat is answered 400 and changes nothing") {
+  settle_in();
+  const auto answer = raw_heartbeat("i-1", "{\"sequence\":");
+  REQUIRE(answer->answered);
+  CHECK(answer->status == 400);
+  CHECK(answer->body.at("error").as_object().at("field") == "body");
+  CHECK(agent->session().leaf().leaf_id() == "i-1");
+}
+
+TEST_CASE("an answer leaves out what says nothing") {
+  CHECK(heartbeat_answer_json({}) == "{}");
+  HeartbeatAnswer answer;
+  answer.hold = Millis(4000);
+  answer.last_seen = 58;
+  answer.fence_token = 7;
+  answer.starts.push_back(start_order(1, "5c.0.1.18", 1));
+  answer.stops.push_back(stop_order(2, "5c.0.1.17", 2));
+  answer.retry_after = Millis(200);
+  CHECK(heartbeat_answer_json(answer) ==
+        R"({"hold_ms":4000,"last_seen":58,"fence_token":7,"started_at":[["5c.0.1.18",1,"work",""]],)"
+        R"("stopped_at":[["5c.0.1.17",2]],"retry_after_ms":200})");
+}
+
+TEST_CASE("a leaf that lists its tasks in another order has changed nothing") {
+  LeafLists lists;
+  wire::RunningTask one;
+  one.set_task("a");
+  wire::RunningTask other;
+  other.set_task("b");
+  CHECK(lists.update({one, other}, {}) == ListsChange::runs);
+  CHECK(lists.update({other, one}, {}) == ListsChange::none);
+  CHECK(lists.update({other}, {}) == ListsChange::runs);
+}
--- /dev/null
+++ b/tests/cluster/worker_fixture.hpp
@@ -0,0 +1,298 @@
+// A worker-agent between a scripted leaf and a scripted leader, on a clock that the test moves.
+#pragma once
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cluster/worker_agent/worker_agent.hpp"
+
+namespace winchhall::cluster::worker_test {
+
+// A runtime whose clock moves only with `advance`; calls wait until the test answers them or they time out.
+class ScriptedRuntime : public Runtime {
+ public:
+  struct Call {
+    Address peer;
+    wire::Envelope request;
+    std::function<void(CallResult)> done;
+  };
+
+  TimePoint now() const override { return now_; }
+  std::int64_t wall_clock_ms() const override { return 0; }
+  std::uint64_t random() override { return ++random_; }
+
+  std::unique_ptr<Timer> after(Millis delay, std::function<void()> action) override {
+    const auto cancelled = std::make_shared<bool>(false);
+    add_timer(delay, cancelled, std::move(action));
+    return std::make_unique<ScriptedTimer>(cancelled);
+  }
+
+  void call(const Address& peer, wire::Envelope request, Millis timeout,
+            std::function<void(CallResult)> done) override {
+    const auto open = std::make_shared<std::function<void(CallResult)>>(std::move(done));
+    const auto finish = [open](CallResult result) {
+      if (*open) std::exchange(*open, nullptr)(std::move(result));
+    };
+    add_timer(timeout, std::make_shared<bool>(false), [finish] {
+      finish(CallResult{std::nullopt, CallError::timed_out});
+    });
+    calls.push_back(Call{peer, std::move(request), finish});
+  }
+
+  // Moves the clock and runs what falls due.
+  void advance(Millis span) {
+    const TimePoint end = now_ + span;
+    while (!timers_.empty() && timers_.begin()->first.first <= end) {
+      const auto first = timers_.begin();
+      now_ = std::max(now_, first->first.first);
+      Entry entry = std::move(first->second);
+      timers_.erase(first);
+      if (!*entry.cancelled) entry.action();
+    }
+    now_ = end;
+  }
+
+  // Moves the clock while the process stands still: timers fire late.
+  void freeze(Millis span) { now_ += span; }
+
+  std::deque<Call> calls;
+
+ private:
+  struct Entry {
+    std::shared_ptr<bool> cancelled;
+    std::function<void()> action;
+  };
+  struct ScriptedTimer : Timer {
+    explicit ScriptedTimer(std::shared_ptr<bool> flag) : cancelled(std::move(flag)) {}
+    ~ScriptedTimer() override { *cancelled = true; }
+    std::shared_ptr<bool> cancelled;
+  };
+
+  void add_timer(Millis delay, std::shared_ptr<bool> cancelled, std::function<void()> action) {
+    timers_.emplace(std::make_pair(now_ + delay, ++timer_number_),
+                    Entry{std::move(cancelled), std::move(action)});
+  }
+
+  TimePoint now_{std::chrono::seconds(1000)};
+  std::uint64_t random_ = 0;
+  std::uint64_t timer_number_ = 0;
+  std::map<std::pair<TimePoint, std::uint64_t>, Entry> timers_;
+};
+
+inline const Address kSeed = "10.0.0.1:7000";
+inline const Address kOtherSeed = "10.0.0.2:7000";
+inline const Address kLeader = "10.0.0.3:7000";
+
+inline NodeSettings worker_settings() {
+  NodeSettings settings;
+  settings.node_name = "side-1";
+  settings.ip = "10.0.0.9";
+  settings.backend = "core";
+  settings.seeds = {"10.0.0.1:8144", "10.0.0.2:8144"};
+  settings.internal_port_first = 7000;
+  settings.bounds.hold_max = Millis(6000);
+  return settings;
+}
+
+inline wire::StartOrder start_order(std::uint64_t revision, const std::string& task, std::uint64_t run) {
+  wire::StartOrder order;
+  order.set_revision(revision);
+  order.set_task(task);
+  order.set_run(run);
+  order.set_spec("work");
+  return order;
+}
+
+inline wire::StopOrder stop_order(std::uint64_t revision, const std::string& task, std::uint64_t run) {
+  wire::StopOrder order;
+  order.set_revision(revision);
+  order.set_task(task);
+  order.set_run(run);
+  return order;
+}
+
+// Orders of an epoch to a leaf, with a grant of 10 s.
+inline wire::WorkerOrders orders_of(std::uint64_t epoch, std::vector<wire::StartOrder> starts = {},
+                                    std::vector<wire::StopOrder> stops = {}) {
+  wire::WorkerOrders orders;
+  orders.set_epoch(epoch);
+  orders.set_leaf_id("i-1");
+  orders.set_grant_ms(10'000);
+  std::uint64_t revision = 0;
+  for (const wire::StartOrder& start : starts) {
+    revision = std::max(revision, start.revision());
+    *orders.add_starts() = start;
+  }
+  for (const wire::StopOrder& stop : stops) {
+    revision = std::max(revision, stop.revision());
+    *orders.add_stops() = stop;
+  }
+  orders.set_revision(revision);
+  return orders;
+}
+
+// One heartbeat of the scripted leaf, to be sent with `WorkerFixture::heartbeat`.
+struct ScriptedHeartbeat {
+  std::string leaf_id = "i-1";
+  std::optional<std::uint64_t> sequence;  // none: the next one
+  std::string state = "ready";
+  boost::json::array running;
+  boost::json::array finished;
+
+  ScriptedHeartbeat& runs(const std::string& task, std::uint64_t run, std::uint64_t percent = 0) {
+    running.push_back(boost::json::array{task, run, "", percent});
+    return *this;
+  }
+  ScriptedHeartbeat& ended(std::uint64_t number, const std::string& task, std::uint64_t run,
+                           const std::string& how = "done") {
+    finished.push_back(boost::json::array{number, task, run, how, ""});
+    return *this;
+  }
+};
+
+// The answer to a heartbeat, as far as it has come.
+struct ReceivedAnswer {
+  bool answered = false;
+  unsigned status = 0;
+  boost::json::object body;
+
+  std::size_t starts() const { return list_size("started_at"); }
+  std::size_t stops() const { return list_size("stopped_at"); }
+  std::uint64_t number(const char* field) const {
+    const boost::json::value* const value = body.if_contains(field);
+    return value != nullptr ? value->to_number<std::uint64_t>() : 0;
+  }
+  bool has(const char* field) const { return body.contains(field); }
+
+ private:
+  std::size_t list_size(const char* field) const {
+    const boost::json::value* const list = body.if_contains(field);
+    return list != nullptr ? list->as_array().size() : 0;
+  }
+};
+
+class WorkerFixture {
+ public:
+  WorkerFixture() : settings(worker_settings()), agent(std::make_unique<WorkerAgent>(runtime, settings)) {}
+
+  // Starts the agent and lets it find the leader.
+  void start() {
+    agent->start();
+    answer_watch();
+  }
+
+  std::shared_ptr<ReceivedAnswer> heartbeat(ScriptedHeartbeat heartbeat) {
+    boost::json::object body{{"backend", "core"},
+                             {"state", heartbeat.state},
+                             {"capacity", boost::json::object{{"cpu", 16000}, {"mem_mb", 32768}}},
+                             {"labels", boost::json::array{"a", "r1-3"}},
+                             {"sequence", heartbeat.sequence.value_or(++sequence_)},
+                             {"running", std::move(heartbeat.running)},
+                             {"finished", std::move(heartbeat.finished)}};
+    return raw_heartbeat(heartbeat.leaf_id, boost::json::serialize(body));
+  }
+
+  std::shared_ptr<ReceivedAnswer> raw_heartbeat(const std::string& leaf_id, const std::string& body) {
+    auto received = std::make_shared<ReceivedAnswer>();
+    agent->on_heartbeat(leaf_id, body, [received](const LeafAnswer& answer) {
+      received->answered = true;
+      received->status = answer.status;
+      received->body = boost::json::parse(answer.body).as_object();
+    });
+    return received;
+  }
+
+  // Oldest waiting report; none: nothing waits.
+  std::optional<wire::WorkerReport> peek_report() {
+    for (const ScriptedRuntime::Call& call : runtime.calls) {
+      if (call.request.has_worker_report()) return call.request.worker_report();
+    }
+    return std::nullopt;
+  }
+
+  // Takes the newest waiting report; older ones stay unanswered and time out.
+  ScriptedRuntime::Call take_newest_report() {
+    ScriptedRuntime::Call newest;
+    for (ScriptedRuntime::Call& call : runtime.calls) {
+      if (call.request.has_worker_report()) newest = std::move(call);
+    }
+    runtime.calls.clear();
+    return newest;
+  }
+
+  static void answer_orders(const ScriptedRuntime::Call& report, wire::WorkerOrders orders) {
+    orders.set_report_number(report.request.worker_report().report_number());
+    wire::Envelope answer;
+    *answer.mutable_worker_orders() = std::move(orders);
+    report.done(CallResult{std::move(answer), CallError::timed_out});
+  }
+
+  // Answers the newest report, after the least gap between two: what is new by now stands in it.
+  wire::WorkerReport lead(const wire::WorkerOrders& orders) {
+    runtime.advance(Millis(12));
+    answer_older_reports(orders.epoch());
+    const ScriptedRuntime::Call report = take_newest_report();
+    if (!report.done) return {};
+    answer_orders(report, orders);
+    return report.request.worker_report();
+  }
+
+  // Answers every waiting report but the newest without orders, as a leader does that has heard of a newer
+  // one.
+  void answer_older_reports(std::uint64_t epoch) {
+    const std::deque<ScriptedRuntime::Call> waiting = std::exchange(runtime.calls, {});
+    std::size_t newest = waiting.size();
+    for (std::size_t index = 0; index < waiting.size(); ++index) {
+      if (waiting[index].request.has_worker_report()) newest = index;
+    }
+    if (newest == waiting.size()) return;
+    wire::WorkerOrders empty;
+    empty.set_epoch(epoch);
+    empty.set_leaf_id("i-1");
+    for (std::size_t index = 0; index < newest; ++index) {
+      if (waiting[index].request.has_worker_report()) answer_orders(waiting[index], empty);
+    }
+    runtime.calls.push_front(waiting[newest]);
+  }
+
+  // Answers the newest question for the leader; gives whom it was put to.
+  Address answer_watch(const Address& leader = kLeader, std::uint64_t epoch = 5) {
+    ScriptedRuntime::Call asked;
+    for (ScriptedRuntime::Call& call : runtime.calls) {
+      if (call.request.has_configuration_watch()) asked = call;
+    }
+    if (!asked.done) return {};
+    wire::Envelope answer;
+    wire::ShardLeader& entry = *answer.mutable_configuration_update()->add_leaders();
+    entry.set_shard("service/core");
+    entry.set_address(leader);
+    entry.set_epoch(epoch);
+    asked.done(CallResult{std::move(answer), CallError::timed_out});
+    return asked.peer;
+  }
+
+  // First heartbeat, first report, first grant of epoch 5; the answer is due and given.
+  void settle_in() {
+    start();
+    const auto first = heartbeat({});
+    lead(orders_of(5));
+    runtime.advance(Millis(250));
+  }
+
+  ScriptedRuntime runtime;
+  NodeSettings settings;
+  std::unique_ptr<WorkerAgent> agent;
+
+ private:
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace winchhall::cluster::worker_test
