--- a/src/cluster/agent/control_directory.cpp
+++ b/src/cluster/agent/control_directory.cpp
@@ -14,7 +14,13 @@
 
 ControlDirectory::ControlDirectory(Runtime& runtime, const NodeSettings& settings)
     : runtime_(runtime), own_zone_(settings.zone) {
-  for (const Address& seed : settings.seeds) add(settings.internal_address_of(seed)).seed = true;
+  set_seeds(settings.seed_listeners());
+}
+
+void ControlDirectory::set_seeds(const std::vector<Address>& seeds) {
+  for (Node& node : nodes_) node.seed = false;
+  for (const Address& seed : seeds) add(seed).seed = true;
+  drop_unlisted();
 }
 
 void ControlDirectory::set_members(const std::vector<wire::Member>& members) {
@@ -24,8 +30,17 @@
     node.member = true;
     node.zone = member.zone();
   }
-  const auto gone = [](const Node& node) { return !node.seed && !node.member; };
-  nodes_.erase(std::remove_if(nodes_.begin(), nodes_.end(), gone), nodes_.end());
+  drop_unlisted();
+}
+
+void ControlDirectory::set_sampled(const std::vector<Address>& nodes) {
+  for (Node& node : nodes_) node.sampled = false;
+  for (const Address& node : nodes) add(node).sampled = true;
+  drop_unlisted();
+}
+
+void ControlDirectory::drop_unlisted() {
+  std::erase_if(nodes_, [](const Node& node) { return !node.seed && !node.member && !node.sampled; });
 }
 
 std::optional<ControlChoice> ControlDirectory::choose(const std::set<Address>& excluded) const {
@@ -47,7 +62,9 @@
   std::vector<const Node*> others;
   for (const Node& node : nodes_) {
     if (node.address == excluded) continue;
-    (node.rests_until <= runtime_.now() ? rested : others).push_back(&node);
+    const bool listed = node.seed || node.member;
+    const bool first_choice = listed && node.rests_until <= runtime_.now();
+    (first_choice ? rested : others).push_back(&node);
   }
   const auto& from = rested.empty() ? others : rested;
   return from.empty() ? Address() : from[runtime_.random() % from.size()]->address;
@@ -83,11 +100,13 @@
 
 // Lower is better.
 int ControlDirectory::rank(const Node& node) const {
-  constexpr int kResting = 4;
+  constexpr int kResting = 8;
+  constexpr int kOnlySampled = 4;
   constexpr int kNoMember = 2;
   constexpr int kOtherZone = 1;
   int rank = 0;
   if (node.rests_until > runtime_.now()) rank += kResting;
+  if (!node.member && !node.seed) rank += kOnlySampled;
   if (!node.member) rank += kNoMember;
   if (node.zone != own_zone_) rank += kOtherZone;
   return rank;
--- a/src/cluster/agent/control_directory.hpp
+++ b/src/cluster/agent/control_directory.hpp
@@ -1,4 +1,5 @@
-// Control nodes that may be asked: the seeds and the members, with what is known of how they answer.
+// Control nodes that may be asked: the seeds, the members and, where these fail, the nodes that peer sampling
+// brought up; with what is known of how they answer.
 #pragma once
 
 #include <functional>
@@ -22,8 +23,12 @@
  public:
   ControlDirectory(Runtime& runtime, const NodeSettings& settings);
 
-  // Members that are not listed any more are dropped; seeds remain.
+  // Internal listeners of the seeds.
+  void set_seeds(const std::vector<Address>& seeds);
+  // Nodes that are not listed any more are dropped unless they are known from elsewhere.
   void set_members(const std::vector<wire::Member>& members);
+  // Nodes from peer sampling: asked while no seed and no member is at hand that has not failed lately.
+  void set_sampled(const std::vector<Address>& nodes);
   // The best node not among `excluded`: one that has not failed lately, a member, of the own zone, else at
   // random. None: all are excluded.
   std::optional<ControlChoice> choose(const std::set<Address>& excluded) const;
@@ -39,12 +44,15 @@
     std::string zone;
     bool seed = false;
     bool member = false;
+    bool sampled = false;
     unsigned failures = 0;  // in a row
     TimePoint rests_until;
   };
 
   Node* find(const Address& address);
   Node& add(const Address& address);
+  // Drops the nodes that no source lists.
+  void drop_unlisted();
   int rank(const Node& node) const;
 
   Runtime& runtime_;
--- a/src/cluster/agent/control_watcher.cpp
+++ b/src/cluster/agent/control_watcher.cpp
@@ -48,7 +48,7 @@
   refreshing_ = true;
   last_refresh_ = runtime_.now();
   runtime_.call(peer, watch_request(view_.version(), 0, Millis(0)), kRefreshTimeout,
-                [this, peer](CallResult result) { on_refreshed(peer, result); });
+                [this, peer](const CallResult& result) { on_refreshed(peer, result); });
 }
 
 void ControlWatcher::on_refreshed(const Address& peer, const CallResult& result) {
@@ -77,7 +77,7 @@
   slot.timer.reset();
   slot.sent = runtime_.now();
   runtime_.call(slot.peer, watch_request(view_.version(), slot.leaders_digest, kWait), kCallTimeout,
-                [this, number](CallResult result) { on_answer(number, result); });
+                [this, number](const CallResult& result) { on_answer(number, result); });
 }
 
 void ControlWatcher::poll_later(std::size_t number, Millis pause) {
--- a/src/cluster/agent/leader_call.cpp
+++ b/src/cluster/agent/leader_call.cpp
@@ -64,7 +64,7 @@
   *envelope.mutable_job_request() = request_;
   envelope.mutable_job_request()->set_deadline_ms(static_cast<std::uint32_t>(timeout.count()));
   context_.runtime.call(target, std::move(envelope), timeout,
-                        [self = shared_from_this(), number, target](CallResult result) {
+                        [self = shared_from_this(), number, target](const CallResult& result) {
                           self->on_result(number, target, result);
                         });
 }
@@ -136,10 +136,10 @@
   const bool rejected = request_.verb() == wire::JOB_SUBMIT && certainly_not_taken();
   reply.set_outcome(rejected ? wire::JOB_REJECTED : wire::JOB_IN_DOUBT);
   if (rejected) reply.set_retry_after_ms(kRetryAfterMs);
-  finish(std::move(reply));
+  finish(reply);
 }
 
-void LeaderCall::finish(wire::JobReply reply) {
+void LeaderCall::finish(const wire::JobReply& reply) {
   if (finished_) return;
   finished_ = true;
   timer_.reset();
--- a/src/cluster/agent/leader_call.hpp
+++ b/src/cluster/agent/leader_call.hpp
@@ -45,7 +45,7 @@
   bool certainly_not_taken() const { return tries_ == 0; }
   TimePoint patience_end() const;
   void give_up();
-  void finish(wire::JobReply reply);
+  void finish(const wire::JobReply& reply);
   Millis left_until(TimePoint end) const;
 
   LeaderCallContext context_;
--- a/src/cluster/cli/process.cpp
+++ b/src/cluster/cli/process.cpp
@@ -10,7 +10,10 @@
     : settings_(std::move(settings)),
       runtime_(loop_),
       dialer_(loop_, runtime_),
-      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      settings_watcher_(runtime_, settings_, [this](const NodeSettings& changed) {
+        if (on_settings_) on_settings_(changed);
+      }) {
   std::signal(SIGPIPE, SIG_IGN);
   runtime_.use(dialer_);
   wait_for_signal();
@@ -24,13 +27,18 @@
 
 void Process::on_stop(std::function<void(std::function<void()>)> stop) { on_stop_ = std::move(stop); }
 
+void Process::on_settings(std::function<void(const NodeSettings& settings)> change) {
+  on_settings_ = std::move(change);
+  settings_watcher_.start();
+}
+
 void Process::run() { loop_.run(); }
 
 void Process::wait_for_signal() {
   signals_.async_wait([this](const boost::system::error_code& error, int signal) {
     if (error) return;
     if (signal == SIGHUP) {
-      log_event(LogLevel::info, "settings_changed");
+      settings_watcher_.reload();
     } else {
       stop();
     }
--- a/src/cluster/cli/process.hpp
+++ b/src/cluster/cli/process.hpp
@@ -1,4 +1,5 @@
-// What the long-running processes share: one event loop, timers, calls, an internal listener, signals.
+// What the long-running processes share: one event loop, timers, calls, internal listeners, signals, the
+// settings file.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -8,6 +9,7 @@
 
 #include "cluster/common/asio_runtime.hpp"
 #include "cluster/common/settings.hpp"
+#include "cluster/common/settings_watcher.hpp"
 #include "cluster/rpc/dialer.hpp"
 #include "cluster/rpc/listener.hpp"
 
@@ -19,12 +21,16 @@
 
   boost::asio::io_context& loop() { return loop_; }
   Runtime& runtime() { return runtime_; }
+  // As read at the start.
   const NodeSettings& settings() const { return settings_; }
 
   // Takes requests of other processes on `address`. Errors: NngFailure.
   leaf::result<void> listen(const Address& address, RequestHandler handler);
   // Calls `stop` once at SIGTERM or SIGINT; the process ends when `stop` calls its argument.
   void on_stop(std::function<void(std::function<void()> done)> stop);
+  // Calls `change` with the settings in force after each change of what may change at run time. The file is
+  // read again at SIGHUP and, once this was called, when a poll finds that it has changed.
+  void on_settings(std::function<void(const NodeSettings& settings)> change);
   // Runs until stopped.
   void run();
 
@@ -38,6 +44,8 @@
   NngDialer dialer_;
   std::vector<std::shared_ptr<NngListener>> listeners_;
   boost::asio::signal_set signals_;
+  SettingsWatcher settings_watcher_;
+  std::function<void(const NodeSettings&)> on_settings_;
   std::function<void(std::function<void()>)> on_stop_;
   bool stopping_ = false;
 };
--- /dev/null
+++ b/src/cluster/cli/text_table.hpp
@@ -0,0 +1,22 @@
+// A table of texts with columns as wide as they need to be.
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace winchhall::cluster {
+
+class TextTable {
+ public:
+  explicit TextTable(std::vector<std::string> headings) : rows_{std::move(headings)} {}
+
+  // One text for each heading.
+  void add(std::vector<std::string> row) { rows_.push_back(std::move(row)); }
+  void print(std::ostream& out) const;
+
+ private:
+  std::vector<std::vector<std::string>> rows_;
+};
+
+}  // namespace winchhall::cluster
--- a/src/cluster/common/errors.hpp
+++ b/src/cluster/common/errors.hpp
@@ -12,13 +12,15 @@
 
 // A value from outside that can't be used: where it stands, what it is, what would be allowed.
 struct InvalidInput {
-  std::string source;   // file or message, e.g. "settings", "Config.Put"
-  std::string field;    // path of the field, e.g. "routes[3].timeout_ms"
-  std::string value;    // as found, shortened; empty: missing
-  std::string allowed;  // what is allowed, in words
+  std::string source;      // file or message, e.g. "settings", "Config.Put"
+  std::string field;       // path of the field, e.g. "routes[3].timeout_ms"
+  std::string value;       // as found, shortened; empty: missing
+  std::string allowed;     // what is allowed, in words
+  std::uint32_t line = 0;  // of a file; 0: not known
 
   std::string message() const {
-    return source + ": " + field + ": " + (value.empty() ? "missing" : "'" + value + "'") +
+    const std::string place = line == 0 ? source : source + ":" + std::to_string(line);
+    return place + ": " + field + ": " + (value.empty() ? "missing" : "'" + value + "'") +
            "; allowed: " + allowed;
   }
 };
@@ -38,6 +40,12 @@
   std::string detail;
 };
 
+// What the local store synced is gone or changed: it can't be relied on any more.
+struct DamagedStore {
+  std::string path;
+  std::string detail;
+};
+
 // The local store was written by an unknown version of the program.
 struct UnknownStoreFormat {
   std::string path;
--- a/src/cluster/common/log.cpp
+++ b/src/cluster/common/log.cpp
@@ -80,6 +80,18 @@
   state->role = role;
 }
 
+bool log_enabled(LogLevel level) {
+  const std::optional<LogState>& state = log_state();
+  return state && state->logger.isEnabledFor(library_level(level));
+}
+
+leaf::result<LogLevel> parse_log_level(const std::string& name) {
+  for (const LogLevel level : {LogLevel::debug, LogLevel::info, LogLevel::warning, LogLevel::error}) {
+    if (name == level_name(level)) return level;
+  }
+  return leaf::new_error(InvalidInput{"command line", "log-level", name, "debug, info, warning or error"});
+}
+
 void log_event(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
   std::optional<LogState>& state = log_state();
   if (!state || !state->logger.isEnabledFor(library_level(level))) return;
--- a/src/cluster/common/settings.cpp
+++ b/src/cluster/common/settings.cpp
@@ -1,15 +1,16 @@
 #include "cluster/common/settings.hpp"
 
-#include <sstream>
 #include <toml++/toml.h>
 
 #include <limits>
+#include <sstream>
 
 namespace winchhall::cluster {
 
 namespace {
 
 constexpr std::string_view kSource = "settings";
+constexpr std::size_t kValueShown = 80;  // bytes of a bad value that are shown
 constexpr std::int64_t kHighestPort = 65535;
 
 // Reads fields of one table; the first bad field is kept as the error of the whole.
@@ -65,6 +66,18 @@
     }
   }
 
+  // Zero is allowed: no port.
+  void port(const char* name, std::uint16_t& target) {
+    const toml::node* node = table_.get(name);
+    if (!node) return;
+    const auto value = node->value_exact<std::int64_t>();
+    if (value && *value >= 0 && *value <= kHighestPort) {
+      target = static_cast<std::uint16_t>(*value);
+    } else {
+      fail(name, *node, "a port number from 0 to 65535");
+    }
+  }
+
   void texts(const char* name, std::vector<std::string>& target) {
     const toml::node* node = table_.get(name);
     if (!node) return;
@@ -95,17 +108,18 @@
   void fail(const char* name, const toml::node& node, std::string allowed) {
     std::ostringstream shown;
     node.visit([&shown](const auto& value) { shown << value; });
-    set_error(name, shown.str(), std::move(allowed));
+    set_error(name, shown.str(), std::move(allowed), node.source().begin.line);
   }
   void missing(const char* name, bool required, std::string allowed) {
-    if (required) set_error(name, "", std::move(allowed));
+    if (required) set_error(name, "", std::move(allowed), 0);
   }
   const std::optional<InvalidInput>& error() const { return error_; }
 
  private:
-  void set_error(const char* name, std::string value, std::string allowed) {
+  void set_error(const char* name, const std::string& value, std::string allowed, std::uint32_t line) {
     if (error_) return;
-    error_ = InvalidInput{std::string(kSource), path_ + name, value.substr(0, 80), std::move(allowed)};
+    error_ = InvalidInput{std::string(kSource), path_ + name, value.substr(0, kValueShown),
+                          std::move(allowed), line};
   }
 
   const toml::table& table_;
@@ -198,6 +212,7 @@
   reader.millis("heartbeat_ms", settings.heartbeat);
   reader.text("app", settings.app);
   reader.text("backend", settings.backend);
+  reader.port("metrics_port", settings.metrics_port);
   return read_commands(reader, root, settings);
 }
 
@@ -211,6 +226,12 @@
 
 }  // namespace
 
+std::vector<Address> NodeSettings::seed_listeners() const {
+  std::vector<Address> listeners;
+  for (const Address& seed : seeds) listeners.push_back(internal_address_of(seed));
+  return listeners;
+}
+
 leaf::result<NodeSettings> load_settings(const std::string& path) {
   toml::table root;
   try {
@@ -221,6 +242,7 @@
     return leaf::new_error(InvalidInput{path, place.str(), std::string(error.description()), "a TOML file"});
   }
   NodeSettings settings;
+  settings.path = path;
   std::optional<InvalidInput> error = read_root(root, settings);
   if (!error) error = read_bounds(root, settings.bounds);
   if (!error) error = read_addresses(root, settings);
--- a/src/cluster/common/settings.hpp
+++ b/src/cluster/common/settings.hpp
@@ -33,12 +33,15 @@
   Millis save{2000};
   Millis restore{100};
   double far_factor = 1.5;
+
+  bool operator==(const Bounds&) const = default;
 };
 
 // How leaves are told what to do.
 enum class CommandMode { heartbeat, invocation };
 
 struct NodeSettings {
+  std::string path;  // file that the settings were read from; empty: none
   std::string node_name;
   std::string role;
   std::string machine_class;
@@ -64,13 +67,18 @@
   std::uint64_t max_fds = 0;
   std::uint64_t disk_mb = 0;
   unsigned tolerated_machines = 1;
+  std::uint16_t metrics_port = 0;  // on loopback; 0: no metrics
   Bounds bounds;
 
+  bool operator==(const NodeSettings&) const = default;
+
   // Internal listener of this process (the first internal port) and of another machine's control process.
   Address internal_address() const { return ip + ":" + std::to_string(internal_port_first); }
   Address internal_address_of(const Address& control_address) const {
     return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(internal_port_first);
   }
+  // Internal listeners of the seeds.
+  std::vector<Address> seed_listeners() const;
   // Loopback listener of an agent for the ingress beside it (the second internal port).
   Address feed_address() const { return "127.0.0.1:" + std::to_string(internal_port_first + 1); }
 };
--- a/src/cluster/config/configuration.cpp
+++ b/src/cluster/config/configuration.cpp
@@ -8,7 +8,6 @@
 namespace winchhall::cluster {
 namespace {
 
-constexpr std::uint64_t kLargestVersion = 9'223'372'036'854'775'807ULL;
 constexpr std::uint64_t kLongestMillis = 604'800'000;  // a week
 constexpr std::uint64_t kLargestCount = 1'000'000'000;
 constexpr double kLargestStretch = 1e6;
--- a/src/cluster/config/configuration.hpp
+++ b/src/cluster/config/configuration.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +12,9 @@
 
 namespace winchhall::cluster {
 
+// The largest version of a configuration.
+inline constexpr std::uint64_t kLargestVersion = std::numeric_limits<std::int64_t>::max();
+
 // A queue: which jobs it takes, which service runs them, how they are judged.
 struct Route {
   std::string name;
--- a/src/cluster/config/configuration_patch.cpp
+++ b/src/cluster/config/configuration_patch.cpp
@@ -1,6 +1,5 @@
 #include "cluster/config/configuration_patch.hpp"
 
-#include <limits>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -11,7 +10,6 @@
 namespace {
 
 constexpr const char* kPatchSource = "Config.Patch";
-constexpr std::uint64_t kLargestVersion = std::numeric_limits<std::int64_t>::max();
 
 using Names = std::unordered_set<std::string>;
 
--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -35,13 +35,14 @@
     : runtime_(runtime),
       store_(store),
       settings_(settings),
+      seeds_(settings.seed_listeners()),
       journal_(runtime, store),
       acceptor_(runtime, journal_, standing_,
                 [this](const std::string& key, const RegisterValue& value) { register_chosen(key, value); }),
       calls_(runtime,
              [this](const wire::Envelope& request, const Replier& reply) { return handle(request, reply); }),
       peers_(runtime),
-      client_(*this, fresh_number(),
+      client_(*this, unique_number(),
               [this](const std::string& key, const RegisterValue& value, bool newly_chosen) {
                 attempt_chose(key, value, newly_chosen);
               }),
@@ -162,7 +163,7 @@
 
 void ControlGroup::call(const wire::Member& member, wire::Envelope request, Millis timeout,
                         std::function<void(CallResult)> done) {
-  if (member.id() == standing_.id) return calls_.call_local(std::move(request), std::move(done));
+  if (member.id() == standing_.id) return calls_.call_local(request, std::move(done));
   calls_.call(member.address(), std::move(request), timeout, std::move(done));
 }
 
--- a/src/cluster/consensus/control_group.hpp
+++ b/src/cluster/consensus/control_group.hpp
@@ -39,6 +39,10 @@
   RegisterClient& registers() { return client_; }
   // This node's part in a shard. To be destroyed before the group.
   std::unique_ptr<ReplicatedShard> open_shard(std::string name, ShardCallbacks callbacks);
+  // Internal listeners of the seeds, after a change of the settings.
+  void set_seeds(std::vector<Address> seeds) { seeds_ = std::move(seeds); }
+  // Control nodes that peer sampling brought up: also asked for the record while no majority is heard.
+  void set_sampled_control(std::vector<Address> nodes) { sampled_ = std::move(nodes); }
   // Calls `on_newer` for the value known now, if any, and for every newer one that differs.
   void watch_register(const std::string& key, RegisterWatch on_newer);
 
@@ -64,6 +68,7 @@
   Runtime& runtime() override { return runtime_; }
   const wire::MemberRecord& record() const override { return record_; }
   std::uint64_t self_id() const override { return standing_.id; }
+  std::uint64_t unique_number() override;
   bool voting() const override { return standing_.voting; }
   std::vector<std::uint64_t> voting_members_heard() const override;
   void call(const wire::Member& member, wire::Envelope request, Millis timeout,
@@ -77,7 +82,6 @@
   // Identity and member records
   void load();
   void found_or_join();
-  std::uint64_t fresh_number();
   wire::Member self_member() const;
   void activate();
   void adopt(const wire::MemberRecord& record);
@@ -94,7 +98,7 @@
   void ask_to_join();
   std::vector<Address> join_targets() const;
   void synchronize();
-  void synchronized(std::vector<StateCopy> copies, std::uint64_t member_epoch);
+  void synchronized(const std::vector<StateCopy>& copies, std::uint64_t member_epoch);
 
   // Registers
   void register_chosen(const std::string& key, const RegisterValue& value);
@@ -108,6 +112,8 @@
   Runtime& runtime_;
   DurableStore& store_;
   const NodeSettings settings_;
+  std::vector<Address> seeds_;    // internal listeners; those of the settings at first
+  std::vector<Address> sampled_;  // control nodes from peer sampling
   Journal journal_;
   Standing standing_;
   wire::NodeIdentity identity_;
--- a/src/cluster/consensus/control_group_members.cpp
+++ b/src/cluster/consensus/control_group_members.cpp
@@ -33,7 +33,7 @@
   acceptor_.shards().assume_leases();
 }
 
-std::uint64_t ControlGroup::fresh_number() {
+std::uint64_t ControlGroup::unique_number() {
   // Also unlike that of other processes where their generators were seeded alike.
   const std::string circumstances = settings_.internal_address() + "/" +
                                     std::to_string(runtime_.wall_clock_ms()) + "/" +
@@ -59,7 +59,7 @@
     identity.set_synchronized(true);  // An empty group has nothing to copy.
     record = founding_record(settings_);
   } else {
-    identity.set_id(fresh_number());
+    identity.set_id(unique_number());
   }
   StoreBatch batch{{kIdentityKey, identity.SerializeAsString()}};
   if (record.epoch() > 0) batch.push_back({kRecordKey, record.SerializeAsString()});
@@ -78,7 +78,7 @@
   const bool was_member = find_member(record_, identity.id()) != nullptr;
   const bool left_out = was_member && find_member(record, identity.id()) == nullptr;
   if (left_out || was_removed(record, identity.id())) {
-    identity.set_id(fresh_number());
+    identity.set_id(unique_number());
     identity.set_synchronized(false);
     batch.push_back({kIdentityKey, identity.SerializeAsString()});
   }
@@ -141,7 +141,8 @@
 std::vector<Address> ControlGroup::join_targets() const {
   std::vector<Address> targets;
   for (const wire::Member& member : record_.members()) targets.push_back(member.address());
-  for (const Address& seed : settings_.seeds) targets.push_back(settings_.internal_address_of(seed));
+  targets.insert(targets.end(), seeds_.begin(), seeds_.end());
+  if (!in_touch()) targets.insert(targets.end(), sampled_.begin(), sampled_.end());
   std::sort(targets.begin(), targets.end());
   targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   std::erase(targets, settings_.internal_address());
@@ -176,14 +177,14 @@
   if (sync_ || identity_.synchronized() || !find_member(record_, identity_.id())) return;
   const std::uint64_t member_epoch = record_.epoch();
   GroupView& group = *this;
-  sync_ = std::make_shared<StateSync>(group, [this, member_epoch](std::vector<StateCopy> copies) {
+  sync_ = std::make_shared<StateSync>(group, [this, member_epoch](const std::vector<StateCopy>& copies) {
     sync_.reset();
-    synchronized(std::move(copies), member_epoch);
+    synchronized(copies, member_epoch);
   });
   sync_->start();
 }
 
-void ControlGroup::synchronized(std::vector<StateCopy> copies, std::uint64_t member_epoch) {
+void ControlGroup::synchronized(const std::vector<StateCopy>& copies, std::uint64_t member_epoch) {
   const bool same_record = record_.epoch() == member_epoch && adopting_epoch_ == member_epoch;
   if (copies.empty() || !same_record) return;  // Tried again with the next tick.
   wire::NodeIdentity identity = identity_;
--- a/src/cluster/consensus/group_view.hpp
+++ b/src/cluster/consensus/group_view.hpp
@@ -18,6 +18,8 @@
   // The newest durable member record; epoch 0: none known yet.
   virtual const wire::MemberRecord& record() const = 0;
   virtual std::uint64_t self_id() const = 0;
+  // A number that neither another process nor another life of this one comes up with.
+  virtual std::uint64_t unique_number() = 0;
   // A member of the newest record that holds all state.
   virtual bool voting() const = 0;
   // True while a majority of the members was heard within the last second.
--- a/src/cluster/consensus/lease_keeper.cpp
+++ b/src/cluster/consensus/lease_keeper.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Millis kCallTimeout{500};
+constexpr Millis kLeaseCallTimeout{500};
 constexpr Millis kAskTimeout{500};  // without a majority by then, the epoch is given up
 
 }  // namespace
@@ -19,6 +19,7 @@
     : group_(group),
       shard_(std::move(shard)),
       epoch_(epoch),
+      session_(group.unique_number()),
       callbacks_(std::move(callbacks)),
       highest_epoch_(epoch) {}
 
@@ -34,6 +35,7 @@
   request.set_shard(shard_);
   request.set_epoch(epoch_);
   request.set_holder(group_.self_id());
+  request.set_session(session_);
   const wire::Member* self = find_member(group_.record(), group_.self_id());
   if (self) request.set_holder_address(self->address());
   request.set_duration_ms(static_cast<std::uint32_t>(kLeaseDuration.count()));
@@ -48,7 +50,7 @@
   round->record = group_.record();
   const wire::Envelope message = request(false);
   for (const wire::Member& member : round->record.members()) {
-    group_.call(member, message, kCallTimeout,
+    group_.call(member, message, kLeaseCallTimeout,
                 [weak = weak_from_this(), round, member](const CallResult& result) {
                   const std::shared_ptr<LeaseKeeper> self = weak.lock();
                   if (self && !self->ended_) self->answered(*round, member, result);
@@ -112,7 +114,7 @@
   const wire::Envelope message = request(true);
   const wire::MemberRecord record = group_.record();
   for (const wire::Member& member : record.members()) {
-    group_.call(member, message, kCallTimeout, [](const CallResult&) {});
+    group_.call(member, message, kLeaseCallTimeout, [](const CallResult&) {});
   }
 }
 
--- a/src/cluster/consensus/lease_keeper.hpp
+++ b/src/cluster/consensus/lease_keeper.hpp
@@ -32,6 +32,8 @@
   // True while the lease certainly holds, by the clock of this moment.
   bool holds() const { return acquired_ && !ended_ && group_.runtime().now() < end_; }
   std::uint64_t epoch() const { return epoch_; }
+  // Tells this request for the epoch from any other.
+  std::uint64_t session() const { return session_; }
   // Highest epoch of the shard seen in any answer.
   std::uint64_t highest_epoch() const { return highest_epoch_; }
   // Epoch of the member record under which the majority granted first.
@@ -57,6 +59,7 @@
   GroupView& group_;
   const std::string shard_;
   const std::uint64_t epoch_;
+  const std::uint64_t session_;
   LeaseCallbacks callbacks_;
   bool acquired_ = false;
   bool ended_ = false;
--- a/src/cluster/consensus/leased_shard.cpp
+++ b/src/cluster/consensus/leased_shard.cpp
@@ -144,6 +144,7 @@
 void LeasedShard::take_over() {
   const std::map<std::uint64_t, ShardReplica> replicas = std::exchange(term_->replicas, {});
   std::vector<const ShardReplica*> sources;
+  sources.reserve(replicas.size());
   for (const auto& [member, replica] : replicas) sources.push_back(&replica);
   term_->records = HeldRecords(epoch(), merge_replicas(sources).records);
   for (const auto& [member, replica] : replicas) {
@@ -204,6 +205,8 @@
   wire::ShardWrite& write = *request.mutable_shard_write();
   write.set_shard(name_);
   write.set_epoch(epoch());
+  write.set_holder(group_.self_id());
+  write.set_session(term_->lease->session());
   write.set_member_epoch(group_.record().epoch());
   write.set_establishes(message.establishes);
   for (const FollowerMessage::Sent& sent : message.sent) {
--- a/src/cluster/consensus/member_calls.cpp
+++ b/src/cluster/consensus/member_calls.cpp
@@ -7,7 +7,7 @@
 MemberCalls::MemberCalls(Runtime& runtime, RequestHandler local)
     : runtime_(runtime), local_(std::move(local)) {}
 
-void MemberCalls::call_local(wire::Envelope request, std::function<void(CallResult)> done) {
+void MemberCalls::call_local(const wire::Envelope& request, std::function<void(CallResult)> done) {
   auto caller = std::make_shared<std::function<void(CallResult)>>(std::move(done));
   local_(request, [this, alive = std::weak_ptr(alive_), caller](wire::Envelope answer) {
     if (alive.expired() || !*caller) return;
--- a/src/cluster/consensus/member_calls.hpp
+++ b/src/cluster/consensus/member_calls.hpp
@@ -14,7 +14,7 @@
   // `local` handles the requests to this node itself.
   MemberCalls(Runtime& runtime, RequestHandler local);
 
-  void call_local(wire::Envelope request, std::function<void(CallResult)> done);
+  void call_local(const wire::Envelope& request, std::function<void(CallResult)> done);
   void call(const Address& address, wire::Envelope request, Millis timeout,
             std::function<void(CallResult)> done);
   void defer(std::function<void()> action);
--- a/src/cluster/consensus/member_record.cpp
+++ b/src/cluster/consensus/member_record.cpp
@@ -8,7 +8,7 @@
 
 // What a record's successor has to assume of members that lack chosen values.
 std::size_t next_stale_bound(const wire::MemberRecord& record) {
-  const std::size_t members = static_cast<std::size_t>(record.members_size());
+  const auto members = static_cast<std::size_t>(record.members_size());
   return std::max<std::size_t>(record.stale_bound(), members - majority(record));
 }
 
@@ -39,7 +39,7 @@
 std::size_t copies_needed(const wire::MemberRecord& record) { return record.stale_bound() + 1; }
 
 bool may_remove_member(const wire::MemberRecord& record) {
-  const std::size_t members = static_cast<std::size_t>(record.members_size());
+  const auto members = static_cast<std::size_t>(record.members_size());
   return members > 1 && majority_of(members - 1) > next_stale_bound(record);
 }
 
--- a/src/cluster/consensus/register_attempt.cpp
+++ b/src/cluster/consensus/register_attempt.cpp
@@ -9,7 +9,7 @@
 namespace winchhall::cluster {
 
 namespace {
-constexpr Millis kCallTimeout{700};
+constexpr Millis kRoundTimeout{700};
 }
 
 RegisterAttempt::RegisterAttempt(GroupView& group, std::string key, wire::Ballot ballot, RegisterValue known,
@@ -37,7 +37,7 @@
   refused_ = false;
   outstanding_ = static_cast<std::size_t>(record_.members_size());
   for (const wire::Member& member : record_.members()) {
-    group_.call(member, request, kCallTimeout,
+    group_.call(member, request, kRoundTimeout,
                 [self = shared_from_this(), phase = phase_, member](const CallResult& result) {
                   if (self->done_) self->answered(phase, member, result);
                 });
--- a/src/cluster/consensus/replica_reader.cpp
+++ b/src/cluster/consensus/replica_reader.cpp
@@ -5,7 +5,7 @@
 namespace winchhall::cluster {
 
 namespace {
-constexpr Millis kCallTimeout{500};
+constexpr Millis kReadTimeout{500};
 }
 
 ReplicaReader::ReplicaReader(GroupView& group, std::string shard, std::uint64_t epoch, wire::Member member,
@@ -23,7 +23,7 @@
   read.set_epoch(epoch_);
   read.set_after_key(after_key);
   read.set_member_epoch(group_.record().epoch());
-  group_.call(member_, std::move(request), kCallTimeout,
+  group_.call(member_, std::move(request), kReadTimeout,
               [self = shared_from_this()](const CallResult& result) { self->take(result); });
 }
 
--- a/src/cluster/consensus/shard_acceptor.cpp
+++ b/src/cluster/consensus/shard_acceptor.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kPageBytes = 128 << 10;
+constexpr std::size_t kShardPageBytes = 128 << 10;
 constexpr std::size_t kRecordOverheadBytes = 32;
 
 wire::Envelope envelope(wire::LeaseReply answer) {
@@ -39,6 +39,46 @@
   return {record_store_key(shard, record.key()), record.SerializeAsString()};
 }
 
+void copy_promise(const wire::ShardState& from, wire::ShardState& to) {
+  to.set_epoch(from.epoch());
+  to.set_holder(from.holder());
+  to.set_session(from.session());
+  to.set_holder_address(from.holder_address());
+}
+
+// True if both name one session of one holder under one epoch.
+bool same_promise(const wire::ShardState& left, const wire::ShardState& right) {
+  return left.epoch() == right.epoch() && left.holder() == right.holder() &&
+         left.session() == right.session();
+}
+
+// Joins the promises of two acceptors. Where they promised one epoch to two holders, neither may count on the
+// joined promise: it is for the next epoch, and to none.
+void merge_promise(wire::ShardState& merged, const wire::ShardState& other) {
+  if (other.epoch() > merged.epoch()) return copy_promise(other, merged);
+  if (other.epoch() < merged.epoch() || same_promise(merged, other)) return;
+  wire::ShardState next;
+  next.set_epoch(merged.epoch() + 1);
+  copy_promise(next, merged);
+}
+
+wire::ShardState promise_to(const wire::LeaseRequest& request) {
+  wire::ShardState promise;
+  promise.set_epoch(request.epoch());
+  promise.set_holder(request.holder());
+  promise.set_session(request.session());
+  promise.set_holder_address(request.holder_address());
+  return promise;
+}
+
+wire::ShardState promise_to(const wire::ShardWrite& request) {
+  wire::ShardState promise;
+  promise.set_epoch(request.epoch());
+  promise.set_holder(request.holder());
+  promise.set_session(request.session());
+  return promise;
+}
+
 // Takes a record into a merged replica if it is newer than what is there.
 void offer(ShardRecords& records, const wire::ShardRecord& record) {
   const auto [entry, added] = records.try_emplace(record.key(), record);
@@ -62,11 +102,7 @@
 ShardReplica merge_replicas(const std::vector<const ShardReplica*>& replicas) {
   ShardReplica merged;
   for (const ShardReplica* replica : replicas) {
-    if (replica->state.epoch() > merged.state.epoch()) {
-      merged.state.set_epoch(replica->state.epoch());
-      merged.state.set_holder(replica->state.holder());
-      merged.state.set_holder_address(replica->state.holder_address());
-    }
+    merge_promise(merged.state, replica->state);
     merged.state.set_base(std::max(merged.state.base(), replica->state.base()));
   }
   const std::uint64_t base = merged.state.base();
@@ -95,7 +131,8 @@
   for (auto& [name, shard] : shards_) {
     const wire::ShardState& state = shard.replica.state;
     if (state.epoch() == 0) continue;
-    shard.lease = {state.epoch(), state.holder(), state.holder_address(), runtime_.now() + kLeaseDuration};
+    const TimePoint expiry = runtime_.now() + kLeaseDuration;
+    shard.lease = {state.epoch(), state.holder(), state.session(), state.holder_address(), expiry};
   }
 }
 
@@ -122,24 +159,24 @@
 }
 
 void ShardAcceptor::release(Shard& shard, const wire::LeaseRequest& request) {
-  if (shard.lease.holder != request.holder() || shard.lease.epoch > request.epoch()) return;
+  const Lease& lease = shard.lease;
+  if (lease.epoch != request.epoch() || lease.holder != request.holder() ||
+      lease.session != request.session()) {
+    return;
+  }
   shard.lease.expiry = TimePoint{};
 }
 
 bool ShardAcceptor::may_grant(const Shard& shard, const wire::LeaseRequest& request) const {
   const wire::ShardState& state = shard.replica.state;
   if (request.epoch() == 0 || request.epoch() < state.epoch()) return false;
-  if (request.epoch() == state.epoch() && state.holder() != 0 && state.holder() != request.holder())
-    return false;
+  if (request.epoch() == state.epoch() && !same_promise(state, promise_to(request))) return false;
   return !in_force(shard) || shard.lease.holder == request.holder();
 }
 
-void ShardAcceptor::promise(const std::string& name, std::uint64_t epoch, std::uint64_t holder,
-                            const Address& address, StoreBatch& batch) {
+void ShardAcceptor::promise(const std::string& name, const wire::ShardState& to, StoreBatch& batch) {
   wire::ShardState& state = shards_[name].replica.state;
-  state.set_epoch(epoch);
-  state.set_holder(holder);
-  state.set_holder_address(address);
+  copy_promise(to, state);
   batch.push_back(stored_state(name, state));
 }
 
@@ -148,14 +185,15 @@
   const std::uint64_t epoch = request.epoch();
   Shard& shard = shards_[name];
   const wire::ShardState& state = shard.replica.state;
-  shard.lease = {epoch, request.holder(), request.holder_address(), runtime_.now() + kLeaseDuration};
+  const TimePoint expiry = runtime_.now() + kLeaseDuration;
+  shard.lease = {epoch, request.holder(), request.session(), request.holder_address(), expiry};
   answer.set_granted(true);
   answer.set_epoch(epoch);
   answer.set_holder(request.holder());
   const std::function<void()> send = [reply, answer = std::move(answer)] { reply(envelope(answer)); };
   StoreBatch batch;
-  if (epoch > state.epoch() || state.holder() != request.holder()) {
-    promise(name, epoch, request.holder(), request.holder_address(), batch);
+  if (epoch > state.epoch()) {
+    promise(name, promise_to(request), batch);
   } else if (shard.durable_epoch >= epoch) {
     return send();
   }
@@ -179,7 +217,7 @@
   std::size_t bytes = 0;
   for (auto entry = replica.records.upper_bound(request.after_key()); entry != replica.records.end();
        ++entry) {
-    if (bytes >= kPageBytes) {
+    if (bytes >= kShardPageBytes) {
       page.set_last(false);
       break;
     }
@@ -204,7 +242,9 @@
   answer.set_ok(true);
   answer.set_epoch(request.epoch());
   StoreBatch batch;
-  if (request.epoch() > promised) promise(name, request.epoch(), 0, Address(), batch);
+  // Only who was promised this epoch by a majority writes under it.
+  const wire::ShardState writer = promise_to(request);
+  if (!same_promise(writer, shards_[name].replica.state)) promise(name, writer, batch);
   apply(request, batch);
   if (request.establishes()) establish(name, request.epoch(), batch);
   journal_.commit(std::move(batch),
--- a/src/cluster/consensus/shard_acceptor.hpp
+++ b/src/cluster/consensus/shard_acceptor.hpp
@@ -18,6 +18,9 @@
 
 using ShardRecords = std::map<std::string, wire::ShardRecord>;
 
+// An epoch is promised to one holder, and to one session of it: a holder that comes back from a crash may
+// have forgotten for which epochs it asked, and must not lead twice under one of them.
+//
 // One acceptor's whole replica of a shard.
 struct ShardReplica {
   wire::ShardState state;
@@ -59,6 +62,7 @@
   struct Lease {
     std::uint64_t epoch = 0;
     std::uint64_t holder = 0;
+    std::uint64_t session = 0;
     Address address;
     TimePoint expiry{};
   };
@@ -72,8 +76,8 @@
   std::optional<wire::ShardLeader> describe(const std::string& name, const Shard& shard) const;
   void release(Shard& shard, const wire::LeaseRequest& request);
   bool may_grant(const Shard& shard, const wire::LeaseRequest& request) const;
-  void promise(const std::string& name, std::uint64_t epoch, std::uint64_t holder, const Address& address,
-               StoreBatch& batch);
+  // Notes to whom an epoch was promised.
+  void promise(const std::string& name, const wire::ShardState& to, StoreBatch& batch);
   void grant(const wire::LeaseRequest& request, wire::LeaseReply answer, const Replier& reply);
   void apply(const wire::ShardWrite& request, StoreBatch& batch);
   void establish(const std::string& name, std::uint64_t epoch, StoreBatch& batch);
--- a/src/cluster/consensus/state_sync.cpp
+++ b/src/cluster/consensus/state_sync.cpp
@@ -8,7 +8,7 @@
 namespace winchhall::cluster {
 
 namespace {
-constexpr Millis kCallTimeout{700};
+constexpr Millis kSyncTimeout{700};
 }
 
 StateSync::StateSync(GroupView& group, Done done)
@@ -32,7 +32,7 @@
 void StateSync::ask(const std::shared_ptr<Source>& source, const std::string& after_key) {
   wire::Envelope request;
   request.mutable_state_pull()->set_after_key(after_key);
-  group_.call(source->member, std::move(request), kCallTimeout,
+  group_.call(source->member, std::move(request), kSyncTimeout,
               [self = shared_from_this(), source](const CallResult& result) {
                 if (self->done_) self->take(source, result);
               });
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -27,7 +27,8 @@
       settings_(settings),
       group_(runtime, store, settings_),
       configuration_(runtime, group_.registers(), surroundings_of(group_)),
-      api_(configuration_) {}
+      inspection_(settings_, group_, configuration_, services_),
+      api_(configuration_, inspection_) {}
 
 void ControlNode::start() {
   configuration_.set_listener([this](const Configuration& configuration) { open_services(configuration); });
--- a/src/cluster/control/control_node.hpp
+++ b/src/cluster/control/control_node.hpp
@@ -2,12 +2,12 @@
 // leases.
 #pragma once
 
-#include <map>
 #include <memory>
 #include <string>
 
 #include "cluster/common/settings.hpp"
 #include "cluster/consensus/control_group.hpp"
+#include "cluster/control/control_inspection.hpp"
 #include "cluster/control/operator_api.hpp"
 #include "cluster/control/service_leader.hpp"
 
@@ -19,10 +19,16 @@
   ControlNode(Runtime& runtime, DurableStore& store, const NodeSettings& settings);
 
   void start();
+  // Internal listeners of the seeds, after a change of the settings.
+  void set_seeds(std::vector<Address> seeds) { group_.set_seeds(std::move(seeds)); }
+  // Control nodes that peer sampling brought up: a further source beside seeds and members.
+  void set_sampled_control(std::vector<Address> nodes) { group_.set_sampled_control(std::move(nodes)); }
   // Requests of other processes.
   bool handle(const wire::Envelope& request, const Replier& reply);
   // Calls of operators.
   void handle_http(const HttpRequest& request, const HttpReplier& reply) { api_.handle(request, reply); }
+  // What operators may see.
+  const NodeInspection& inspection() const { return inspection_; }
   // Gives up all leases and answers whoever waits, then calls `done`.
   void shut_down(std::function<void()> done);
 
@@ -37,8 +43,9 @@
   NodeSettings settings_;
   ControlGroup group_;
   ConfigurationService configuration_;
+  ServiceLeaders services_;
+  ControlInspection inspection_;
   OperatorApi api_;
-  std::map<std::string, std::unique_ptr<ServiceLeader>> services_;
   std::unique_ptr<Timer> shut_down_timer_;
   std::unique_ptr<Timer> summary_timer_;
 };
--- /dev/null
+++ b/src/cluster/control/inspection_answers.cpp
@@ -0,0 +1,202 @@
+#include "cluster/control/inspection_answers.hpp"
+
+#include <boost/json.hpp>
+
+namespace winchhall::cluster {
+
+namespace json = boost::json;
+
+namespace {
+
+const char* name_of(wire::JobState state) {
+  switch (state) {
+    case wire::JOB_QUEUED:
+      return "queued";
+    case wire::JOB_RUNNING:
+      return "running";
+    case wire::JOB_COMPLETED:
+      return "completed";
+    case wire::JOB_FAILED:
+      return "failed";
+    case wire::JOB_CANCELED:
+      return "canceled";
+    default:
+      return "unknown";
+  }
+}
+
+template <typename Items, typename Convert>
+json::array array_of(const Items& items, Convert convert) {
+  json::array array;
+  for (const auto& item : items) array.emplace_back(convert(item));
+  return array;
+}
+
+json::object member_json(const wire::Member& member) {
+  return {{"id", member.id()},
+          {"address", member.address()},
+          {"http_address", member.http_address()},
+          {"zone", member.zone()}};
+}
+
+json::object leader_json(const wire::ShardLeader& leader) {
+  return {{"shard", leader.shard()},
+          {"epoch", leader.epoch()},
+          {"member", leader.holder()},
+          {"address", leader.address()}};
+}
+
+json::object ends_json(const SchedulerCounters& counters) {
+  json::object ends;
+  for (std::size_t kind = 0; kind < kEndKinds; ++kind) {
+    ends[end_kind_name(static_cast<wire::EndKind>(kind))] = counters.ends[kind];
+  }
+  return ends;
+}
+
+json::object service_json(const ServiceStatus& service) {
+  const SchedulerFigures& figures = service.figures;
+  return {{"service", service.service},
+          {"leads", service.leads},
+          {"epoch", service.epoch},
+          {"jobs", figures.live_jobs},
+          {"waiting", figures.waiting_tasks},
+          {"running", figures.runs},
+          {"nodes", figures.leaves},
+          {"jobs_accepted", figures.counters.jobs_accepted},
+          {"tasks_started", figures.counters.tasks_started},
+          {"reports", figures.counters.reports},
+          {"ends", ends_json(figures.counters)},
+          {"leases_acquired", service.leases_acquired},
+          {"leases_lost", service.leases_lost}};
+}
+
+json::object job_json(const JobView& job) {
+  return {{"id", job.id},
+          {"queue", job.queue},
+          {"state", name_of(job.state)},
+          {"priority", job.priority},
+          {"accepted_ms", job.accepted_wall_ms},
+          {"repeats", job.repeats},
+          {"repeats_done", job.repeats_done},
+          {"runs", job.runs}};
+}
+
+json::object stage_json(const StageView& stage) {
+  return {{"repeat", stage.repeat}, {"stage", stage.number},    {"tasks", stage.tasks},
+          {"done", stage.done},     {"waiting", stage.waiting}, {"failures", stage.failures}};
+}
+
+json::object run_json(const RunView& run) {
+  return {{"task", run.task},
+          {"run", run.run},
+          {"node", run.leaf},
+          {"percent", run.percent},
+          {"stopping", run.stopping}};
+}
+
+json::object amounts_json(const AmountsView& amounts) {
+  return {{"cpu", amounts.cpu}, {"mem_mb", amounts.mem_mb}, {"gpu", amounts.gpu}};
+}
+
+json::object leaf_json(const LeafView& leaf) {
+  return {{"id", leaf.id},
+          {"node", leaf.node},
+          {"labels", array_of(leaf.labels, [](const std::string& label) { return json::string(label); })},
+          {"capacity", amounts_json(leaf.capacity)},
+          {"reserved", amounts_json(leaf.reserved)},
+          {"runs", leaf.runs},
+          {"draining", leaf.draining},
+          {"reported", leaf.reported},
+          {"report_age_ms", leaf.report_age_ms}};
+}
+
+HttpResponse answer(unsigned status, const json::object& body) {
+  return json_response(status, json::serialize(body));
+}
+
+}  // namespace
+
+const char* end_kind_name(wire::EndKind kind) {
+  switch (kind) {
+    case wire::END_DONE:
+      return "done";
+    case wire::END_FAILED:
+      return "failed";
+    case wire::END_STOPPED:
+      return "stopped";
+    case wire::END_LAPSED:
+      return "lapsed";
+    case wire::END_BROKEN:
+      return "broken";
+    case wire::END_ALONE:
+      return "alone";
+    case wire::END_REFUSED:
+      return "refused";
+    default:
+      return "unknown";
+  }
+}
+
+HttpResponse status_response(const ControlStatus& status) {
+  json::object member_record{{"epoch", status.members.epoch()},
+                             {"members", array_of(status.members.members(), member_json)}};
+  return answer(200, {{"node", status.node},
+                      {"zone", status.zone},
+                      {"member_id", status.member_id},
+                      {"votes", status.votes},
+                      {"in_touch", status.in_touch},
+                      {"configuration_version", status.configuration_version},
+                      {"member_record", std::move(member_record)},
+                      {"leaders", array_of(status.leaders, leader_json)},
+                      {"services", array_of(status.services, service_json)}});
+}
+
+HttpResponse jobs_response(const std::vector<ServiceJobs>& services) {
+  const auto convert = [](const ServiceJobs& jobs) {
+    return json::object{
+        {"service", jobs.service}, {"total", jobs.list.total}, {"jobs", array_of(jobs.list.jobs, job_json)}};
+  };
+  return answer(200, {{"services", array_of(services, convert)}});
+}
+
+HttpResponse job_response(const ServiceJob& job) {
+  json::object body = job_json(job.detail.job);
+  body["service"] = job.service;
+  body["stages"] = array_of(job.detail.stages, stage_json);
+  body["running"] = array_of(job.detail.runs, run_json);
+  return answer(200, body);
+}
+
+HttpResponse nodes_response(const std::vector<ServiceLeaves>& services) {
+  const auto convert = [](const ServiceLeaves& leaves) {
+    return json::object{{"service", leaves.service}, {"nodes", array_of(leaves.leaves, leaf_json)}};
+  };
+  return answer(200, {{"services", array_of(services, convert)}});
+}
+
+HttpResponse cancel_response(CancelOutcome outcome, const std::string& id) {
+  switch (outcome) {
+    case CancelOutcome::canceled:
+      return answer(200, {{"id", id}});
+    case CancelOutcome::not_found:
+      return error_response(404, {"jobs", "id", id, "a job of a service led by this node"});
+    case CancelOutcome::unavailable:
+      break;
+  }
+  return json_response(503, "{}");
+}
+
+HttpResponse redirect_response(const std::string& http_address, const std::string& target) {
+  HttpResponse response = json_response(307, "{}");
+  response.set(boost::beast::http::field::location, "http://" + http_address + target);
+  return response;
+}
+
+HttpResponse error_response(unsigned status, const InvalidInput& error) {
+  json::object fields{
+      {"source", error.source}, {"field", error.field}, {"value", error.value}, {"allowed", error.allowed}};
+  return answer(status, {{"error", std::move(fields)}});
+}
+
+}  // namespace winchhall::cluster
--- a/src/cluster/control/operator_api.cpp
+++ b/src/cluster/control/operator_api.cpp
@@ -1,24 +1,16 @@
 #include "cluster/control/operator_api.hpp"
 
 #include "cluster/control/configuration_answers.hpp"
+#include "cluster/control/inspection_answers.hpp"
 
 namespace winchhall::cluster {
 
 namespace {
 
-namespace http = boost::beast::http;
-
-constexpr std::string_view kPutPath = "/v1/Config.Put";
-constexpr std::string_view kPatchPath = "/v1/Config.Patch";
-constexpr std::string_view kGetPath = "/v1/Config.Get";
 constexpr std::string_view kBaseVersionHeader = "X-Winchhall-Base-Version";
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kMethodNotAllowed = 405;
-
-std::string_view path_of(const HttpRequest& request) {
-  const std::string_view target(request.target().data(), request.target().size());
-  return target.substr(0, target.find('?'));
-}
+constexpr unsigned kUnavailable = 503;
 
 std::optional<std::string> base_version(const HttpRequest& request) {
   const auto header =
@@ -27,24 +19,89 @@
   return std::string(header->value());
 }
 
+bool concerns_service(const OperatorCall& call) {
+  if (call.service.empty()) return false;
+  switch (call.kind) {
+    case OperatorCallKind::list_jobs:
+    case OperatorCallKind::show_job:
+    case OperatorCallKind::cancel_job:
+    case OperatorCallKind::list_nodes:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 void OperatorApi::handle(const HttpRequest& request, const HttpReplier& reply) {
-  const std::string_view path = path_of(request);
+  const OperatorCall call = read_operator_call(request);
+  if (call.kind == OperatorCallKind::unknown) return reply(json_response(kNotFound, "{}"));
+  if (!call.method_allowed) return reply(json_response(kMethodNotAllowed, "{}"));
+  if (concerns_service(call) && answered_elsewhere(request, call.service, reply)) return;
+  carry_out(call, request, reply);
+}
+
+void OperatorApi::carry_out(const OperatorCall& call, const HttpRequest& request, const HttpReplier& reply) {
+  switch (call.kind) {
+    case OperatorCallKind::configuration_get:
+    case OperatorCallKind::configuration_put:
+    case OperatorCallKind::configuration_patch:
+      return handle_configuration(call.kind, request, reply);
+    case OperatorCallKind::status:
+      return reply(status_response(inspection_.status()));
+    case OperatorCallKind::list_jobs:
+      return reply(jobs_response(inspection_.jobs(call.service, call.limit)));
+    case OperatorCallKind::list_nodes:
+      return reply(nodes_response(inspection_.leaves(call.service)));
+    case OperatorCallKind::show_job:
+      return show_job(call, reply);
+    case OperatorCallKind::cancel_job:
+      return inspection_.cancel(call.service, call.id, [reply, id = call.id](CancelOutcome outcome) {
+        reply(cancel_response(outcome, id));
+      });
+    case OperatorCallKind::unknown:
+      break;
+  }
+  reply(json_response(kNotFound, "{}"));
+}
+
+void OperatorApi::handle_configuration(OperatorCallKind kind, const HttpRequest& request,
+                                       const HttpReplier& reply) {
   const auto answer_change = [reply](const ConfigurationOutcome& outcome) {
     reply(change_response(outcome));
   };
-  if (path == kGetPath && request.method() == http::verb::get) {
-    return configuration_.get([reply](const ConfigurationRead& read) { reply(read_response(read)); });
-  }
-  if (path == kPutPath && request.method() == http::verb::post) {
+  if (kind == OperatorCallKind::configuration_put) {
     return configuration_.put(base_version(request), request.body(), answer_change);
   }
-  if (path == kPatchPath && request.method() == http::verb::post) {
+  if (kind == OperatorCallKind::configuration_patch) {
     return configuration_.patch(base_version(request), request.body(), answer_change);
   }
-  const bool known = path == kGetPath || path == kPutPath || path == kPatchPath;
-  reply(json_response(known ? kMethodNotAllowed : kNotFound, "{}"));
+  configuration_.get([reply](const ConfigurationRead& read) { reply(read_response(read)); });
+}
+
+void OperatorApi::show_job(const OperatorCall& call, const HttpReplier& reply) const {
+  const std::optional<ServiceJob> job = inspection_.job(call.service, call.id);
+  reply(job ? job_response(*job) : cancel_response(CancelOutcome::not_found, call.id));
+}
+
+bool OperatorApi::answered_elsewhere(const HttpRequest& request, const std::string& service,
+                                     const HttpReplier& reply) const {
+  const Leadership leadership = inspection_.leadership(service);
+  switch (leadership.kind) {
+    case LeadershipKind::here:
+      return false;
+    case LeadershipKind::redirect:
+      reply(redirect_response(leadership.http_address, std::string(request.target())));
+      return true;
+    case LeadershipKind::unknown:
+      reply(json_response(kUnavailable, "{}"));
+      return true;
+    case LeadershipKind::no_such_service:
+      break;
+  }
+  reply(error_response(kNotFound, {"request", "service", service, "a service of the configuration"}));
+  return true;
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/control/service_leader.cpp
+++ b/src/cluster/control/service_leader.cpp
@@ -10,7 +10,6 @@
 constexpr Millis kStepDelay{1};     // requests that come together are planned together
 constexpr Millis kTick{50};         // planning goes on without requests: due times, holds that end
 constexpr std::uint32_t kRetryAfterMs = 1000;
-const std::string kShardPrefix = "service/";
 
 wire::Envelope envelope(wire::JobReply answer) {
   wire::Envelope envelope;
@@ -33,6 +32,8 @@
 
 }  // namespace
 
+std::string shard_of_service(const std::string& service) { return "service/" + service; }
+
 ServiceLeader::ServiceLeader(Runtime& runtime, ControlGroup& group, const NodeSettings& settings,
                              std::string service)
     : runtime_(runtime), group_(group) {
@@ -44,12 +45,14 @@
     start_leading(epoch, entries);
   };
   callbacks.on_lost = [this] { stop_leading(); };
-  shard_ = group_.open_shard(kShardPrefix + terms_.service, std::move(callbacks));
+  shard_ = group_.open_shard(shard_of_service(terms_.service), std::move(callbacks));
 }
 
 void ServiceLeader::start_leading(std::uint64_t epoch, const std::vector<ShardEntry>& entries) {
   ++generation_;
   scheduler_ = make_scheduler(terms_, epoch, runtime_.random());
+  epoch_ = epoch;
+  ++leases_acquired_;
   scheduler_->restore(entries, runtime_.now(), runtime_.wall_clock_ms());
   log_event(LogLevel::info, "lease_acquired",
             {{"service", terms_.service},
@@ -60,7 +63,9 @@
 
 void ServiceLeader::stop_leading() {
   if (!scheduler_) return;
-  log_event(LogLevel::info, "lease_lost", {{"service", terms_.service}});
+  ++leases_lost_;
+  log_event(LogLevel::info, "lease_lost",
+            {{"service", terms_.service}, {"epoch", static_cast<std::int64_t>(epoch_)}});
   ++generation_;
   scheduler_.reset();
   tick_timer_.reset();
@@ -70,13 +75,13 @@
   for (const WaitingAnswer& answer : waiting) {
     wire::JobReply in_doubt;
     in_doubt.set_outcome(wire::JOB_IN_DOUBT);
-    in_doubt.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+    in_doubt.set_leader_address(leader_address(group_, shard_of_service(terms_.service)));
     answer.reply(envelope(std::move(in_doubt)));
   }
   const std::map<std::string, ParkedReport> parked = std::exchange(parked_, {});
   for (const auto& [node, report] : parked) {
     wire::WorkerOrders orders;
-    orders.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+    orders.set_leader_address(leader_address(group_, shard_of_service(terms_.service)));
     report.reply(envelope(std::move(orders)));
   }
 }
@@ -86,6 +91,25 @@
   stop_leading();
 }
 
+ServiceStatus ServiceLeader::status() const {
+  ServiceStatus status;
+  status.service = terms_.service;
+  status.leads = leads();
+  if (status.leads) {
+    status.epoch = epoch_;
+    status.figures = scheduler_->figures();
+  }
+  status.leases_acquired = leases_acquired_;
+  status.leases_lost = leases_lost_;
+  status.answers_waiting = waiting_.size();
+  status.write_times = write_times_;
+  return status;
+}
+
+std::vector<LeafView> ServiceLeader::leaves() const {
+  return leads() ? scheduler_->leaves(runtime_.now()) : std::vector<LeafView>();
+}
+
 std::string ServiceLeader::summary() const { return leads() ? scheduler_->summary() : std::string(); }
 
 void ServiceLeader::handle(const wire::JobRequest& request, const Replier& reply) {
@@ -115,7 +139,7 @@
 void ServiceLeader::answer_not_leader(const Replier& reply) const {
   wire::JobReply answer;
   answer.set_outcome(wire::JOB_NOT_LEADER);
-  answer.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+  answer.set_leader_address(leader_address(group_, shard_of_service(terms_.service)));
   reply(envelope(std::move(answer)));
 }
 
@@ -126,6 +150,12 @@
   answer.set_outcome(result.outcome);
   answer.set_reason(result.reason);
   if (result.outcome == wire::JOB_REJECTED) answer.set_retry_after_ms(kRetryAfterMs);
+  if (log_enabled(LogLevel::debug)) {
+    log_event(LogLevel::debug, "job_submitted",
+              {{"service", terms_.service},
+               {"job", request.id()},
+               {"outcome", static_cast<std::int64_t>(result.outcome)}});
+  }
   answer_when_durable(result.durable_after, std::move(answer), reply);
 }
 
@@ -156,7 +186,7 @@
 void ServiceLeader::handle(const wire::WorkerReport& report, const Replier& reply) {
   if (!leads()) {
     wire::WorkerOrders orders;
-    orders.set_leader_address(leader_address(group_, kShardPrefix + terms_.service));
+    orders.set_leader_address(leader_address(group_, shard_of_service(terms_.service)));
     return reply(envelope(std::move(orders)));
   }
   scheduler_->report(report, runtime_.now(), runtime_.wall_clock_ms());
@@ -178,9 +208,24 @@
 void ServiceLeader::answer_report(const ParkedReport& parked) {
   wire::WorkerOrders orders = scheduler_->orders(parked.leaf_id, runtime_.now());
   orders.set_report_number(parked.report_number);
+  if (log_enabled(LogLevel::debug)) log_orders(orders);
   parked.reply(envelope(std::move(orders)));
 }
 
+void ServiceLeader::log_orders(const wire::WorkerOrders& orders) const {
+  const auto epoch = static_cast<std::int64_t>(orders.epoch());
+  const auto log_order = [&](const char* event, const std::string& task, std::uint64_t run) {
+    log_event(LogLevel::debug, event,
+              {{"service", terms_.service},
+               {"epoch", epoch},
+               {"leaf", orders.leaf_id()},
+               {"task", task},
+               {"run", static_cast<std::int64_t>(run)}});
+  };
+  for (const wire::StartOrder& start : orders.starts()) log_order("start_ordered", start.task(), start.run());
+  for (const wire::StopOrder& stop : orders.stops()) log_order("stop_ordered", stop.task(), stop.run());
+}
+
 void ServiceLeader::answer_reports_with_news() {
   const TimePoint now = runtime_.now();
   for (auto entry = parked_.begin(); entry != parked_.end();) {
@@ -221,14 +266,15 @@
   Scheduler::Changes changes = scheduler_->take_changes();
   if (changes.changes.empty()) return;
   const ChangeNumber number = changes.number;
-  shard_->write(std::move(changes.changes),
-                [this, number, generation = generation_](ShardWriteOutcome outcome) {
-                  if (generation == generation_) changes_written(number, outcome);
-                });
+  shard_->write(std::move(changes.changes), [this, number, generation = generation_,
+                                             sent_at = runtime_.now()](ShardWriteOutcome outcome) {
+    if (generation == generation_) changes_written(number, outcome, sent_at);
+  });
 }
 
-void ServiceLeader::changes_written(ChangeNumber number, ShardWriteOutcome outcome) {
+void ServiceLeader::changes_written(ChangeNumber number, ShardWriteOutcome outcome, TimePoint sent_at) {
   if (outcome != ShardWriteOutcome::durable || !scheduler_) return;
+  write_times_.add(runtime_.now() - sent_at);
   scheduler_->changes_durable(number);
   if (leads()) release_waiting_answers(number);
   schedule_step();
--- a/src/cluster/control/service_leader.hpp
+++ b/src/cluster/control/service_leader.hpp
@@ -9,10 +9,14 @@
 
 #include "cluster/common/settings.hpp"
 #include "cluster/consensus/control_group.hpp"
+#include "cluster/control/node_inspection.hpp"
 #include "cluster/scheduler/scheduler.hpp"
 
 namespace winchhall::cluster {
 
+// Name of the shard that keeps a service's records.
+std::string shard_of_service(const std::string& service);
+
 class ServiceLeader {
  public:
   ServiceLeader(Runtime& runtime, ControlGroup& group, const NodeSettings& settings, std::string service);
@@ -25,6 +29,12 @@
   void step_down();
 
   bool leads() const { return scheduler_ && shard_->leads(); }
+  const std::string& service() const { return terms_.service; }
+  // Null: not led here.
+  const Scheduler* scheduler() const { return leads() ? scheduler_.get() : nullptr; }
+  ServiceStatus status() const;
+  // Leaves known to the scheduler; none where another node leads.
+  std::vector<LeafView> leaves() const;
   // One line of figures; empty: another node leads.
   std::string summary() const;
 
@@ -56,11 +66,13 @@
   void answer_report(const ParkedReport& parked);
   void answer_reports_with_news();
 
+  void log_orders(const wire::WorkerOrders& orders) const;
+
   void schedule_step();
   void step();
   void schedule_tick();
   void write_changes();
-  void changes_written(ChangeNumber number, ShardWriteOutcome outcome);
+  void changes_written(ChangeNumber number, ShardWriteOutcome outcome, TimePoint sent_at);
   void release_waiting_answers(ChangeNumber durable);
 
   Runtime& runtime_;
@@ -69,6 +81,10 @@
   std::unique_ptr<ReplicatedShard> shard_;
   std::unique_ptr<Scheduler> scheduler_;
   std::vector<WaitingAnswer> waiting_;
+  std::uint64_t epoch_ = 0;  // of the newest lease held here
+  std::uint64_t leases_acquired_ = 0;
+  std::uint64_t leases_lost_ = 0;
+  DurationHistogram write_times_;
   std::map<std::string, ParkedReport> parked_;  // by node name
   std::unique_ptr<Timer> step_timer_;
   std::unique_ptr<Timer> tick_timer_;
--- a/src/cluster/http/connection.cpp
+++ b/src/cluster/http/connection.cpp
@@ -27,10 +27,10 @@
     if (connection_) connection_->abandon(number_);
   }
 
-  void answer(HttpResponse response) {
+  void answer(const HttpResponse& response) {
     if (!connection_) return;
     const auto connection = std::move(connection_);
-    connection->answer(number_, std::move(response));
+    connection->answer(number_, response);
   }
 
  private:
@@ -92,7 +92,7 @@
   }
 }
 
-void Connection::answer(std::uint64_t exchange, HttpResponse response) {
+void Connection::answer(std::uint64_t exchange, const HttpResponse& response) {
   if (phase_ != ConnectionPhase::handling || exchange != exchange_) return;
   send(response);
 }
@@ -208,7 +208,7 @@
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), number);
   try {
     core_->handler(std::move(request),
-                   [exchange](HttpResponse response) { exchange->answer(std::move(response)); });
+                   [exchange](const HttpResponse& response) { exchange->answer(response); });
   } catch (const std::exception&) {
     exchange->answer(json_response(500, "{}"));
   }
@@ -224,6 +224,7 @@
 }
 
 void Connection::send(const HttpResponse& response) {
+  ++core_->answers_by_status[response.result_int()];
   if (core_->draining) form_.keep_alive = false;
   write_response(response, form_, output_);
   enter(ConnectionPhase::writing, Millis(core_->limits.idle_timeout_ms));
--- a/src/cluster/http/connection.hpp
+++ b/src/cluster/http/connection.hpp
@@ -34,7 +34,7 @@
   void check_deadline(TimePoint now);
 
   // Used by the replier: the answer to the request under way, or word that none will come.
-  void answer(std::uint64_t exchange, HttpResponse response);
+  void answer(std::uint64_t exchange, const HttpResponse& response);
   void abandon(std::uint64_t exchange);
 
  private:
--- a/src/cluster/http/server.cpp
+++ b/src/cluster/http/server.cpp
@@ -78,6 +78,9 @@
 
   std::size_t requests_open() const override { return core_->requests_open; }
   std::size_t connections_open() const override { return core_->connections(); }
+  const std::map<unsigned, std::uint64_t>& answers_by_status() const override {
+    return core_->answers_by_status;
+  }
   unsigned short port() const override { return acceptor_.local_endpoint().port(); }
 
  private:
--- a/src/cluster/http/server.hpp
+++ b/src/cluster/http/server.hpp
@@ -6,7 +6,9 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -39,6 +41,8 @@
   virtual std::size_t requests_open() const = 0;
   // Connections that are open, those being closed included.
   virtual std::size_t connections_open() const = 0;
+  // Answers written so far, by HTTP status.
+  virtual const std::map<unsigned, std::uint64_t>& answers_by_status() const = 0;
   // Port that is listened on (for a server on port 0).
   virtual unsigned short port() const = 0;
 };
--- a/src/cluster/http/server_core.hpp
+++ b/src/cluster/http/server_core.hpp
@@ -28,6 +28,7 @@
   bool draining = false;
   bool closed = false;  // the server is gone
   std::size_t requests_open = 0;
+  std::map<unsigned, std::uint64_t> answers_by_status;
   ConnectionList idle;  // between requests; the one that has rested longest stands first
   ConnectionList busy;
   std::function<void()> on_closed;  // told after each connection that was closed
--- a/src/cluster/ingress/configuration_feed.cpp
+++ b/src/cluster/ingress/configuration_feed.cpp
@@ -6,7 +6,7 @@
 
 constexpr Millis kWait{1000};
 constexpr Millis kCallTimeout{1500};
-constexpr Millis kRetryPause{50};
+constexpr Millis kPollPause{50};
 constexpr Millis kUnusablePause{1000};
 // Answers without news that come faster than this are spaced.
 constexpr Millis kFastAnswer{20};
@@ -40,7 +40,7 @@
   watch.set_wait_ms(static_cast<std::uint32_t>(kWait.count()));
   const TimePoint sent = runtime_.now();
   runtime_.call(agent_, std::move(request), kCallTimeout,
-                [this, sent](CallResult result) { on_answer(result, sent); });
+                [this, sent](const CallResult& result) { on_answer(result, sent); });
 }
 
 void ConfigurationFeed::poll_after(Millis pause) {
@@ -49,7 +49,7 @@
 }
 
 void ConfigurationFeed::on_answer(const CallResult& result, TimePoint sent) {
-  if (!result.answer || !result.answer->has_configuration_update()) return poll_after(kRetryPause);
+  if (!result.answer || !result.answer->has_configuration_update()) return poll_after(kPollPause);
   last_answer_ = runtime_.now();
   poll_after(take_update(result.answer->configuration_update(), sent));
 }
@@ -58,7 +58,7 @@
   agent_in_touch_ = update.in_touch();
   const bool newer = update.version() > (current_ ? current_->version : 0);
   if (newer && !update.configuration().empty()) return adopt(update) ? Millis::zero() : kUnusablePause;
-  return runtime_.now() - sent < kFastAnswer ? kRetryPause : Millis::zero();
+  return runtime_.now() - sent < kFastAnswer ? kPollPause : Millis::zero();
 }
 
 bool ConfigurationFeed::adopt(const wire::ConfigurationUpdate& update) {
--- a/src/cluster/ingress/ingress.cpp
+++ b/src/cluster/ingress/ingress.cpp
@@ -33,11 +33,12 @@
       gateway_(runtime, settings.feed_address()) {}
 
 void Ingress::start() {
-  front_ = make_http_server(loop_, settings_.front, [this](HttpRequest request, HttpReplier reply) {
+  front_ = make_http_server(loop_, settings_.front, [this](const HttpRequest& request, HttpReplier reply) {
     gateway_.handle(feed_.current().get(), request, std::move(reply));
   });
   probes_ = make_http_server(
-      loop_, settings_.ready, [this](HttpRequest request, HttpReplier reply) { on_probe(request, reply); },
+      loop_, settings_.ready,
+      [this](const HttpRequest& request, const HttpReplier& reply) { on_probe(request, reply); },
       kMaxProbeConnections);
   feed_.start();
 }
--- a/src/cluster/ingress/ingress.hpp
+++ b/src/cluster/ingress/ingress.hpp
@@ -27,6 +27,8 @@
   // Ports that are listened on once started.
   unsigned short front_port() const { return front_->port(); }
   unsigned short ready_port() const { return probes_->port(); }
+  // Serves the clients; null: not started.
+  const HttpServer* front() const { return front_.get(); }
   // True: a probe is answered with 200.
   bool ready() const;
 
--- a/src/cluster/ingress/job_gateway.cpp
+++ b/src/cluster/ingress/job_gateway.cpp
@@ -118,7 +118,7 @@
   // A rest too short for another try is left to this one.
   const Millis timeout = left < kTryTimeout + kLeastTimeout ? left : kTryTimeout;
   runtime_.call(agent_, std::move(envelope), timeout,
-                [this, number](CallResult result) { on_result(number, result); });
+                [this, number](const CallResult& result) { on_result(number, result); });
 }
 
 void JobGateway::on_result(std::uint64_t number, const CallResult& result) {
--- /dev/null
+++ b/src/cluster/membership/control_sample.cpp
@@ -0,0 +1,45 @@
+#include "cluster/membership/control_sample.hpp"
+
+#include <algorithm>
+
+namespace winchhall::cluster {
+
+void ControlSample::grow_older() {
+  for (PeerDescriptor& node : nodes_) ++node.age;
+  std::erase_if(nodes_, [](const PeerDescriptor& node) { return node.age > kLargestDescriptorAge; });
+}
+
+void ControlSample::merge(const std::vector<PeerDescriptor>& received) {
+  for (const PeerDescriptor& peer : received) note(peer);
+}
+
+void ControlSample::note(const PeerDescriptor& peer) {
+  const auto same = [&](const PeerDescriptor& node) { return node.address == peer.address; };
+  const auto known = std::find_if(nodes_.begin(), nodes_.end(), same);
+  if (known == nodes_.end()) return add(peer);
+  if (peer.age > known->age) return;
+  if (peer.role == PeerRole::control) {
+    *known = peer;
+  } else {
+    nodes_.erase(known);
+  }
+}
+
+void ControlSample::add(const PeerDescriptor& peer) {
+  if (peer.role != PeerRole::control || peer.address == self_) return;
+  nodes_.push_back(peer);
+  if (nodes_.size() <= capacity_) return;
+  const auto older = [](const PeerDescriptor& left, const PeerDescriptor& right) {
+    return left.age < right.age;
+  };
+  nodes_.erase(std::max_element(nodes_.begin(), nodes_.end(), older));
+}
+
+std::vector<Address> ControlSample::addresses() const {
+  std::vector<Address> addresses;
+  for (const PeerDescriptor& node : nodes_) addresses.push_back(node.address);
+  std::sort(addresses.begin(), addresses.end());
+  return addresses;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/membership/peer_sampler.cpp
@@ -0,0 +1,138 @@
+#include "cluster/membership/peer_sampler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr std::size_t kViewCapacity = 8;
+constexpr std::size_t kShuffledEntries = 3;  // sent along with the sender's own descriptor
+constexpr std::size_t kFormerPeers = 16;
+constexpr std::size_t kSampledControlNodes = 8;
+// Rounds are frequent while the view forms or a peer has failed, and rare otherwise, or while all peers fail:
+// bytes and processor time count.
+constexpr Millis kUnsettledInterval{1500};
+constexpr Millis kSettledInterval{5000};
+constexpr unsigned kMostDoublings = 3;
+constexpr unsigned kFormingRounds = 8;
+// Every so many rounds a contact outside the view is asked: it joins overlays that a partition has separated.
+constexpr unsigned kContactRounds = 8;
+constexpr Millis kShuffleTimeout{1000};
+
+}  // namespace
+
+PeerSampler::PeerSampler(Runtime& runtime, PeerDescriptor self, OnControlNodes on_control_nodes)
+    : runtime_(runtime),
+      self_(std::move(self)),
+      on_control_nodes_(std::move(on_control_nodes)),
+      random_([this] { return runtime_.random(); }),
+      view_(self_.address, kViewCapacity),
+      contacts_(self_.address, kFormerPeers),
+      sample_(self_.address, kSampledControlNodes),
+      alive_(std::make_shared<bool>(true)) {}
+
+PeerSampler::~PeerSampler() { *alive_ = false; }
+
+void PeerSampler::start() { schedule_round(); }
+
+void PeerSampler::stop() { timer_.reset(); }
+
+Millis PeerSampler::interval() const {
+  if (failures_ > 0) return kUnsettledInterval * (1u << std::min(failures_ - 1, kMostDoublings));
+  const bool settled = rounds_ >= kFormingRounds && !view_.empty();
+  return settled ? kSettledInterval : kUnsettledInterval;
+}
+
+void PeerSampler::schedule_round() {
+  // Between three and five quarters of the interval, so that processes started together don't stay in step.
+  const Millis least = interval() * 3 / 4;
+  const auto spread = static_cast<std::uint64_t>(interval().count() / 2);
+  const Millis jitter(static_cast<std::int64_t>(random_() % (spread + 1)));
+  timer_ = runtime_.after(least + jitter, [this] { round(); });
+}
+
+void PeerSampler::round() {
+  ++rounds_;
+  view_.grow_older();
+  Exchange exchange = choose_partner();
+  if (!exchange.partner.empty()) shuffle(std::move(exchange));
+  schedule_round();
+}
+
+PeerSampler::Exchange PeerSampler::choose_partner() {
+  if (view_.empty() || rounds_ % kContactRounds == 0) {
+    Address contact = contacts_.choose(view_, random_);
+    if (!contact.empty()) return Exchange{std::move(contact), true, {}};
+  }
+  std::optional<PeerDescriptor> oldest = view_.take_oldest();
+  if (!oldest) return Exchange{};
+  return Exchange{std::move(oldest->address), false, {}};
+}
+
+void PeerSampler::shuffle(Exchange exchange) {
+  exchange.sent = view_.choose(kShuffledEntries, exchange.partner, random_);
+  runtime_.call(exchange.partner, message(exchange.sent, false), kShuffleTimeout,
+                [this, alive = alive_, exchange](const CallResult& result) {
+                  if (*alive) on_answer(exchange, result);
+                });
+}
+
+void PeerSampler::on_answer(const Exchange& exchange, const CallResult& result) {
+  const bool answered = result.answer && result.answer->has_peer_shuffle();
+  if (!answered) return on_failure(exchange);
+  on_shuffled(exchange, result.answer->peer_shuffle());
+}
+
+void PeerSampler::on_shuffled(const Exchange& exchange, const wire::PeerShuffle& answer) {
+  failures_ = 0;
+  contacts_.forget_former(exchange.partner);
+  std::vector<PeerDescriptor> received = descriptors_of(answer);
+  sample_.grow_older();
+  sample_.merge(received);
+  tell_control_nodes();
+  const bool introduced = !received.empty() && received.front().address == exchange.partner;
+  if (!introduced) return view_.merge(received, exchange.sent);
+  const PeerDescriptor partner = received.front();
+  received.erase(received.begin());
+  view_.merge(received, exchange.sent);
+  view_.add_if_free(partner);
+}
+
+// While others answer, a former peer that does not is gone; otherwise this process may be the one cut off.
+void PeerSampler::on_failure(const Exchange& exchange) {
+  ++failures_;
+  if (!exchange.contact) return contacts_.add_former(exchange.partner);
+  if (!view_.empty()) contacts_.forget_former(exchange.partner);
+}
+
+bool PeerSampler::handle(const wire::Envelope& request, const Replier& reply) {
+  if (!request.has_peer_shuffle()) return false;
+  const std::vector<PeerDescriptor> received = descriptors_of(request.peer_shuffle());
+  const std::vector<PeerDescriptor> sent =
+      view_.choose(kShuffledEntries, request.peer_shuffle().from().address(), random_);
+  reply(message(sent, true));
+  view_.merge(received, sent);
+  sample_.merge(received);
+  tell_control_nodes();
+  return true;
+}
+
+void PeerSampler::tell_control_nodes() {
+  std::vector<Address> nodes = sample_.addresses();
+  if (nodes == told_) return;
+  told_ = std::move(nodes);
+  if (on_control_nodes_) on_control_nodes_(told_);
+}
+
+wire::Envelope PeerSampler::message(const std::vector<PeerDescriptor>& sent, bool answer) const {
+  wire::Envelope envelope;
+  wire::PeerShuffle& shuffle = *envelope.mutable_peer_shuffle();
+  *shuffle.mutable_from() = to_wire(self_);
+  shuffle.set_answer(answer);
+  for (const PeerDescriptor& peer : sent) *shuffle.add_peers() = to_wire(peer);
+  return envelope;
+}
+
+}  // namespace winchhall::cluster
--- a/src/cluster/rpc/dialer.cpp
+++ b/src/cluster/rpc/dialer.cpp
@@ -35,12 +35,20 @@
       finish(id, CallResult{std::move(reply), CallError::timed_out});
     });
   }
-  OpenCall open{peer, std::move(done),
-                runtime_.after(timeout, [this, call_id] { finish(call_id, CallResult{}); })};
+  OpenCall open{peer, runtime_.now(), std::move(done),
+                runtime_.after(timeout, [this, call_id] { time_out(call_id); })};
   calls_.insert_or_assign(call_id, std::move(open));
   link->send(request.SerializeAsString(), call_id);
 }
 
+void NngDialer::time_out(std::uint32_t call_id) {
+  const auto call = calls_.find(call_id);
+  if (call == calls_.end()) return;
+  const auto link = links_.find(call->second.peer);
+  if (link != links_.end()) link->second->call_timed_out(call->second.sent_at);
+  finish(call_id, CallResult{});
+}
+
 void NngDialer::finish(std::uint32_t call_id, CallResult result) {
   const auto found = calls_.find(call_id);
   if (found == calls_.end()) return;
--- a/src/cluster/rpc/dialer.hpp
+++ b/src/cluster/rpc/dialer.hpp
@@ -27,10 +27,12 @@
  private:
   struct OpenCall {
     Address peer;
+    TimePoint sent_at;
     std::function<void(CallResult)> done;
     std::unique_ptr<Timer> deadline;
   };
 
+  void time_out(std::uint32_t call_id);
   void finish(std::uint32_t call_id, CallResult result);
   void schedule_sweep();
   void sweep();
--- a/src/cluster/rpc/listener.cpp
+++ b/src/cluster/rpc/listener.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr int kBufferMessages = 256;
-constexpr std::size_t kLargestMessage = 16u << 20;
 
 }  // namespace
 
@@ -44,7 +43,7 @@
 
 // Runs on a thread of the library.
 void NngListener::received(void* argument) {
-  NngListener* self = static_cast<NngListener*>(argument);
+  auto* self = static_cast<NngListener*>(argument);
   const int result = nng_aio_result(self->receive_aio_);
   if (result == NNG_ECLOSED || result == NNG_ECANCELED) return;
   if (result == 0) self->take(NngMessage(nng_aio_get_msg(self->receive_aio_)));
@@ -69,12 +68,12 @@
     const auto self = weak.lock();
     if (!self || std::exchange(*answered, true)) return;
     answer.set_call_id(call_id);
-    self->send(header, std::move(answer));
+    self->send(header, answer);
   };
   handler_(request, reply);
 }
 
-void NngListener::send(const std::string& header, wire::Envelope reply) {
+void NngListener::send(const std::string& header, const wire::Envelope& reply) {
   NngMessage message = NngMessage::with_body(reply.SerializeAsString());
   if (!message) return;
   if (nng_msg_header_append(message.get(), header.data(), header.size()) != 0) return;
--- a/src/cluster/rpc/listener.hpp
+++ b/src/cluster/rpc/listener.hpp
@@ -28,7 +28,7 @@
   void receive();
   void take(NngMessage message);
   void dispatch(const wire::Envelope& request, std::string header);
-  void send(const std::string& header, wire::Envelope reply);
+  void send(const std::string& header, const wire::Envelope& reply);
 
   boost::asio::io_context& loop_;
   RequestHandler handler_;
--- a/src/cluster/rpc/peer_link.cpp
+++ b/src/cluster/rpc/peer_link.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr Millis kSilence{500};  // without a reply for so long a fresh connection is dialled beside
 constexpr Millis kSecondaryPatience{
     1000};  // a fresh connection that brings nothing for so long is dialled anew
 
@@ -15,7 +14,7 @@
 PeerLink::PeerLink(boost::asio::io_context& loop, Runtime& runtime, Address peer, OnReply on_reply)
     : loop_(loop), runtime_(runtime), peer_(std::move(peer)), on_reply_(std::move(on_reply)) {
   primary_ = open_socket();
-  last_used_ = last_received_ = waiting_since_ = secondary_opened_ = runtime_.now();
+  last_used_ = last_received_ = secondary_opened_ = runtime_.now();
 }
 
 PeerLink::~PeerLink() {
@@ -24,21 +23,21 @@
 }
 
 std::shared_ptr<RequestSocket> PeerLink::open_socket() {
-  return RequestSocket::open(
-      loop_, peer_, [this](const auto& socket, wire::Envelope reply) { received(socket, std::move(reply)); });
+  return RequestSocket::open(loop_, peer_,
+                             [this](const std::shared_ptr<RequestSocket>& socket, wire::Envelope reply) {
+                               received(socket, std::move(reply));
+                             });
 }
 
-bool PeerLink::silent() const { return waiting_ && runtime_.now() - waiting_since_ > kSilence; }
+void PeerLink::call_timed_out(TimePoint sent_at) {
+  if (last_received_ < sent_at) suspect_ = true;
+}
 
 void PeerLink::send(const std::string& body, std::uint32_t call_id) {
   const TimePoint now = runtime_.now();
-  if (!waiting_) {
-    waiting_ = true;
-    waiting_since_ = now;
-  }
   last_used_ = now;
   const bool secondary_is_stale = secondary_ && now - secondary_opened_ > kSecondaryPatience;
-  if (silent() && (!secondary_ || secondary_is_stale)) {
+  if (suspect_ && (!secondary_ || secondary_is_stale)) {
     if (secondary_) secondary_->close();
     secondary_ = open_socket();
     secondary_opened_ = now;
@@ -48,7 +47,7 @@
 }
 
 void PeerLink::received(const std::shared_ptr<RequestSocket>& socket, wire::Envelope reply) {
-  waiting_ = false;
+  suspect_ = false;
   last_received_ = runtime_.now();
   if (socket == secondary_) {
     std::swap(primary_, secondary_);
--- a/src/cluster/rpc/peer_link.hpp
+++ b/src/cluster/rpc/peer_link.hpp
@@ -23,12 +23,14 @@
   ~PeerLink();
 
   void send(const std::string& body, std::uint32_t call_id);
+  // A call sent at this time had no answer in time. Where nothing else came back since, the connection is
+  // suspect.
+  void call_timed_out(TimePoint sent_at);
   TimePoint last_used() const { return last_used_; }
 
  private:
   std::shared_ptr<RequestSocket> open_socket();
   void received(const std::shared_ptr<RequestSocket>& socket, wire::Envelope reply);
-  bool silent() const;
 
   boost::asio::io_context& loop_;
   Runtime& runtime_;
@@ -38,9 +40,8 @@
   std::shared_ptr<RequestSocket> secondary_;
   TimePoint last_used_;
   TimePoint last_received_;
-  TimePoint waiting_since_;  // oldest send since the last reply
   TimePoint secondary_opened_;
-  bool waiting_ = false;
+  bool suspect_ = false;
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/rpc/request_socket.cpp
+++ b/src/cluster/rpc/request_socket.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include "cluster/rpc/send_aio.hpp"
+#include "cluster/rpc/socket.hpp"
 
 namespace winchhall::cluster {
 
@@ -13,7 +14,6 @@
 constexpr nng_duration kReconnectLeastMs = 30;
 constexpr nng_duration kReconnectMostMs = 200;
 constexpr int kSendBufferMessages = 64;
-constexpr std::size_t kLargestMessage = 16u << 20;
 constexpr std::uint32_t kRequestIdFlag = 0x80000000u;  // marks the last word of a request's header
 
 }  // namespace
@@ -39,7 +39,7 @@
 
 // Runs on a thread of the library.
 void RequestSocket::received(void* argument) {
-  RequestSocket* self = static_cast<RequestSocket*>(argument);
+  auto* self = static_cast<RequestSocket*>(argument);
   const int result = nng_aio_result(self->receive_aio_);
   if (result == NNG_ECLOSED || result == NNG_ECANCELED) return;
   if (result == 0) self->take(nng_aio_get_msg(self->receive_aio_));
--- a/src/cluster/rpc/socket.hpp
+++ b/src/cluster/rpc/socket.hpp
@@ -3,11 +3,15 @@
 
 #include <nng/nng.h>
 
+#include <cstddef>
 #include <string>
 #include <utility>
 
 namespace winchhall::cluster {
 
+// The largest message that a socket takes, in bytes; longer ones are dropped.
+inline constexpr std::size_t kLargestMessage = 16u << 20;
+
 // Owns an NNG message.
 class NngMessage {
  public:
--- a/src/cluster/scheduler/claims.cpp
+++ b/src/cluster/scheduler/claims.cpp
@@ -12,7 +12,7 @@
 
 constexpr int kMostClaims = 2;           // stages in a round
 constexpr std::uint64_t kSmallPart = 4;  // a task of less than this part of a leaf finds room by itself
-constexpr Millis kClaimAnyway{500};     // waiting for longer, any stage claims
+constexpr Millis kClaimAnyway{500};      // waiting for longer, any stage claims
 constexpr Millis kPreemptAfter{300};
 constexpr Millis kPreemptUnsavedAfter{2000};
 constexpr Millis kPreemptPause{600};  // between two rounds of stops for one stage
--- a/src/cluster/scheduler/eligibility.cpp
+++ b/src/cluster/scheduler/eligibility.cpp
@@ -46,9 +46,13 @@
   return std::min<std::uint64_t>(places, bound - std::min(bound, taken));
 }
 
-double distance_factor(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage) {
+bool is_away(const Leaf& leaf, const StageInstance& stage) {
   const std::string& rack = stage.spec->colocation();
-  return rack.empty() || leaf.rack == rack ? 1 : state.terms.bounds.far_factor;
+  return !rack.empty() && leaf.rack != rack;
+}
+
+double distance_factor(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage) {
+  return is_away(leaf, stage) ? state.terms.bounds.far_factor : 1;
 }
 
 bool leaves_claim_alone(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage) {
--- a/src/cluster/scheduler/eligibility.hpp
+++ b/src/cluster/scheduler/eligibility.hpp
@@ -20,6 +20,9 @@
 // How many more tasks of the stage fit there, with `room` left.
 std::uint64_t places_for(const Leaf& leaf, const StageInstance& stage, const Resources& room);
 
+// True if the stage names the rack of its data and the leaf is not in it.
+bool is_away(const Leaf& leaf, const StageInstance& stage);
+
 // How many times as long as its estimate the task takes there, by where its data lies.
 double distance_factor(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage);
 
--- a/src/cluster/scheduler/gang_plan.cpp
+++ b/src/cluster/scheduler/gang_plan.cpp
@@ -58,6 +58,7 @@
   std::map<std::string, std::vector<Leaf*>> racks;
   for (Leaf* leaf : candidates) racks[leaf->rack].push_back(leaf);
   std::vector<std::vector<Leaf*>> groups;
+  groups.reserve(racks.size());
   for (auto& [rack, leaves] : racks) groups.push_back(std::move(leaves));
   return groups;
 }
@@ -84,7 +85,8 @@
   double hint = stage.hint * state.terms.bounds.far_factor;
   std::vector<Leaf*> members = spread(state, stage, candidates, hint, total);
   if (members.empty()) return {};
-  return {std::move(members), in_one_rack(members) ? stage.hint : hint};
+  const double cost = in_one_rack(members) ? stage.hint : hint;
+  return {std::move(members), cost};
 }
 
 }  // namespace winchhall::cluster::scheduling
--- a/src/cluster/scheduler/job_lifecycle.cpp
+++ b/src/cluster/scheduler/job_lifecycle.cpp
@@ -31,6 +31,7 @@
       [] { return false; });
   if (!valid) return {wire::JOB_INVALID, 0, reason};
   if (state_.jobs.live() >= kMostLiveJobs) return {wire::JOB_REJECTED, 0, "too many jobs"};
+  ++state_.counters.jobs_accepted;
   Job& job = state_.jobs.add(id, spec, terms);
   job.accepted_at = state_.now;
   job.accepted_wall_ms = state_.wall.at(state_.now);
@@ -46,7 +47,7 @@
   return {true, job->shown ? 0 : job->last_change};
 }
 
-void JobLifecycle::restore(RestoredJob restored) {
+void JobLifecycle::restore(const RestoredJob& restored) {
   const wire::JobRecord& record = restored.record;
   Job& job = state_.jobs.add(record.id(), record.spec(), record.terms());
   job.accepted_wall_ms = record.accepted_wall_ms();
--- a/src/cluster/scheduler/job_lifecycle.hpp
+++ b/src/cluster/scheduler/job_lifecycle.hpp
@@ -12,7 +12,7 @@
 
   SubmitResult submit(const std::string& id, const wire::JobSpec& spec, const wire::QueueTerms& terms);
   CancelResult cancel(const std::string& id);
-  void restore(RestoredJob restored);
+  void restore(const RestoredJob& restored);
   // Makes jobs whose changes are durable go on.
   void changes_durable();
   // Does what has become due: repeats, tasks held back, removal of jobs that ended long ago.
--- a/src/cluster/scheduler/placer.cpp
+++ b/src/cluster/scheduler/placer.cpp
@@ -12,10 +12,19 @@
 
 constexpr std::size_t kMostLooks = 2000;  // waiting stages looked at in one round
 
-// Leaves on which the task failed before go last.
-int rank_of(const Leaf& leaf, const Task& task) {
+// Part of the time lost by running away from the data that a task waits for room near them.
+constexpr double kNearPatience = 0.5;
+
+// Leaves away from the data go after those near them, leaves on which the task failed before go last.
+int rank_of(const Leaf& leaf, const StageInstance& stage, const Task& task) {
+  constexpr int kFailedHere = 4;
+  constexpr int kSuspect = 2;
+  constexpr int kAway = 1;
   bool failed = std::find(task.failed_on.begin(), task.failed_on.end(), leaf.id) != task.failed_on.end();
-  return (failed ? 2 : 0) + (leaf.health.suspect() ? 1 : 0);
+  int rank = failed ? kFailedHere : 0;
+  if (leaf.health.suspect()) rank += kSuspect;
+  if (is_away(leaf, stage)) rank += kAway;
+  return rank;
 }
 
 bool has_run_of(const Leaf& leaf, const StageInstance& stage, const Task& task) {
@@ -62,6 +71,7 @@
     Task& task = stage.tasks[index];
     Leaf* leaf = choose(stage, task);
     if (leaf == nullptr) return;
+    if (is_away(*leaf, stage) && waits_for_near_room(stage)) return;
     double cost = stage.hint * distance_factor(state_, *leaf, stage);
     ledger_.start(stage, task, *leaf, ledger_.next_run(stage, task), cost);
   }
@@ -73,11 +83,19 @@
     if (state_.set_aside(*leaf) || places_for(*leaf, stage, leaf->free()) == 0) continue;
     if (!leaves_claim_alone(state_, *leaf, stage) || has_run_of(*leaf, stage, task)) continue;
     double cost = leaf->cost + stage.hint * distance_factor(state_, *leaf, stage);
-    choice.offer(leaf, cost, state_.random, rank_of(*leaf, task));
+    choice.offer(leaf, cost, state_.random, rank_of(*leaf, stage, task));
   }
   return choice.empty() ? nullptr : choice.best();
 }
 
+bool Placer::waits_for_near_room(const StageInstance& stage) const {
+  const double lost_ms = stage.hint * (state_.terms.bounds.far_factor - 1);
+  const Millis patience(static_cast<std::int64_t>(lost_ms * kNearPatience));
+  if (state_.now >= stage.waiting_since + patience) return false;
+  return std::any_of(candidates_.begin(), candidates_.end(),
+                     [&](const Leaf* leaf) { return !is_away(*leaf, stage) && !state_.set_aside(*leaf); });
+}
+
 bool Placer::place_gang(StageInstance& stage) {
   std::vector<Leaf*> open;
   for (Leaf* leaf : candidates_)
--- a/src/cluster/scheduler/placer.hpp
+++ b/src/cluster/scheduler/placer.hpp
@@ -24,6 +24,9 @@
   void place_singles(StageInstance& stage);
   Leaf* choose(const StageInstance& stage, const Task& task);
   bool place_gang(StageInstance& stage);
+  // True while a leaf near the stage's data may soon have room, for a part of what running away from them
+  // costs.
+  bool waits_for_near_room(const StageInstance& stage) const;
   bool is_exhausted(const StageInstance& stage) const;
   void note_blocked(StageInstance& stage);
 
--- a/src/cluster/scheduler/report_intake.cpp
+++ b/src/cluster/scheduler/report_intake.cpp
@@ -13,6 +13,7 @@
 }  // namespace
 
 void ReportIntake::take(const wire::WorkerReport& report) {
+  ++state_.counters.reports;
   Node& node = state_.leaves.node(report.node_name());
   if (!node.order.accept(report.session(), report.report_number())) return;
   end_previous_life(report);
--- a/src/cluster/scheduler/run_ledger.cpp
+++ b/src/cluster/scheduler/run_ledger.cpp
@@ -36,6 +36,7 @@
 }
 
 Run& RunLedger::start(StageInstance& stage, Task& task, Leaf& leaf, RunNumber number, double cost) {
+  ++state_.counters.tasks_started;
   Run& run = enter(leaf, format_task_name(stage.name_of(task.index)), number);
   run.job = stage.job;
   run.stage = &stage;
--- a/src/cluster/scheduler/scheduler.cpp
+++ b/src/cluster/scheduler/scheduler.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cluster/scheduler/eligibility.hpp"
+#include "cluster/scheduler/inspection.hpp"
 #include "cluster/scheduler/placer.hpp"
 #include "cluster/scheduler/report_intake.hpp"
 #include "cluster/scheduler/watchdog.hpp"
@@ -31,7 +32,7 @@
     observe(now, wall_ms);
     RestoredState restored = decode_records(entries);
     for (const wire::WorkerRecord& worker : restored.workers) restore_worker(worker);
-    for (RestoredJob& job : restored.jobs) jobs_.restore(std::move(job));
+    for (const RestoredJob& job : restored.jobs) jobs_.restore(job);
     for (const std::string& key : restored.stray_keys) state_.records.remove(key);
   }
 
@@ -49,7 +50,7 @@
   wire::JobState state(const std::string& id) const override {
     const Job* job = state_.jobs.find(id);
     if (job == nullptr) return wire::JOB_UNKNOWN;
-    return job->final() && !job->shown ? wire::JOB_RUNNING : job->state;
+    return shown_state(*job);
   }
 
   std::uint32_t pending(const std::string& queue) const override { return state_.jobs.pending(queue); }
@@ -92,14 +93,16 @@
   }
 
   std::string summary() const override {
-    std::size_t waiting = 0;
-    for (const auto& [key, stage] : state_.queue.stages()) waiting += stage->waiting.size();
-    std::size_t running = 0;
-    for (const auto& leaf : state_.leaves.all()) running += leaf->runs.size();
-    return "jobs=" + std::to_string(state_.jobs.live()) + " waiting=" + std::to_string(waiting) +
-           " running=" + std::to_string(running) + " leaves=" + std::to_string(state_.leaves.all().size());
+    const SchedulerFigures now = figures();
+    return "jobs=" + std::to_string(now.live_jobs) + " waiting=" + std::to_string(now.waiting_tasks) +
+           " running=" + std::to_string(now.runs) + " leaves=" + std::to_string(now.leaves);
   }
 
+  SchedulerFigures figures() const override { return figures_of(state_); }
+  JobList jobs(std::size_t limit) const override { return list_jobs(state_, limit); }
+  std::optional<JobDetail> job(const std::string& id) const override { return find_job(state_, id); }
+  std::vector<LeafView> leaves(TimePoint now) const override { return list_leaves(state_, now); }
+
  private:
   void observe(TimePoint now, std::int64_t wall_ms) {
     state_.now = std::max(state_.now, now);
--- a/src/cluster/scheduler/scheduler.hpp
+++ b/src/cluster/scheduler/scheduler.hpp
@@ -14,6 +14,7 @@
 #include "cluster/common/runtime.hpp"
 #include "cluster/common/settings.hpp"
 #include "cluster/consensus/replicated_shard.hpp"
+#include "cluster/scheduler/views.hpp"
 
 namespace winchhall::cluster {
 
@@ -80,8 +81,15 @@
   // All changes up to this number are durable on a majority.
   virtual void changes_durable(ChangeNumber number) = 0;
 
-  // One line of figures for logs and `status`.
+  // One line of figures for logs.
   virtual std::string summary() const = 0;
+
+  // For operators; none of these changes anything.
+  virtual SchedulerFigures figures() const = 0;
+  virtual JobList jobs(std::size_t limit) const = 0;
+  // None: no such job.
+  virtual std::optional<JobDetail> job(const std::string& id) const = 0;
+  virtual std::vector<LeafView> leaves(TimePoint now) const = 0;
 };
 
 // `epoch` of the lease: becomes the fencing token and keeps run numbers apart from those of earlier holders.
--- a/src/cluster/scheduler/scheduler_state.hpp
+++ b/src/cluster/scheduler/scheduler_state.hpp
@@ -10,6 +10,7 @@
 #include "cluster/scheduler/job_book.hpp"
 #include "cluster/scheduler/leaf_book.hpp"
 #include "cluster/scheduler/record_log.hpp"
+#include "cluster/scheduler/views.hpp"
 #include "cluster/scheduler/waiting_queue.hpp"
 #include "cluster/scheduler/wall_clock.hpp"
 
@@ -33,6 +34,7 @@
   JobBook jobs;
   LeafBook leaves;
   RecordLog records;
+  SchedulerCounters counters;
   WaitingQueue queue;
   // Leaves that may run what an earlier leader ordered, and have neither listed it nor certainly lost it.
   std::set<std::string> unheard;
--- a/src/cluster/scheduler/task_ends.cpp
+++ b/src/cluster/scheduler/task_ends.cpp
@@ -20,6 +20,7 @@
 }  // namespace
 
 ChangeNumber TaskEnds::listed(Leaf& leaf, const wire::FinishedTask& entry) {
+  ++state_.counters.ends.at(wire::EndKind_IsValid(entry.how()) ? entry.how() : wire::END_UNKNOWN);
   TimePoint began = state_.now;
   auto found = leaf.runs.find(RunKeyView{entry.task(), entry.run()});
   if (found != leaf.runs.end()) {
--- /dev/null
+++ b/src/cluster/store/database.cpp
@@ -0,0 +1,128 @@
+#include "cluster/store/database.hpp"
+
+#include <leveldb/write_batch.h>
+
+#include <utility>
+
+namespace winchhall::cluster {
+
+namespace {
+
+// Keys of the store's own entries.
+const std::string kOwnPrefix = "meta/";
+const std::string kFormatKey = kOwnPrefix + "format";
+const std::string kReplacementKey = kOwnPrefix + "replaces_damaged";
+const std::string kFormat = "1";
+
+// Drops LevelDB's own log lines: they would cost disk.
+class SilentLogger : public leveldb::Logger {
+ public:
+  void Logv(const char*, std::va_list) override {}
+};
+
+// Never destroyed: a thread that hangs on the disk may outlive `main`.
+leveldb::Logger* silent_logger() {
+  static leveldb::Logger* const logger = new SilentLogger;
+  return logger;
+}
+
+leveldb::ReadOptions checked_reads() {
+  leveldb::ReadOptions options;
+  options.verify_checksums = true;
+  options.fill_cache = false;
+  return options;
+}
+
+}  // namespace
+
+Database::Database(std::string path, Disk& disk, const StoreTuning& tuning)
+    : path_(std::move(path)), env_(disk), block_cache_(leveldb::NewLRUCache(tuning.block_cache_bytes)) {}
+
+leveldb::Options Database::options(const StoreTuning& tuning, OpenMode mode) {
+  leveldb::Options options;
+  options.create_if_missing = mode == OpenMode::create_if_missing;
+  options.paranoid_checks = true;
+  options.env = &env_;
+  options.info_log = silent_logger();
+  options.write_buffer_size = tuning.write_buffer_bytes;
+  options.max_file_size = tuning.file_bytes;
+  options.max_open_files = tuning.open_files;
+  options.block_cache = block_cache_.get();
+  options.compression = leveldb::kNoCompression;
+  return options;
+}
+
+leaf::error_id Database::failure(const char* operation, const leveldb::Status& status) const {
+  if (status.IsCorruption()) return leaf::new_error(DamagedStore{path_, status.ToString()});
+  return leaf::new_error(StoreFailure{path_, operation, status.ToString()});
+}
+
+leaf::result<std::unique_ptr<Database>> Database::open(const std::string& path, Disk& disk,
+                                                       const StoreTuning& tuning, OpenMode mode) {
+  std::unique_ptr<Database> database(new Database(path, disk, tuning));
+  leveldb::DB* opened = nullptr;
+  const leveldb::Status status = leveldb::DB::Open(database->options(tuning, mode), path, &opened);
+  if (!status.ok()) return database->failure("open", status);
+  database->database_.reset(opened);
+  BOOST_LEAF_CHECK(database->check_format());
+  BOOST_LEAF_CHECK(database->read_replacement_mark());
+  return database;
+}
+
+leaf::result<void> Database::check_format() {
+  std::string found;
+  const leveldb::Status read = database_->Get(checked_reads(), kFormatKey, &found);
+  if (!read.ok() && !read.IsNotFound()) return failure("read", read);
+  if (read.ok() && found == kFormat) return {};
+  BOOST_LEAF_AUTO(used, has_entries());
+  if (used) return leaf::new_error(UnknownStoreFormat{path_, found, kFormat});
+  if (write({{kFormatKey, kFormat}})) return {};
+  return leaf::new_error(StoreFailure{path_, "write", "format can't be written"});
+}
+
+leaf::result<bool> Database::has_entries() {
+  const std::unique_ptr<leveldb::Iterator> entry(database_->NewIterator(checked_reads()));
+  entry->SeekToFirst();
+  if (!entry->status().ok()) return failure("read", entry->status());
+  return entry->Valid();
+}
+
+leaf::result<void> Database::read_replacement_mark() {
+  std::string found;
+  const leveldb::Status read = database_->Get(checked_reads(), kReplacementKey, &found);
+  if (!read.ok() && !read.IsNotFound()) return failure("read", read);
+  replaces_damaged_ = read.ok();
+  return {};
+}
+
+bool Database::mark_replacement() {
+  replaces_damaged_ = write({{kReplacementKey, "1"}});
+  return replaces_damaged_;
+}
+
+bool Database::write(const StoreBatch& batch) {
+  leveldb::WriteBatch changes;
+  for (const StoreWrite& change : batch) {
+    if (change.value) {
+      changes.Put(change.key, *change.value);
+    } else {
+      changes.Delete(change.key);
+    }
+  }
+  leveldb::WriteOptions options;
+  options.sync = true;
+  return batch.empty() || database_->Write(options, &changes).ok();
+}
+
+leaf::result<std::vector<StoreEntry>> Database::read_all() {
+  std::vector<StoreEntry> entries;
+  const std::unique_ptr<leveldb::Iterator> entry(database_->NewIterator(checked_reads()));
+  for (entry->SeekToFirst(); entry->Valid(); entry->Next()) {
+    if (entry->key().starts_with(kOwnPrefix)) continue;
+    entries.push_back({entry->key().ToString(), entry->value().ToString()});
+  }
+  if (!entry->status().ok()) return failure("read", entry->status());
+  return entries;
+}
+
+}  // namespace winchhall::cluster
--- /dev/null
+++ b/src/cluster/store/disk.cpp
@@ -0,0 +1,90 @@
+#include "cluster/store/disk.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
+namespace winchhall::cluster {
+
+namespace {
+
+leveldb::Status io_error(const std::string& path, int code) {
+  return leveldb::Status::IOError(path, std::strerror(code));
+}
+
+// Reads with pread. LevelDB's own reader maps files, whose pages would count as memory of the process.
+class PositionedFile : public leveldb::RandomAccessFile {
+ public:
+  PositionedFile(std::string path, int descriptor) : path_(std::move(path)), descriptor_(descriptor) {}
+  ~PositionedFile() override { ::close(descriptor_); }
+
+  leveldb::Status Read(std::uint64_t offset, std::size_t size, leveldb::Slice* result,
+                       char* scratch) const override {
+    std::size_t filled = 0;
+    while (filled < size) {
+      const ssize_t got =
+          ::pread(descriptor_, scratch + filled, size - filled, static_cast<off_t>(offset + filled));
+      if (got < 0 && errno == EINTR) continue;
+      if (got < 0) return io_error(path_, errno);
+      if (got == 0) break;
+      filled += static_cast<std::size_t>(got);
+    }
+    *result = leveldb::Slice(scratch, filled);
+    return leveldb::Status::OK();
+  }
+
+ private:
+  const std::string path_;
+  const int descriptor_;
+};
+
+class LocalFiles : public leveldb::EnvWrapper {
+ public:
+  LocalFiles() : leveldb::EnvWrapper(leveldb::Env::Default()) {}
+
+  leveldb::Status NewRandomAccessFile(const std::string& path, leveldb::RandomAccessFile** file) override {
+    *file = nullptr;
+    const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0) return io_error(path, errno);
+    *file = new PositionedFile(path, descriptor);
+    return leveldb::Status::OK();
+  }
+};
+
+class LocalDisk : public Disk {
+ public:
+  leveldb::Env& files() override { return files_; }
+
+  bool make_folder(const std::string& path) override {
+    std::error_code error;
+    std::filesystem::create_directories(path, error);
+    if (error) return false;
+    const std::filesystem::path parent =
+        std::filesystem::absolute(path, error).lexically_normal().parent_path();
+    sync_folder(parent.string());  // The parent may lie outside of what this process may sync.
+    return true;
+  }
+
+  bool sync_folder(const std::string& path) override {
+    const int folder = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (folder < 0) return false;
+    const bool synced = ::fsync(folder) == 0;
+    ::close(folder);
+    return synced;
+  }
+
+ private:
+  LocalFiles files_;
+};
+
+}  // namespace
+
+Disk& local_disk() {
+  static Disk* const disk = new LocalDisk;
+  return *disk;
+}
+
+}  // namespace winchhall::cluster
--- a/src/cluster/store/level_store.hpp
+++ b/src/cluster/store/level_store.hpp
@@ -2,65 +2,42 @@
 // waits for the disk.
 #pragma once
 
-#include <condition_variable>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "cluster/store/database.hpp"
 #include "cluster/store/store.hpp"
-#include "cluster/store/synced_env.hpp"
-
-namespace leveldb {
-class DB;
-}
+#include "cluster/store/store_writer.hpp"
 
 namespace winchhall::cluster {
 
-// Runs an action on the event loop. Called from the store's thread.
-using PostToLoop = std::function<void(std::function<void()>)>;
-
 class LevelStore : public DurableStore {
  public:
-  // Takes over an opened database; see `open_level_store`.
-  LevelStore(std::string path, std::unique_ptr<SyncedEnv> env, std::unique_ptr<leveldb::DB> database,
-             PostToLoop post_to_loop);
-  // Ends after the write that is under way; batches that still wait are dropped.
+  // Takes over a writer and what its database held; see `open_level_store`.
+  LevelStore(std::shared_ptr<StoreWriter> writer, std::vector<StoreEntry> entries, bool replaces_damaged);
+  // Batches that still wait are dropped. Waits for the write that is under way, but not for a disk that hangs
+  // longer than StoreWriter::kClosingWait.
   ~LevelStore() override;
 
   void commit(StoreBatch batch, std::function<void(CommitOutcome)> done) override;
   void load(const std::function<void(std::string_view key, std::string_view value)>& visit) override;
 
- private:
-  struct Waiting {
-    StoreBatch batch;
-    std::function<void(CommitOutcome)> done;
-  };
+  // True if a damaged store was set aside here: this node must not found a group, as it may have been part of
+  // one.
+  bool replaces_damaged() const { return replaces_damaged_; }
 
-  void run();
-  std::vector<Waiting> take_waiting();
-  bool write(const std::vector<Waiting>& group);
-  // Closes and opens the database until that works or the store ends: after a failed write LevelDB takes no
-  // more.
-  void reopen();
-  bool stopping();
-  void report(std::vector<Waiting> group, CommitOutcome outcome);
-
-  const std::string path_;
-  const std::unique_ptr<SyncedEnv> env_;
-  std::unique_ptr<leveldb::DB> database_;
-  const PostToLoop post_to_loop_;
-  std::mutex mutex_;
-  std::condition_variable wake_;
-  std::vector<Waiting> waiting_;  // guarded by mutex_
-  bool stopping_ = false;         // guarded by mutex_
-  std::thread thread_;
+ private:
+  const std::shared_ptr<StoreWriter> writer_;
+  std::vector<StoreEntry> entries_;
+  const bool replaces_damaged_;
 };
 
-// Opens the store in a folder, which is made where it is missing. Errors: StoreFailure (may pass; try again),
-// UnknownStoreFormat.
-leaf::result<std::unique_ptr<LevelStore>> open_level_store(const std::string& path, PostToLoop post_to_loop);
+// Opens the store in a folder, which is made where it is missing; a damaged one is set aside, with an empty
+// one in its place. Errors: StoreFailure (may pass; try again), UnknownStoreFormat.
+leaf::result<std::unique_ptr<LevelStore>> open_level_store(const std::string& path, PostToLoop post_to_loop,
+                                                           Disk& disk = local_disk(),
+                                                           const StoreTuning& tuning = {});
 
 }  // namespace winchhall::cluster
--- a/src/cluster/store/synced_env.cpp
+++ b/src/cluster/store/synced_env.cpp
@@ -1,28 +1,80 @@
 #include "cluster/store/synced_env.hpp"
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <cerrno>
+#include <algorithm>
 #include <cstring>
 #include <filesystem>
 
+#include "cluster/store/log_scan.hpp"
+
 namespace winchhall::cluster {
 
-bool sync_folder(const std::string& path) {
-  const int folder = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (folder < 0) return false;
-  const bool synced = ::fsync(folder) == 0;
-  ::close(folder);
-  return synced;
-}
+namespace {
+
+std::string file_name(const std::string& path) { return std::filesystem::path(path).filename().string(); }
+
+std::string folder_of(const std::string& path) { return std::filesystem::path(path).parent_path().string(); }
+
+bool is_manifest(const std::string& path) { return file_name(path).starts_with("MANIFEST-"); }
+
+bool has_log_format(const std::string& path) { return is_manifest(path) || path.ends_with(".log"); }
+
+// A file that was read beforehand.
+class BufferedFile : public leveldb::SequentialFile {
+ public:
+  explicit BufferedFile(std::string content) : content_(std::move(content)) {}
+
+  leveldb::Status Read(std::size_t size, leveldb::Slice* result, char* scratch) override {
+    const std::size_t count = std::min(size, content_.size() - offset_);
+    std::memcpy(scratch, content_.data() + offset_, count);
+    *result = leveldb::Slice(scratch, count);
+    offset_ += count;
+    return leveldb::Status::OK();
+  }
+  leveldb::Status Skip(std::uint64_t size) override {
+    offset_ += std::min<std::size_t>(size, content_.size() - offset_);
+    return leveldb::Status::OK();
+  }
+
+ private:
+  const std::string content_;
+  std::size_t offset_ = 0;
+};
+
+}  // namespace
 
 leveldb::Status SyncedEnv::RenameFile(const std::string& from, const std::string& to) {
   const leveldb::Status renamed = leveldb::EnvWrapper::RenameFile(from, to);
   if (!renamed.ok()) return renamed;
-  const std::string folder = std::filesystem::path(to).parent_path().string();
-  if (sync_folder(folder)) return renamed;
-  return leveldb::Status::IOError(folder, std::strerror(errno));
+  if (disk_.sync_folder(folder_of(to))) return renamed;
+  return leveldb::Status::IOError(to, "folder can't be synced");
+}
+
+leveldb::Status SyncedEnv::RemoveFile(const std::string& path) {
+  if (is_manifest(path) && is_current_manifest(path)) {
+    return leveldb::Status::IOError(path, "kept, CURRENT names it");
+  }
+  return leveldb::EnvWrapper::RemoveFile(path);
+}
+
+bool SyncedEnv::is_current_manifest(const std::string& path) {
+  std::string current;
+  const std::string current_path = folder_of(path) + "/CURRENT";
+  const leveldb::Status read = leveldb::ReadFileToString(target(), current_path, &current);
+  if (!read.ok()) return !read.IsNotFound();  // Unknown: rather keep a file too many.
+  return current == file_name(path) + "\n";
+}
+
+leveldb::Status SyncedEnv::NewSequentialFile(const std::string& path, leveldb::SequentialFile** file) {
+  if (!has_log_format(path)) return leveldb::EnvWrapper::NewSequentialFile(path, file);
+  *file = nullptr;
+  std::string content;
+  const leveldb::Status read = leveldb::ReadFileToString(target(), path, &content);
+  if (!read.ok()) return read;
+  const LogScan scan = scan_log(content);
+  if (scan.damaged) return leveldb::Status::Corruption(path, "damaged before its last record");
+  content.resize(scan.sound_bytes);
+  *file = new BufferedFile(std::move(content));
+  return leveldb::Status::OK();
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/worker_agent/leader_finder.cpp
+++ b/src/cluster/worker_agent/leader_finder.cpp
@@ -11,18 +11,12 @@
 constexpr std::uint64_t kPauseJitterMs = 50;
 constexpr std::size_t kMostNodes = 64;
 
-std::vector<Address> seed_listeners(const NodeSettings& settings) {
-  std::vector<Address> listeners;
-  for (const Address& seed : settings.seeds) listeners.push_back(settings.internal_address_of(seed));
-  return listeners;
-}
-
 }  // namespace
 
 LeaderFinder::LeaderFinder(Runtime& runtime, const NodeSettings& settings, Found found)
     : runtime_(runtime),
       found_(std::move(found)),
-      seeds_(seed_listeners(settings)),
+      seeds_(settings.seed_listeners()),
       nodes_(seeds_),
       next_node_(static_cast<std::size_t>(runtime.random() % std::max<std::size_t>(1, nodes_.size()))),
       alive_(std::make_shared<bool>(true)) {}
@@ -32,7 +26,7 @@
 void LeaderFinder::search(const std::string& service, std::uint64_t least_epoch) {
   shard_ = "service/" + service;
   least_epoch_ = least_epoch;
-  if (searching_ || nodes_.empty()) return;
+  if (searching_ || (nodes_.empty() && sampled_.empty())) return;
   searching_ = true;
   if (asking_) return;
   const bool too_soon = asked_at_ != TimePoint{} && runtime_.now() - asked_at_ < kPause;
@@ -48,12 +42,27 @@
   timer_.reset();
 }
 
+bool LeaderFinder::sampled_is_next() const {
+  const bool all_asked = asked_in_vain_ >= nodes_.size();
+  const bool turn = nodes_.empty() || asked_in_vain_ % 2 == 0;
+  return all_asked && turn && !sampled_.empty();
+}
+
 const Address& LeaderFinder::next_node() {
+  const bool sampled_turn = sampled_is_next();
+  ++asked_in_vain_;
+  if (sampled_turn) {
+    next_sampled_ = (next_sampled_ + 1) % sampled_.size();
+    return sampled_[next_sampled_];
+  }
   next_node_ = (next_node_ + 1) % nodes_.size();
   return nodes_[next_node_];
 }
 
-void LeaderFinder::ask_next() { ask(next_node()); }
+void LeaderFinder::ask_next() {
+  if (nodes_.empty() && sampled_.empty()) return pause();
+  ask(next_node());
+}
 
 void LeaderFinder::ask(const Address& node) {
   wire::Envelope request;
@@ -79,15 +88,27 @@
   }
   if (best.address.empty() || best.epoch < least_epoch_) return pause();
   stop();
+  asked_in_vain_ = 0;
   found_(best);
 }
 
 void LeaderFinder::learn_members(const wire::ConfigurationUpdate& update) {
   if (update.members().empty()) return;
+  members_.clear();
+  for (const wire::Member& member : update.members()) members_.push_back(member.address());
+  list_nodes();
+}
+
+void LeaderFinder::set_seeds(std::vector<Address> seeds) {
+  seeds_ = std::move(seeds);
+  list_nodes();
+}
+
+void LeaderFinder::list_nodes() {
   nodes_ = seeds_;
-  for (const wire::Member& member : update.members()) {
-    const bool known = std::find(nodes_.begin(), nodes_.end(), member.address()) != nodes_.end();
-    if (!known && !member.address().empty() && nodes_.size() < kMostNodes) nodes_.push_back(member.address());
+  for (const Address& member : members_) {
+    const bool known = std::find(nodes_.begin(), nodes_.end(), member) != nodes_.end();
+    if (!known && !member.empty() && nodes_.size() < kMostNodes) nodes_.push_back(member);
   }
 }
 
--- a/src/cluster/worker_agent/leader_finder.hpp
+++ b/src/cluster/worker_agent/leader_finder.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cluster/common/runtime.hpp"
@@ -31,20 +32,32 @@
   void search(const std::string& service, std::uint64_t least_epoch);
   void stop();
   bool searching() const { return searching_; }
+  // Internal listeners of the seeds, after a change of the settings.
+  void set_seeds(std::vector<Address> seeds);
+  // Control nodes that peer sampling brought up: asked in turn with the others once all those were asked in
+  // vain.
+  void set_sampled(std::vector<Address> nodes) { sampled_ = std::move(nodes); }
 
  private:
   void ask_next();
   void ask(const Address& node);
   void on_answer(const CallResult& result);
   void learn_members(const wire::ConfigurationUpdate& update);
+  void list_nodes();
   void pause();
+  // A seed or a member, or, where all of these were asked in vain, sometimes a sampled node.
   const Address& next_node();
+  bool sampled_is_next() const;
 
   Runtime& runtime_;
   const Found found_;
-  const std::vector<Address> seeds_;  // internal listeners
-  std::vector<Address> nodes_;        // seeds, then members heard of
+  std::vector<Address> seeds_;    // internal listeners
+  std::vector<Address> members_;  // heard of last
+  std::vector<Address> nodes_;    // seeds, then members
+  std::vector<Address> sampled_;
   std::size_t next_node_ = 0;
+  std::size_t next_sampled_ = 0;
+  std::size_t asked_in_vain_ = 0;  // asks since a leader was found last
   std::string shard_;
   std::uint64_t least_epoch_ = 0;
   bool searching_ = false;
--- a/src/cluster/worker_agent/leader_link.hpp
+++ b/src/cluster/worker_agent/leader_link.hpp
@@ -6,6 +6,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cluster/common/runtime.hpp"
 #include "cluster/common/settings.hpp"
@@ -27,6 +29,9 @@
   // Something is new: reports it at once, as far as the bound on outstanding reports and the pace allow.
   void report_now();
   void stop();
+  // See LeaderFinder.
+  void set_seeds(std::vector<Address> seeds) { finder_.set_seeds(std::move(seeds)); }
+  void set_sampled_control(std::vector<Address> nodes) { finder_.set_sampled(std::move(nodes)); }
 
  private:
   struct Sent {
--- a/src/cluster/worker_agent/worker_agent.hpp
+++ b/src/cluster/worker_agent/worker_agent.hpp
@@ -5,6 +5,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cluster/common/runtime.hpp"
 #include "cluster/common/settings.hpp"
@@ -28,6 +30,10 @@
 
   // Looks for the leader, so that it is known when the leaf calls.
   void start();
+  // Internal listeners of the seeds, after a change of the settings.
+  void set_seeds(std::vector<Address> seeds) { link_.set_seeds(std::move(seeds)); }
+  // Control nodes that peer sampling brought up: a further source beside seeds and members.
+  void set_sampled_control(std::vector<Address> nodes) { link_.set_sampled_control(std::move(nodes)); }
   // Instances.Heartbeat. An answer is held back for a short while where orders may still come.
   void on_heartbeat(const std::string& leaf_id, const std::string& body, LeafReplier reply);
   // Instances.Deregister.
--- a/tests/cluster/consensus_members_test.cpp
+++ b/tests/cluster/consensus_members_test.cpp
@@ -89,6 +89,32 @@
   }
 }
 
+TEST_CASE(
+    "what was acknowledged outlasts every disk, lost one after another, though two members never heard of "
+    "it") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    Cluster cluster(seed, 5);
+    SimWorld& world = cluster.world();
+    cluster.bootstrap();
+    REQUIRE(settle(cluster, Millis(5000)));
+    std::vector<std::size_t> order{0, 1, 2, 3, 4};
+    std::shuffle(order.begin(), order.end(), std::mt19937_64(seed));
+    cluster.crash(order[3]);
+    cluster.crash(order[4]);
+    REQUIRE(append(cluster, order[0], "x"));
+    cluster.start(order[3]);
+    cluster.start(order[4]);
+    REQUIRE(settle(cluster, Millis(5000)));
+    for (const std::size_t index : order) {
+      cluster.wipe(index);
+      REQUIRE(settle(cluster, Millis(4000)));
+      world.run_for(Millis(world.random_between(0, 1000)));
+    }
+    CHECK(read(cluster, seed % 5) == "x");
+  }
+}
+
 TEST_CASE("one loses its disk while all others lose power, right after an acknowledgement") {
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     CAPTURE(seed);
--- a/tests/cluster/consensus_shard_test.cpp
+++ b/tests/cluster/consensus_shard_test.cpp
@@ -81,6 +81,10 @@
 
 ShardHistory* history_of_test = nullptr;
 
+// Called whenever a node begins to lead.
+std::function<void(SimNode&)> when_leading;
+std::int64_t keys_of_test = 30;
+
 // Takes part in one shard on one node.
 class ShardUser {
  public:
@@ -90,6 +94,7 @@
       REQUIRE_FALSE(told_to_lead_);
       told_to_lead_ = true;
       history_of_test->lead(epoch, entries);
+      if (when_leading) when_leading(node_);
     };
     callbacks.on_lost = [this] {
       REQUIRE(told_to_lead_);
@@ -100,6 +105,7 @@
 
   ReplicatedShard& shard() { return *shard_; }
   bool leads() const { return shard_->leads(); }
+  bool told_to_lead() const { return told_to_lead_; }
 
   // Writes one record; this node has to lead.
   void write(const std::string& key, const std::string& value, std::function<void(ShardWriteOutcome)> done) {
@@ -119,7 +125,7 @@
     std::vector<ShardChange> changes;
     std::vector<std::pair<std::string, std::size_t>> versions;
     for (std::int64_t count = world.random_between(1, 3); count > 0; --count) {
-      const std::string key = "key" + std::to_string(world.random_between(0, 30));
+      const std::string key = "key" + std::to_string(world.random_between(0, keys_of_test));
       if (std::any_of(versions.begin(), versions.end(),
                       [&](const auto& entry) { return entry.first == key; }))
         continue;
@@ -165,8 +171,31 @@
   SimTerms terms;
   TroubleTerms troubles;
   std::int64_t duration_ms = 25000;
+  bool hunt_leaders = false;  // new leaders soon crash or are cut off
+  std::int64_t keys = 30;
+  std::int64_t writes_at_once = 1;
 };
 
+// Troubles that befall a leader within its first moments.
+void hunt(Cluster& cluster, SimNode& node) {
+  SimWorld& world = cluster.world();
+  const std::size_t index = node.index();
+  if (world.chance(0.3)) return;
+  const Millis soon(world.random_between(0, world.chance(0.5) ? 30 : 400));
+  const Millis back(world.random_between(20, 1500));
+  if (world.chance(0.5)) {
+    world.in(soon, [&cluster, index] { cluster.crash(index); });
+    world.in(soon + back, [&cluster, index] { cluster.start(index); });
+    return;
+  }
+  world.in(soon, [&world, index] {
+    for (std::size_t other = 0; other < world.size(); ++other) {
+      if (other != index && world.chance(0.7)) world.cut_both(index, other);
+    }
+  });
+  world.in(soon + back, [&world] { world.heal(); });
+}
+
 void play(const Play& plan) {
   CAPTURE(plan.seed, plan.machines);
   ShardHistory history;
@@ -175,18 +204,24 @@
   Troubles<ShardUser> troubles(cluster, plan.troubles);
   SimWorld& world = cluster.world();
   world.on_event([&] { require_one_leader(cluster); });
+  keys_of_test = plan.keys;
+  when_leading = nullptr;
+  if (plan.hunt_leaders) when_leading = [&cluster](SimNode& node) { hunt(cluster, node); };
   cluster.bootstrap();
   std::int64_t next_trouble_ms = 2500;
   const std::int64_t end_ms = world.now_ms() + plan.duration_ms;
   while (world.now_ms() < end_ms) {
     for (std::size_t index = 0; index < plan.machines; ++index) {
-      if (cluster.running(index) && !cluster.node(index).frozen()) cluster.extra(index).write_something();
+      if (!cluster.running(index) || cluster.node(index).frozen()) continue;
+      for (std::int64_t write = 0; write < plan.writes_at_once; ++write)
+        cluster.extra(index).write_something();
     }
     world.run_for(Millis(world.random_between(1, 60)));
     if (world.now_ms() < next_trouble_ms) continue;
     troubles.one();
     next_trouble_ms = world.now_ms() + world.random_between(50, 2500);
   }
+  when_leading = nullptr;
   troubles.end();
   world.terms().loss = 0;
   world.terms().late = 0;
@@ -236,6 +271,24 @@
   CHECK(history.leaderships() == leaderships);
 }
 
+TEST_CASE("a leader that is cut off is told of its loss before anybody else can lead") {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    CAPTURE(seed);
+    ShardHistory history;
+    history_of_test = &history;
+    Cluster cluster(seed, 5);
+    SimWorld& world = cluster.world();
+    cluster.bootstrap();
+    REQUIRE(
+        world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(5000)));
+    const std::size_t leader = *leader_of(cluster);
+    world.isolate(leader);
+    REQUIRE(world.run_until([&] { return !cluster.extra(leader).told_to_lead(); }, Millis(1500)));
+    REQUIRE_FALSE(leader_of(cluster).has_value());
+    REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(2000)));
+  }
+}
+
 TEST_CASE("writes are durable soon and in order, also while one member is down") {
   ShardHistory history;
   history_of_test = &history;
@@ -317,5 +370,22 @@
   }
 }
 
+TEST_CASE("leaders that last for moments only: what they were told and wrote is never contradicted") {
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    Play plan;
+    plan.seed = seed;
+    plan.machines = seed % 2 == 0 ? 5 : 3;
+    plan.terms.loss = seed % 3 == 0 ? 0.1 : 0;
+    plan.terms.duplication = 0.1;
+    plan.terms.late = 0.05;
+    plan.terms.late_max_us = 100000;
+    plan.troubles.wipes = seed % 4 == 0;
+    plan.hunt_leaders = true;
+    plan.keys = 4;
+    plan.writes_at_once = 4;
+    play(plan);
+  }
+}
+
 }  // namespace
 }  // namespace winchhall::cluster::sim
--- /dev/null
+++ b/tests/cluster/membership_sources_test.cpp
@@ -0,0 +1,178 @@
+// Sampled control nodes and changed seeds as further ways to the control group: of the agent, the
+// worker-agent and a newcomer to the group.
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent_fixture.hpp"
+#include "cluster/worker_agent/leader_finder.hpp"
+#include "consensus_fixture.hpp"
+
+using namespace winchhall::cluster;
+using namespace winchhall::cluster::testing;
+
+namespace {
+
+constexpr Millis kNewcomerTime{60'000};
+
+// An agent that starts while all its seeds are down.
+struct LostAgent : AgentFixture {
+  LostAgent() {
+    for (int number = 0; number < 3; ++number) controls[static_cast<std::size_t>(number)]->stop();
+    start_agent();
+    runtime.run_for(Millis(5'000));
+  }
+};
+
+// A worker-agent's finder amid control nodes that name a leader.
+struct FinderFixture {
+  FakeRuntime runtime;
+  std::optional<FoundLeader> found;
+  std::vector<Address> asked;
+  std::unique_ptr<LeaderFinder> finder;
+
+  FinderFixture() {
+    NodeSettings settings;
+    settings.internal_port_first = 7380;
+    settings.seeds = {"10.0.0.1:8144", "10.0.0.2:8144"};
+    finder = std::make_unique<LeaderFinder>(runtime, settings,
+                                            [this](const FoundLeader& leader) { found = leader; });
+  }
+
+  void serve(const Address& address) {
+    runtime.peers[address] = [this, address](const wire::Envelope&, const Replier& reply) {
+      asked.push_back(address);
+      wire::Envelope answer;
+      wire::ShardLeader& leader = *answer.mutable_configuration_update()->add_leaders();
+      leader.set_shard("service/core");
+      leader.set_epoch(4);
+      leader.set_address("10.0.0.8:7380");
+      reply(std::move(answer));
+    };
+  }
+};
+
+// A group of seven without its three seeds, and a newcomer that has only these as seeds.
+class NewcomerFixture {
+ public:
+  NewcomerFixture() : cluster(5, 7) {
+    cluster.bootstrap();
+    REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(20'000)));
+    for (std::size_t seed = 0; seed < 3; ++seed) cluster.crash(seed);
+    newcomer = cluster.add_machine();
+    cluster.start(newcomer);
+  }
+
+  bool joins() {
+    return cluster.world().run_until([&] { return cluster.is_member(newcomer); }, kNewcomerTime);
+  }
+
+  sim::ControlCluster<> cluster;
+  std::size_t newcomer = 0;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(LostAgent, "an agent whose seeds are all down finds the group by a sampled control node") {
+  CHECK_FALSE(agent->in_touch());
+  agent->set_sampled_control({address_of(3)});
+  runtime.run_for(Millis(2'000));
+  CHECK(agent->in_touch());
+  CHECK(agent->view().version() == 1);
+}
+
+TEST_CASE_METHOD(LostAgent, "an agent whose seeds are all down finds the group by changed seeds") {
+  agent->set_seeds({address_of(4)});
+  runtime.run_for(Millis(2'000));
+  CHECK(agent->in_touch());
+}
+
+TEST_CASE("seeds and members are preferred to nodes that are only sampled") {
+  FakeRuntime runtime;
+  NodeSettings settings;
+  settings.zone = "near";
+  settings.internal_port_first = 7380;
+  settings.seeds = {"10.0.0.1:8144"};
+  ControlDirectory directory(runtime, settings);
+  directory.set_sampled({"10.0.0.7:7380"});
+  CHECK(directory.choose({})->address == "10.0.0.1:7380");
+  for (unsigned turn = 0; turn < 20; ++turn) CHECK(directory.choose_any("") == "10.0.0.1:7380");
+  directory.note_failure("10.0.0.1:7380");
+  CHECK(directory.choose({})->address == "10.0.0.7:7380");
+  CHECK(directory.choose({"10.0.0.7:7380"})->address == "10.0.0.1:7380");
+}
+
+TEST_CASE("a control node is dropped once neither seeds nor members nor samples list it") {
+  FakeRuntime runtime;
+  NodeSettings settings;
+  settings.internal_port_first = 7380;
+  settings.seeds = {"10.0.0.1:8144"};
+  ControlDirectory directory(runtime, settings);
+  directory.set_sampled({"10.0.0.1:7380", "10.0.0.7:7380"});
+  wire::Member member;
+  member.set_address("10.0.0.7:7380");
+  directory.set_members({member});
+  directory.set_sampled({});
+  directory.set_seeds({});
+  CHECK(directory.choose({})->address == "10.0.0.7:7380");
+  directory.set_members({});
+  CHECK_FALSE(directory.choose({}).has_value());
+}
+
+TEST_CASE_METHOD(FinderFixture, "a worker-agent asks sampled nodes once all others were asked in vain") {
+  serve("10.0.0.7:7380");
+  finder->set_sampled({"10.0.0.7:7380"});
+  finder->search("core", 1);
+  runtime.run_for(Millis(1'000));
+  REQUIRE(found);
+  CHECK(found->address == "10.0.0.8:7380");
+}
+
+TEST_CASE_METHOD(FinderFixture, "a worker-agent does not ask sampled nodes while seeds answer") {
+  for (const char* address : {"10.0.0.1:7380", "10.0.0.2:7380", "10.0.0.7:7380"}) serve(address);
+  finder->set_sampled({"10.0.0.7:7380"});
+  for (unsigned turn = 0; turn < 10; ++turn) {
+    finder->search("core", 1);
+    runtime.run_for(Millis(1'000));
+  }
+  REQUIRE(asked.size() == 10);
+  CHECK(std::set<Address>(asked.begin(), asked.end()).count("10.0.0.7:7380") == 0);
+}
+
+TEST_CASE_METHOD(FinderFixture,
+                 "seeds are asked on while sampled nodes are dead, and sampled ones while seeds are") {
+  finder->set_sampled({"10.0.0.7:7380", "10.0.0.6:7380"});
+  finder->search("core", 1);
+  runtime.run_for(Millis(5'000));
+  REQUIRE_FALSE(found);
+  serve("10.0.0.2:7380");
+  runtime.run_for(Millis(2'000));
+  CHECK(found);
+}
+
+TEST_CASE_METHOD(FinderFixture, "a worker-agent whose list of nodes becomes empty waits for new seeds") {
+  finder->search("core", 1);
+  finder->set_seeds({});
+  runtime.run_for(Millis(2'000));
+  serve("10.0.0.5:7380");
+  finder->set_seeds({"10.0.0.5:7380"});
+  runtime.run_for(Millis(1'000));
+  CHECK(found);
+}
+
+TEST_CASE_METHOD(NewcomerFixture, "a newcomer whose seeds are all down stays outside") {
+  CHECK_FALSE(joins());
+}
+
+TEST_CASE_METHOD(NewcomerFixture, "a newcomer whose seeds are all down joins by a sampled control node") {
+  cluster.group(newcomer).set_sampled_control({sim::machine_ip(4) + ":7000"});
+  CHECK(joins());
+}
+
+TEST_CASE_METHOD(NewcomerFixture, "a newcomer whose seeds are all down joins by changed seeds") {
+  cluster.group(newcomer).set_seeds({sim::machine_ip(5) + ":7000"});
+  CHECK(joins());
+}
--- a/tests/cluster/rpc_test.cpp
+++ b/tests/cluster/rpc_test.cpp
@@ -152,3 +152,32 @@
                       [&](CallResult result) { answered = result.answer.has_value(); });
   CHECK(caller.run_until([&] { return answered; }));
 }
+
+TEST_CASE("a long poll under way does not make later calls go out twice") {
+  Caller caller;
+  Address address;
+  std::vector<Replier> polls;
+  int counted = 0;
+  const auto listener =
+      listen_anywhere(caller, address, [&](const wire::Envelope& request, const Replier& reply) {
+        if (request.job_request().terms().queue() == "poll") {
+          polls.push_back(reply);
+          return true;
+        }
+        ++counted;
+        return answer_with_length(request, reply);
+      });
+  REQUIRE(listener);
+  caller.runtime.call(address, count_request("poll"), kPatience, [](const CallResult&) {});
+  bool waited = false;
+  const auto timer = caller.runtime.after(Millis(700), [&] { waited = true; });
+  REQUIRE(caller.run_until([&] { return waited && polls.size() == 1; }));
+  bool answered = false;
+  caller.runtime.call(address, count_request("a"), kPatience,
+                      [&](const CallResult& result) { answered = result.answer.has_value(); });
+  REQUIRE(caller.run_until([&] { return answered; }));
+  bool settled = false;
+  const auto settle = caller.runtime.after(Millis(200), [&] { settled = true; });
+  REQUIRE(caller.run_until([&] { return settled; }));
+  CHECK(counted == 1);
+}
--- a/tests/cluster/scheduler_course_test.cpp
+++ b/tests/cluster/scheduler_course_test.cpp
@@ -366,5 +366,33 @@
   CHECK(script.disk.empty());
 }
 
+wire::WorkerReport report_in_rack(Script& script, const std::string& leaf, const std::string& rack) {
+  wire::WorkerReport report = script.report_of(leaf);
+  report.mutable_leaf()->set_labels(1, rack);
+  return report;
+}
+
+TEST_CASE("a task runs near its data while there is room, waits a moment for room there, then runs away") {
+  Script script;
+  script.tell(report_in_rack(script, "near", "r-1"));
+  script.tell(report_in_rack(script, "away", "r-2"));
+  script.tell(report_in_rack(script, "near", "r-1"));
+  script.tell(report_in_rack(script, "away", "r-2"));
+  wire::JobSpec spec = one_stage(8);
+  spec.mutable_stages(0)->set_colocation("r-1");
+  script.submit("0000000000000001", spec);
+  script.settle();
+  // Eight cores: all of the first job fits near its data, though the other leaf has nothing to do.
+  CHECK(script.orders("near").starts_size() == 8);
+  CHECK(script.orders("away").starts_size() == 0);
+  script.submit("0000000000000002", spec);
+  script.settle();
+  CHECK(script.orders("away").starts_size() == 0);
+  // Half of what is lost by running away: 0.5 x 500 ms x (1.5 - 1).
+  script.now_ms += 150;
+  script.settle();
+  CHECK(script.orders("away").starts_size() == 8);
+}
+
 }  // namespace
 }  // namespace winchhall::cluster
--- /dev/null
+++ b/tests/cluster/scheduler_inspection_test.cpp
@@ -0,0 +1,122 @@
+// What operators see of a scheduler.
+#include <catch2/catch.hpp>
+
+#include "cluster/scheduler/scheduler.hpp"
+
+using namespace winchhall::cluster;
+
+namespace {
+
+constexpr std::int64_t kWall = 1'700'000'000'000;
+const std::string kJob = "00000000000000a1";
+
+struct SchedulerFixture {
+  TimePoint now{std::chrono::hours(1)};
+  std::unique_ptr<Scheduler> scheduler;
+  std::uint64_t report_number = 0;
+
+  SchedulerFixture() {
+    SchedulerTerms terms;
+    terms.service = "core";
+    scheduler = make_scheduler(terms, 2, 1);
+    scheduler->restore({}, now, kWall);
+  }
+
+  void submit(const std::string& id) {
+    wire::JobSpec spec;
+    spec.set_spec("x");
+    wire::Stage& stage = *spec.add_stages();
+    stage.set_count(3);
+    stage.set_cpu(1000);
+    stage.set_mem_mb(100);
+    stage.set_estimated_ms(300);
+    wire::QueueTerms terms;
+    terms.set_queue("extract");
+    terms.set_priority(2);
+    terms.set_max_retries(2);
+    REQUIRE(scheduler->submit(id, spec, terms, now, kWall).outcome == wire::JOB_OK);
+  }
+
+  // A report of a leaf with room for two tasks, and the plan that follows.
+  void report() {
+    wire::WorkerReport report;
+    report.set_node_name("side-1");
+    report.set_session(1);
+    report.set_report_number(++report_number);
+    report.set_heartbeats(report_number);
+    report.set_epoch(2);
+    report.set_lists_included(true);
+    wire::LeafDescription& leaf = *report.mutable_leaf();
+    leaf.set_leaf_id("leaf-1");
+    leaf.set_service("core");
+    leaf.set_cpu(2000);
+    leaf.set_mem_mb(4000);
+    scheduler->report(report, now, kWall);
+    step();
+  }
+
+  void step() {
+    for (int round = 0; round < 3; ++round) {
+      scheduler->plan(now, kWall);
+      const Scheduler::Changes changes = scheduler->take_changes();
+      if (changes.number > 0) scheduler->changes_durable(changes.number);
+      now += Millis(200);
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(SchedulerFixture, "jobs are listed newest first within the limit") {
+  submit(kJob);
+  submit("00000000000000a2");
+  const JobList list = scheduler->jobs(1);
+  CHECK(list.total == 2);
+  REQUIRE(list.jobs.size() == 1);
+  CHECK(list.jobs[0].id == "00000000000000a2");
+  CHECK(list.jobs[0].queue == "extract");
+  CHECK(list.jobs[0].priority == 2);
+  CHECK(list.jobs[0].state == wire::JOB_QUEUED);
+  CHECK(scheduler->figures().counters.jobs_accepted == 2);
+  submit(kJob);
+  CHECK(scheduler->figures().counters.jobs_accepted == 2);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "a job is shown with its stages and runs, a leaf with what it holds") {
+  submit(kJob);
+  report();
+  report();
+  const std::optional<JobDetail> job = scheduler->job(kJob);
+  REQUIRE(job);
+  CHECK(job->job.state == wire::JOB_RUNNING);
+  REQUIRE(job->stages.size() == 1);
+  CHECK(job->stages[0].tasks == 3);
+  CHECK(job->stages[0].waiting == 1);
+  REQUIRE(job->runs.size() == 2);
+  CHECK(job->runs[0].leaf == "leaf-1");
+  CHECK(job->runs[0].run > 4096);
+  const std::vector<LeafView> leaves = scheduler->leaves(now);
+  REQUIRE(leaves.size() == 1);
+  CHECK(leaves[0].node == "side-1");
+  CHECK(leaves[0].capacity.cpu == 2000);
+  CHECK(leaves[0].reserved.cpu == 2000);
+  CHECK(leaves[0].runs == 2);
+  CHECK(leaves[0].report_age_ms == 600);
+  const SchedulerFigures figures = scheduler->figures();
+  CHECK(figures.counters.tasks_started == 2);
+  CHECK(figures.counters.reports == 2);
+  CHECK(figures.waiting_tasks == 1);
+  CHECK(figures.runs == 2);
+}
+
+TEST_CASE_METHOD(SchedulerFixture,
+                 "unknown jobs are not shown, and a canceled one only once that is durable") {
+  CHECK_FALSE(scheduler->job(kJob));
+  submit(kJob);
+  step();
+  scheduler->cancel(kJob, now, kWall);
+  CHECK(scheduler->job(kJob)->job.state == wire::JOB_RUNNING);
+  step();
+  CHECK(scheduler->job(kJob)->job.state == wire::JOB_CANCELED);
+  CHECK(scheduler->figures().live_jobs == 0);
+}
--- /dev/null
+++ b/tests/cluster/store_tools_test.cpp
@@ -0,0 +1,244 @@
+// The tools for stores of nodes that are not running: read, back up, restore for a new group.
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+#include "cluster/consensus/member_record.hpp"
+#include "cluster/store/backup_file.hpp"
+#include "cluster/store/control_state.hpp"
+#include "cluster/store/offline_store.hpp"
+#include "consensus_fixture.hpp"
+#include "store_fixture.hpp"
+
+namespace winchhall::cluster::sim {
+namespace {
+
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "store-tools-XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  std::string path(const std::string& name) const { return path_ + "/" + name; }
+
+ private:
+  std::string path_;
+};
+
+enum class Failure { none, store, damaged, format, input };
+
+// What kind of failure an action ends with.
+template <typename Function>
+Failure failure_of(Function function) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<Failure> {
+        BOOST_LEAF_CHECK(function());
+        return Failure::none;
+      },
+      [](const StoreFailure&) { return Failure::store; },
+      [](const DamagedStore&) { return Failure::damaged; },
+      [](const UnknownStoreFormat&) { return Failure::format; },
+      [](const InvalidInput&) { return Failure::input; }, [] { return Failure::none; });
+}
+
+Content as_content(const std::vector<StoreEntry>& entries) {
+  Content content;
+  for (const StoreEntry& entry : entries) content[entry.key] = entry.value;
+  return content;
+}
+
+std::map<std::string, std::uintmax_t> sizes(const std::string& folder) {
+  std::map<std::string, std::uintmax_t> found;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    found[entry.path().filename().string()] = entry.file_size();
+  }
+  return found;
+}
+
+std::vector<StoreEntry> entries_of(SimStore& store) {
+  std::vector<StoreEntry> entries;
+  store.load([&](std::string_view key, std::string_view value) {
+    entries.push_back({std::string(key), std::string(value)});
+  });
+  return entries;
+}
+
+// A group of three that leads a shard with a record and holds a register's value.
+struct LeadingGroup {
+  explicit LeadingGroup(std::uint64_t seed) : cluster(seed, 3) {
+    cluster.bootstrap();
+    REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(20000)));
+    ShardCallbacks callbacks;
+    callbacks.on_lead = [this](std::uint64_t epoch, std::vector<ShardEntry>) { led_epoch = epoch; };
+    callbacks.on_lost = [] {};
+    shard = cluster.group(0).open_shard("service", callbacks);
+    REQUIRE(cluster.world().run_until([&] { return shard->leads(); }, Millis(20000)));
+    bool durable = false;
+    shard->write({{"job/1", std::string("record")}},
+                 [&](ShardWriteOutcome outcome) { durable = outcome == ShardWriteOutcome::durable; });
+    REQUIRE(cluster.world().run_until([&] { return durable; }, Millis(20000)));
+    bool chosen = false;
+    cluster.group(0).registers().update(
+        "configuration", [](const std::string&) { return std::optional<std::string>("routes"); },
+        Millis(5000), [&](const std::optional<RegisterValue>& value) { chosen = value.has_value(); });
+    REQUIRE(cluster.world().run_until([&] { return chosen; }, Millis(20000)));
+    cluster.world().run_for(Millis(2000));
+  }
+  ~LeadingGroup() { shard.reset(); }
+
+  ControlCluster<> cluster;
+  std::uint64_t led_epoch = 0;
+  std::unique_ptr<ReplicatedShard> shard;
+};
+
+TEST_CASE("a store is read offline without being changed, and comes back from a backup") {
+  const TemporaryFolder folder;
+  const std::string path = folder.path("data");
+  Content expected;
+  {
+    TestLoop loop;
+    auto store = open_level_store(path, loop.poster());
+    REQUIRE(store);
+    for (std::size_t number = 0; number < 3000; ++number) {
+      const std::string key = std::string("record/service\0", 15) + std::to_string(number);
+      expected[key] = std::string(number % 1000, 'v');
+      REQUIRE(commit(*store.value(), loop, {{key, expected[key]}}) == CommitOutcome::durable);
+    }
+    CHECK(failure_of([&] { return read_offline(path); }) == Failure::store);  // in use
+  }
+  const auto before = sizes(path);
+  auto entries = read_offline(path);
+  REQUIRE(entries);
+  CHECK(as_content(entries.value()) == expected);
+  CHECK(sizes(path) == before);
+  const std::string file = folder.path("backup");
+  REQUIRE(write_backup(file, entries.value()));
+  CHECK(failure_of([&] { return write_backup(file, {}); }) == Failure::store);  // never overwritten
+  auto read = read_backup(file);
+  REQUIRE(read);
+  CHECK(as_content(read.value()) == expected);
+  REQUIRE(write_offline(folder.path("new"), read.value()));
+  CHECK(as_content(read_offline(folder.path("new")).value()) == expected);
+  CHECK(failure_of([&] { return write_offline(folder.path("new"), {}); }) == Failure::store);  // not empty
+  CHECK(failure_of([&] { return read_offline(folder.path("none")); }) != Failure::none);
+}
+
+TEST_CASE("a backup that was cut off or changed anywhere, or is of an unknown version, is refused") {
+  const TemporaryFolder folder;
+  const std::string file = folder.path("backup");
+  REQUIRE(write_backup(file, {{"key", "value"}, {"other", ""}}));
+  std::ifstream input(file, std::ios::binary);
+  const std::string whole((std::istreambuf_iterator<char>(input)), {});
+  const auto failure_with = [&](const std::string& bytes) {
+    std::ofstream(folder.path("changed"), std::ios::binary | std::ios::trunc) << bytes;
+    return failure_of([&] { return read_backup(folder.path("changed")); });
+  };
+  CHECK(failure_with(whole) == Failure::none);
+  for (std::size_t index = 0; index < whole.size(); ++index) {
+    CAPTURE(index);
+    CHECK(failure_with(whole.substr(0, index)) == Failure::damaged);
+    std::string changed = whole;
+    changed[index] ^= 4;
+    CHECK(failure_with(changed) != Failure::none);
+  }
+  std::string newer = whole;
+  newer[newer.find('\n') - 1] = '2';
+  CHECK(failure_with(newer) == Failure::format);
+}
+
+TEST_CASE("the state of a real group is understood whole") {
+  LeadingGroup group(1);
+  for (std::size_t index = 0; index < 3; ++index) {
+    const StateSummary summary = summarize_state(entries_of(group.cluster.node(index).store()));
+    CHECK(summary.unreadable.empty());
+    CHECK(summary.identity.id() == group.cluster.group(index).member_id());
+    CHECK(summary.members.members_size() == 3);
+    CHECK(summary.shards == 1);
+    CHECK(summary.records == 1);
+    CHECK(summary.registers >= 1);
+  }
+  CHECK(summarize_state({{"else", "?"}}).unreadable.size() == 1);
+  const std::string garbage(3, '\xff');
+  CHECK(failure_of([&] { return fenced_state({{"identity", garbage}}, 1, "a", "b"); }) == Failure::damaged);
+  CHECK(failure_of([&] { return fenced_state({}, 1, "", ""); }) == Failure::input);
+}
+
+// A disk that holds given entries at the start.
+class PreparedStore : public DurableStore {
+ public:
+  PreparedStore(DurableStore& disk, const std::vector<StoreEntry>& entries)
+      : disk_(disk), entries_(entries) {}
+  void commit(StoreBatch batch, std::function<void(CommitOutcome)> done) override {
+    disk_.commit(std::move(batch), std::move(done));
+  }
+  void load(const std::function<void(std::string_view, std::string_view)>& visit) override {
+    for (const StoreEntry& entry : entries_) visit(entry.key, entry.value);
+  }
+
+ private:
+  DurableStore& disk_;
+  const std::vector<StoreEntry> entries_;
+};
+
+// One machine whose control group starts from given entries.
+struct RestoredNode {
+  RestoredNode(const std::vector<StoreEntry>& entries, std::size_t machine) : world(3) {
+    world.add_node(machine_ip(machine) + ":7000", [this, entries, machine](SimNode& node) {
+      store = std::make_unique<PreparedStore>(node.store(), entries);
+      auto group_of_node = std::make_shared<ControlGroup>(node, *store, control_settings(machine, false));
+      group = group_of_node.get();
+      group->start();
+      return SimNode::Program{group_of_node, [this](const wire::Envelope& request, const Replier& reply) {
+                                return group->handle(request, reply);
+                              }};
+    });
+    world.node(0).start();
+  }
+
+  std::unique_ptr<PreparedStore> store;
+  SimWorld world;
+  ControlGroup* group = nullptr;
+};
+
+TEST_CASE("a restored state leads a new group of one that the old group can't act on") {
+  LeadingGroup old(2);
+  const std::uint64_t old_id = old.cluster.group(1).member_id();
+  auto fenced = fenced_state(entries_of(old.cluster.node(1).store()), 4711, "", "");
+  REQUIRE(fenced);
+  RestoredNode fresh(fenced.value(), 1);
+  REQUIRE(fresh.world.run_until([&] { return fresh.group->in_touch(); }, Millis(5000)));
+  CHECK(fresh.group->votes());
+  CHECK(fresh.group->member_id() == 4711);
+  CHECK(fresh.group->members().members_size() == 1);
+  CHECK(fresh.group->members().epoch() > old.cluster.group(1).members().epoch() + 1000);
+  CHECK(was_removed(fresh.group->members(), old_id));
+  std::uint64_t epoch = 0;
+  std::vector<ShardEntry> held;
+  ShardCallbacks callbacks;
+  callbacks.on_lead = [&](std::uint64_t led, std::vector<ShardEntry> found) {
+    epoch = led;
+    held = std::move(found);
+  };
+  callbacks.on_lost = [] {};
+  auto shard = fresh.group->open_shard("service", callbacks);
+  REQUIRE(fresh.world.run_until([&] { return shard->leads(); }, Millis(20000)));
+  CHECK(epoch > old.led_epoch + kRestoreFence);
+  REQUIRE(held.size() == 1);
+  CHECK(held[0].key == "job/1");
+  CHECK(held[0].value == "record");
+  std::optional<std::string> configuration;
+  fresh.group->registers().update(
+      "configuration", [](const std::string&) { return std::nullopt; }, Millis(5000),
+      [&](const std::optional<RegisterValue>& value) {
+        if (value) configuration = value->value;
+      });
+  REQUIRE(fresh.world.run_until([&] { return configuration.has_value(); }, Millis(5000)));
+  CHECK(*configuration == "routes");
+  shard.reset();
+}
+
+}  // namespace
+}  // namespace winchhall::cluster::sim
