--- a/examples/toy_leaf.cpp
+++ b/examples/toy_leaf.cpp
@@ -45,7 +45,7 @@
     stream->close();
     auto self = shared_from_this();
     all.erase(self);
-    loop.bury(std::move(self));
+    loop.destroy_later(std::move(self));
   }
   net::Loop& loop;
   std::set<std::shared_ptr<Side>>& all;
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -103,7 +103,7 @@
     std::erase(owner_.idle_, self);
     std::erase(owner_.all_, self);
     stream_->close();
-    owner_.loop_.bury(std::move(self));
+    owner_.loop_.destroy_later(std::move(self));
   }
   HttpClients& owner_;
   std::shared_ptr<net::Stream> stream_;
@@ -197,7 +197,7 @@
     auto self = shared_from_this();
     for (auto& [id, call] : std::exchange(calls_, {})) call.told({});
     http2_.close();
-    if (std::erase(owner_.all_, self) > 0) owner_.loop_.bury(std::move(self));
+    if (std::erase(owner_.all_, self) > 0) owner_.loop_.destroy_later(std::move(self));
   }
 
  private:
--- a/lab/http_stand_in.cpp
+++ b/lab/http_stand_in.cpp
@@ -66,7 +66,7 @@
 
 void HttpStandIn::drop(Connection& connection) {
   auto c = connection.shared_from_this();
-  if (connections_.erase(c) > 0) loop_.bury(std::move(c));
+  if (connections_.erase(c) > 0) loop_.destroy_later(std::move(c));
 }
 
 }  // namespace winchhall::lab
--- a/lab/node.cpp
+++ b/lab/node.cpp
@@ -50,7 +50,7 @@
     for (auto& [id, job] : jobs_) job->cancelled = true;
     auto self = shared_from_this();
     stream_->close();
-    if (node_.frame_sides_.erase(self) > 0) node_.loop_.bury(std::move(self));
+    if (node_.frame_sides_.erase(self) > 0) node_.loop_.destroy_later(std::move(self));
   }
 
  private:
@@ -143,7 +143,7 @@
       if (call.job) call.job->cancelled = true;
     auto self = shared_from_this();
     http2_.close();
-    if (node_.flight_sides_.erase(self) > 0) node_.loop_.bury(std::move(self));
+    if (node_.flight_sides_.erase(self) > 0) node_.loop_.destroy_later(std::move(self));
   }
 
  private:
@@ -329,11 +329,11 @@
   flight_.reset();
   for (const auto& side : std::exchange(frame_sides_, {})) {
     side->close();
-    loop_.bury(side);
+    loop_.destroy_later(side);
   }
   for (const auto& side : std::exchange(flight_sides_, {})) {
     side->close();
-    loop_.bury(side);
+    loop_.destroy_later(side);
   }
 }
 
--- a/src/app/lifecycle.cpp
+++ b/src/app/lifecycle.cpp
@@ -5,16 +5,16 @@
 
 // What an order does in a phase.
 enum class Move : char {
-  none,   // nothing, and that is right: ACK
-  no,     // refused: NAK
-  away,   // -> SendingAway
-  back,   // -> where it would be had it never been sent away
-  leave,  // -> Leaving
-  able,   // notes that it can serve, -> Ready or HandingOver where it waited for that
-  elder,  // notes that another serves, -> TakingOver where it had not served yet
-  heir,   // notes that a later one serves, -> HandingOver where it serves
-  alone,  // notes that no other is left, -> Ready where it handed over, Starting where it took over
-  stop,   // -> Stopped
+  none,         // nothing, and that is right: ACK
+  no,           // refused: NAK
+  away,         // -> Draining
+  back,         // -> where it would be had it never been sent away
+  leave,        // -> Leaving
+  able,         // notes that it can serve, -> Ready or HandingOver where it waited for that
+  predecessor,  // notes that another serves, -> TakingOver where it had not served yet
+  successor,    // notes that a later one serves, -> HandingOver where it serves
+  alone,        // notes that no other is left, -> Ready where it handed over, Starting where it took over
+  stop,         // -> Stopped
 };
 
 struct Cell {
@@ -23,45 +23,45 @@
 };
 
 constexpr Cell kTable[kPhases][kOrders] = {
-    // drain, resume, terminate, able, elder, heir, alone, emptied
+    // drain, resume, terminate, able, predecessor, successor, alone, emptied
     {{Move::away, "sent away before it served"},
      {Move::none, "starting"},
      {Move::leave, "leaving"},
      {Move::able, "able"},
-     {Move::elder, "another serves"},
-     {Move::heir, "a later one serves"},
+     {Move::predecessor, "another serves"},
+     {Move::successor, "a later one serves"},
      {Move::alone, "alone"},
      {Move::none, "starting"}},
     {{Move::away, "sent away before it served"},
      {Move::none, "taking over"},
      {Move::leave, "leaving"},
      {Move::able, "able"},
-     {Move::elder, "another serves"},
-     {Move::heir, "a later one serves"},
+     {Move::predecessor, "another serves"},
+     {Move::successor, "a later one serves"},
      {Move::alone, "alone"},
      {Move::none, "taking over"}},
     {{Move::away, "sending clients away"},
      {Move::none, "serving"},
      {Move::leave, "leaving"},
      {Move::able, "serving"},
-     {Move::elder, "another serves"},
-     {Move::heir, "a later one serves"},
+     {Move::predecessor, "another serves"},
+     {Move::successor, "a later one serves"},
      {Move::alone, "alone"},
      {Move::none, "serving"}},
     {{Move::away, "sending clients away"},
      {Move::none, "serving"},
      {Move::leave, "leaving"},
      {Move::able, "serving"},
-     {Move::elder, "another serves"},
-     {Move::heir, "a later one serves"},
+     {Move::predecessor, "another serves"},
+     {Move::successor, "a later one serves"},
      {Move::alone, "alone"},
      {Move::none, "serving"}},
     {{Move::none, "sending clients away"},
      {Move::back, "back to work"},
      {Move::leave, "leaving"},
      {Move::able, "able"},
-     {Move::elder, "another serves"},
-     {Move::heir, "a later one serves"},
+     {Move::predecessor, "another serves"},
+     {Move::successor, "a later one serves"},
      {Move::alone, "alone"},
      {Move::none, "empty"}},
     {{Move::none, "leaving"},
@@ -93,13 +93,13 @@
 Lifecycle::Result Lifecycle::give(Order order, Millis now) {
   const Cell& cell = kTable[static_cast<int>(phase_)][static_cast<int>(order)];
   Phase before = phase_;
-  bool away = phase_ == Phase::SendingAway;
+  bool away = phase_ == Phase::Draining;
   switch (cell.move) {
     case Move::none:
     case Move::no:
       break;
     case Move::away:
-      phase_ = Phase::SendingAway;
+      phase_ = Phase::Draining;
       away_since_ = now;
       break;
     case Move::leave:
@@ -113,10 +113,10 @@
     case Move::able:
       able_ = true;
       break;
-    case Move::elder:
+    case Move::predecessor:
       elder_ = true;
       break;
-    case Move::heir:
+    case Move::successor:
       heir_ = true;
       break;
     case Move::alone:
@@ -126,7 +126,7 @@
       away = false;
       break;
   }
-  bool notes = cell.move == Move::able || cell.move == Move::elder || cell.move == Move::heir ||
+  bool notes = cell.move == Move::able || cell.move == Move::predecessor || cell.move == Move::successor ||
                cell.move == Move::alone || cell.move == Move::back;
   if (notes && !away)
     phase_ = able_    ? (heir_ ? Phase::HandingOver : Phase::Ready)
--- a/src/app/lifecycle.hpp
+++ b/src/app/lifecycle.hpp
@@ -13,21 +13,21 @@
   TakingOver,   // as Starting, and another process of this name serves: it is to know of us first
   Ready,        // serves and takes clients
   HandingOver,  // the same, beside a later process of this name: what is shared is halved
-  SendingAway,  // an operator emptied it: clients are sent away, and may be called back
-  Leaving,      // SIGTERM: as SendingAway, for good
+  Draining,     // an operator emptied it: clients are sent away, and may be called back
+  Leaving,      // SIGTERM: as Draining, for good
   Stopped,
 };
 constexpr int kPhases = 7;
 
 enum class Order {
-  drain,      // by the operators' door
-  resume,     //
-  terminate,  // SIGTERM
-  able,       // a list is known and whoever was asked has answered: it can serve
-  elder,      // an earlier process of this name was found
-  heir,       // a later process of this name serves
-  alone,      // no other process of this name is left
-  emptied,    // nothing taken is unanswered, nothing waits to be written, no client is left
+  drain,        // by the operators' door
+  resume,       //
+  terminate,    // SIGTERM
+  able,         // a list is known and whoever was asked has answered: it can serve
+  predecessor,  // an earlier process of this name was found
+  successor,    // a later process of this name serves
+  alone,        // no other process of this name is left
+  emptied,      // nothing taken is unanswered, nothing waits to be written, no client is left
 };
 constexpr int kOrders = 8;
 
@@ -49,9 +49,9 @@
   bool admits() const { return phase_ == Phase::Ready || phase_ == Phase::HandingOver; }  // what /ready tells
   bool leaving() const { return phase_ == Phase::Leaving || phase_ == Phase::Stopped; }
   // Clients are to go elsewhere: each answer is the last one on its connection ...
-  bool sends_away() const { return phase_ == Phase::SendingAway || leaving(); }
+  bool drains() const { return phase_ == Phase::Draining || leaving(); }
   // ... and, once those who send new ones have heard of it, connections that stand idle are closed as well.
-  bool closes_idle(Millis now) const { return sends_away() && now >= away_since_ + kCrossing; }
+  bool closes_idle(Millis now) const { return drains() && now >= away_since_ + kCrossing; }
   // Leaving: no new connection is expected any more; the listener may be closed.
   bool closes_door(Millis now) const { return leaving() && now >= away_since_ + kStayOpen; }
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -88,8 +88,8 @@
 void meet(Lifecycle& life, const takeover::Pairing& pairing, Millis now) {
   Phase before = life.phase();
   life.give(Order::alone, now);
-  if (pairing.elder(now)) life.give(Order::elder, now);
-  if (pairing.heir(now)) life.give(Order::heir, now);
+  if (pairing.predecessor(now)) life.give(Order::predecessor, now);
+  if (pairing.successor(now)) life.give(Order::successor, now);
   if (life.phase() != before) spdlog::info("phase {}, {} other processes", life.name(), pairing.others(now));
 }
 
@@ -297,7 +297,7 @@
       spdlog::info("phase {}", life.name());
     if (life.admits() && !front.listens()) open_to_clients(front, neighbours.get(), now);
     if (door) door->serving(life.admits());
-    front.last_answers(life.sends_away());
+    front.last_answers(life.drains());
     if (life.closes_idle(now)) front.close_idle();
     if (analysts && life.closes_idle(now) != analysts_away) {
       analysts_away = !analysts_away;
--- a/src/flight/flight_pool.cpp
+++ b/src/flight/flight_pool.cpp
@@ -289,7 +289,7 @@
   auto it =
       std::find_if(connections_.begin(), connections_.end(), [&](auto& c) { return c.get() == &connection; });
   if (it == connections_.end()) return;
-  loop_.bury(std::move(*it));
+  loop_.destroy_later(std::move(*it));
   connections_.erase(it);
 }
 
--- a/src/flight/flight_server.cpp
+++ b/src/flight/flight_server.cpp
@@ -302,7 +302,7 @@
 
 void FlightServer::drop(Connection& connection) {
   auto c = connection.shared_from_this();
-  if (connections_.erase(c) > 0) loop_.bury(std::move(c));
+  if (connections_.erase(c) > 0) loop_.destroy_later(std::move(c));
 }
 
 std::string FlightServer::fresh_id() { return "f" + std::to_string(seed_) + "-" + std::to_string(++count_); }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -34,7 +34,7 @@
   // Runs at the end of this turn; what a callback is still using is destroyed there and not under its feet.
   void defer(std::function<void()> run) { deferred_.push_back(std::move(run)); }
   template <class T>
-  void bury(std::shared_ptr<T> dead) {
+  void destroy_later(std::shared_ptr<T> dead) {
     defer([dead] {});
   }
 
--- a/src/placement/least_cost.hpp
+++ b/src/placement/least_cost.hpp
@@ -1,8 +1,8 @@
 // The choice among servers: least cost of what is there plus the new piece of work, ties broken at random.
 #pragma once
 
-#include <cstdint>
 #include <random>
+#include <utility>
 
 namespace winchhall::placement {
 
@@ -14,26 +14,22 @@
   // `generator` is a uniform random bit generator, used only for ties.
   template <class Generator>
   void offer(Candidate candidate, double cost, Generator& generator, int rank = 0) {
-    if (ties_ > 0 && (rank > rank_ || (rank == rank_ && cost > cost_))) return;
-    if (rank < rank_ || cost < cost_) ties_ = 0;
+    std::pair<int, double> key{rank, cost};
+    if (ties_ > 0 && best_key_ < key) return;
+    if (key < best_key_) ties_ = 0;
     ++ties_;
-    rank_ = rank;
-    cost_ = cost;
-    if (ties_ == 1 || std::uniform_int_distribution<std::uint32_t>(1, ties_)(generator) == 1)
-      best_ = candidate;
+    best_key_ = key;
+    if (ties_ == 1 || std::uniform_int_distribution<>(1, ties_)(generator) == 1) best_ = candidate;
   }
 
   bool empty() const { return ties_ == 0; }
   // The candidate kept; meaningless while `empty`.
   const Candidate& best() const { return best_; }
-  double cost() const { return cost_; }
-  int rank() const { return rank_; }
 
  private:
   Candidate best_{};
-  double cost_ = 0;
-  int rank_ = 0;
-  std::uint32_t ties_ = 0;  // candidates seen that are as good as the best
+  std::pair<int, double> best_key_;  // rank, then cost
+  int ties_ = 0;                     // candidates seen that are as good as the best
 };
 
 }  // namespace winchhall::placement
--- a/src/platform/client_front.cpp
+++ b/src/platform/client_front.cpp
@@ -238,7 +238,7 @@
   auto c = connection.shared_from_this();
   if (connections_.erase(c) == 0) return;
   lingering_.add(c->linger());
-  loop_.bury(std::move(c));
+  loop_.destroy_later(std::move(c));
 }
 
 void ClientFront::list_bad(int status, const std::string& why) {
@@ -249,7 +249,7 @@
   auto c = connection.shared_from_this();
   if (connections_.erase(c) == 0) return;
   c->close();
-  loop_.bury(std::move(c));
+  loop_.destroy_later(std::move(c));
 }
 
 // Guards against a request that crosses the closing: what has come by now is read and answered first.
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -116,7 +116,7 @@
   if (!slot) return;
   if (slot->stream_) slot->stream_->close();
   loop_.cancel(slot->timer_);
-  loop_.bury(std::exchange(slot, nullptr));
+  loop_.destroy_later(std::exchange(slot, nullptr));
 }
 
 void Discovery::start(std::shared_ptr<Call>& slot, bool watch) {
--- a/src/platform/leaf_pool.cpp
+++ b/src/platform/leaf_pool.cpp
@@ -112,7 +112,7 @@
   if (it == connections_.end()) return;
   connection.retire();
   lingering_.add(connection.linger());
-  loop_.bury(std::move(*it));
+  loop_.destroy_later(std::move(*it));
   connections_.erase(it);
 }
 
--- a/src/platform/range_directory.cpp
+++ b/src/platform/range_directory.cpp
@@ -142,7 +142,7 @@
 void RangeDirectory::over(const std::string& why) {
   if (!watch_) return;
   watch_->close();
-  loop_.bury(std::exchange(watch_, nullptr));
+  loop_.destroy_later(std::exchange(watch_, nullptr));
   ++figures_.broken;
   spdlog::warn("directory of ranges: {}; revision {} serves on", why,
                ranges::text_of(follower_.map().revision()));
@@ -156,7 +156,7 @@
   if (watch_ && follower_.silent(now)) return over("silent");
   if (watch_ && follower_.wants_reopen()) {
     watch_->close();
-    loop_.bury(std::exchange(watch_, nullptr));
+    loop_.destroy_later(std::exchange(watch_, nullptr));
     follower_.reopening(now, chance());
   }
   if (!watch_ && now >= follower_.ask_at()) ask();
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -29,32 +29,32 @@
 
  private:
   void on(const PartsReplaced& e) {
-    Part heir;
+    Part successor;
     for (const std::string& id : e.parts) {
       auto it = parts_.find(id);
       if (it == parts_.end() || it->second.out() || it->second.done) return;
       const Part& p = it->second;
-      heir.query = p.query;
-      heir.step = p.step;
-      heir.most = p.most;
-      heir.used = std::max(heir.used, p.tries());
-      heir.resets = std::max(heir.resets, p.resets);
-      heir.spare = p.spare;
-      heir.dead |= p.dead;
-      heir.first_maybe = std::min(heir.first_maybe, p.first_maybe);
+      successor.query = p.query;
+      successor.step = p.step;
+      successor.most = p.most;
+      successor.used = std::max(successor.used, p.tries());
+      successor.resets = std::max(successor.resets, p.resets);
+      successor.spare = p.spare;
+      successor.dead |= p.dead;
+      successor.first_maybe = std::min(successor.first_maybe, p.first_maybe);
     }
-    auto found = queries_.find(heir.query);
-    if (found == queries_.end() || found->second.ended || found->second.step != heir.step) return;
+    auto found = queries_.find(successor.query);
+    if (found == queries_.end() || found->second.ended || found->second.step != successor.step) return;
     Query& q = found->second;
     for (const std::string& id : e.parts) {
       parts_.erase(id);
       std::erase(q.parts, id);
     }
     for (const PartSpec& spec : e.successors)
-      add_part(q, heir, spec, spec.hint && sound(*spec.hint) ? *spec.hint : mean_hint(q.query_class));
+      add_part(q, successor, spec, spec.hint && sound(*spec.hint) ? *spec.hint : mean_hint(q.query_class));
     for (const PartSpec& spec : e.successors)
       if (Part& p = parts_.at(spec.part); !p.spare && !q.awaiting_step) try_part(q, p);
-    settle(heir.query);
+    settle(q);
   }
 
   void on(const HoldersChanged& e) {
@@ -114,12 +114,10 @@
       q.cautious = false;
       if (set_.may_cancel) cancel(p);
     } else if (!p.done && !p.out()) {  // else a copy of it counts
-      if (e.part_closed || (e.outcome == Outcome::timeout && !spare_load()))
-        p.dead = true;
-      else if (!q.awaiting_step && p.step == q.step)
-        try_part(q, p);
+      p.dead |= e.part_closed || (e.outcome == Outcome::timeout && !spare_load());
+      if (!q.awaiting_step && p.step == q.step) try_part(q, p);
     }
-    settle(p.query);
+    settle(q);
   }
 
   // Guards against a query that fells every server it reaches. Once several fell, its parts go one at a time;
@@ -164,13 +162,10 @@
     double per_second = 1000 * heard_.weight * heard_.left(now_) / kFade;
     sparse_ = std::clamp(ready / std::max(per_second, 1e-3), 1.0, kSparseMost);
     for (auto& [number, q] : queries_) {
-      if (q.ended) continue;
-      if (q.awaiting_step) {
-        if (now_ >= q.give_up_at - pulse_) end(q, true);
-        continue;
-      }
+      if (q.awaiting_step && now_ >= q.give_up_at - pulse_) end(q, true);
+      if (q.ended || q.awaiting_step) continue;
       move_overdue(q);
-      settle(number);
+      settle(q);
     }
     retry_waiting();
     forget_closed();
--- a/src/policy/queries.hpp
+++ b/src/policy/queries.hpp
@@ -90,11 +90,9 @@
   // One further attempt, if rule, budget and time allow; false if the part must wait or is dead.
   bool try_part(Query& q, Part& p) {
     const ClassSettings& c = set_.classes[q.query_class];
-    if (p.out() || p.done || p.dead) return false;
-    if (!repeat_allowed(p, c)) {
-      p.dead = true;
-      return false;
-    }
+    if (p.out() || p.done) return false;
+    p.dead |= !repeat_allowed(p, c);
+    if (p.dead) return false;
     if (useful_until(q) - now_ < kLeastFit * learned_[q.query_class].response.mean) return false;
     if (q.cautious && q.outstanding > 0) return false;
     if (p.tries() > 0 && !budget_allows()) return false;
@@ -108,19 +106,18 @@
 
   void on(const QueryArrived& e) {
     count_taken(1 + e.parts.size());
-    if (query_numbers_.count(e.query)) return;
-    int number = next_query_++;
-    query_numbers_[e.query] = number;
-    Query& q = queries_[number];
+    auto [it, fresh] = query_numbers_.try_emplace(e.query, next_query_);
+    if (!fresh) return;
+    Query& q = queries_[next_query_++];
     q.id = e.query;
     q.query_class = std::clamp(e.query_class, 0, static_cast<int>(set_.classes.size()) - 1);
     q.give_up_at = std::isfinite(e.give_up_at) ? e.give_up_at : now_;
     q.aim_at = std::min(now_ + set_.classes[q.query_class].aim, q.give_up_at - pulse_);
     q.key = e.key;
-    take_parts(number, e.parts);
+    take_parts(it->second, e.parts);
     if (q.key && condemned_.count(*q.key)) return end(q, true);
     q.cautious = now_ < learned_[q.query_class].wary_until;
-    place_step(number);
+    place_step(q);
   }
 
   void on(const PartsAdded& e) {
@@ -131,7 +128,7 @@
     q.awaiting_step = false;
     q.step = 2;
     take_parts(it->second, e.parts);
-    place_step(it->second);
+    place_step(q);
   }
 
   void take_parts(int number, const std::vector<PartSpec>& specs) {
@@ -169,8 +166,7 @@
   }
 
   // The ordinary path.
-  void place_step(int number) {
-    Query& q = queries_[number];
+  void place_step(Query& q) {
     std::vector<Part*> list = step_parts(q);
     std::stable_sort(list.begin(), list.end(), [](Part* a, Part* b) { return a->hint > b->hint; });
     double placed = 0;
@@ -206,7 +202,7 @@
     }
     for (Part* p : list)
       if (p->out()) send(q, *p);
-    settle(number);
+    settle(q);
   }
 
   // Departure, where fewer parts may answer and queues take most of the time left: those that weigh least for
@@ -233,10 +229,8 @@
   double queue_pace() const { return std::exp(spread_.mean(now_, 0)) / kLeastCores; }
 
   // Answers, fails or waits, by what is in and what may still come.
-  void settle(int number) {
-    auto it = queries_.find(number);
-    if (it == queries_.end() || it->second.ended || it->second.awaiting_step) return;
-    Query& q = it->second;
+  void settle(Query& q) {
+    if (q.ended || q.awaiting_step) return;
     const ClassSettings& c = set_.classes[q.query_class];
     double in = 0, possible = 0, asked = 0;
     std::vector<Part*> list = step_parts(q);
@@ -267,12 +261,9 @@
   void answer(Query& q, bool whole) {
     act(AnswerQuery{q.id, whole});
     unserved_.add(0, now_);
-    if (q.step == 1 && set_.classes[q.query_class].second_step_parts > 0) {
-      q.first_whole = whole;
-      q.awaiting_step = true;
-      return;
-    }
-    close(q);
+    q.first_whole = whole;
+    q.awaiting_step = q.step == 1 && set_.classes[q.query_class].second_step_parts > 0;
+    if (!q.awaiting_step) close(q);
   }
 
   // Gives a query up at once: refused where trying again is harmless and can still pay, else failed.
@@ -280,10 +271,9 @@
     const ClassSettings& c = set_.classes[q.query_class];
     bool harmless = q.step == 1;
     unserved_.add(1, now_);
-    for (const std::string& id : q.parts) {
-      const Part& p = parts_.at(id);
-      if (c.repeat != Repeat::safe && (p.first_maybe < kEver || p.out() || p.done)) harmless = false;
-    }
+    for (const std::string& id : q.parts)
+      if (const Part& p = parts_.at(id); p.first_maybe < kEver || p.out() || p.done)
+        harmless &= c.repeat == Repeat::safe;
     bool past = sent && now_ >= q.aim_at - margin() - pulse_;
     if (harmless && !past)
       act(RefuseQuery{q.id, set_.retry_after_heard ? std::min(set_.max_retry_after, c.aim) : 0});
@@ -296,11 +286,8 @@
   void close(Query& q) {
     q.ended = true;
     q.awaiting_step = false;
-    for (const std::string& id : q.parts) {
-      Part& p = parts_.at(id);
-      if (set_.may_cancel) cancel(p);
-    }
-    closed_.push_back(query_numbers_.at(q.id));
+    if (!set_.may_cancel) return;
+    for (const std::string& id : q.parts) cancel(parts_.at(id));
   }
 
   void cancel(Part& p) {
@@ -310,20 +297,18 @@
   }
 
   void forget_closed() {
-    std::erase_if(closed_, [&](int number) {
-      Query& q = queries_.at(number);
-      if (q.outstanding > 0) return false;
+    std::erase_if(queries_, [&](const auto& numbered) {
+      const Query& q = numbered.second;
+      if (!q.ended || q.outstanding > 0) return false;
       for (const std::string& id : q.parts) parts_.erase(id);
       query_numbers_.erase(q.id);
-      queries_.erase(number);
       return true;
     });
   }
 
   void on(const QueryWithdrawn& e) {
     auto it = query_numbers_.find(e.query);
-    if (it == query_numbers_.end() || queries_[it->second].ended) return;
-    close(queries_[it->second]);
+    if (it != query_numbers_.end() && !queries_[it->second].ended) close(queries_[it->second]);
   }
 
   double moves_saved_ = kMoveMost;
@@ -332,7 +317,6 @@
   std::map<int, Query> queries_;  // by number, in order of arrival
   std::map<std::string, int> query_numbers_;
   std::map<std::string, Part> parts_;
-  std::vector<int> closed_;
   int next_query_ = 0;
   std::map<std::uint64_t, Millis> condemned_;  // subjects of queries that fell servers, and since when
   std::deque<std::pair<Millis, double>> taken_;
--- a/src/policy/tier.hpp
+++ b/src/policy/tier.hpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "fleet/list_clock.hpp"
+#include "placement/least_cost.hpp"
 #include "policy/state.hpp"
 
 namespace pewterrill::detail {
@@ -159,23 +160,20 @@
       if (h->aside && (now_ < h->aside_until || !s.out_since.empty()))  // else: one trial part
         worst = std::max(worst, h->at_once ? 3 : 2);
     if (worst > 0) return worst;
-    bool waited_for = !s.out_since.empty();
-    if (waited_for && now_ - std::max(*s.out_since.begin(), s.last_answer) > quiet_after_) return 2;
+    if (!s.out_since.empty() && now_ - std::max(*s.out_since.begin(), s.last_answer) > quiet_after_) return 2;
     for (const Attempt& a : p.attempts)
       if (&servers_[a.server] == &s) return 1;
     return 0;
   }
 
   bool denied_lately(int server, const Part& p) const {
-    for (const Attempt& a : p.attempts)
-      if (a.server == server && now_ - a.denied < kMoment * static_cast<double>(p.attempts.size()))
-        return true;
-    return false;
+    return std::any_of(p.attempts.begin(), p.attempts.end(), [&](const Attempt& a) {
+      return a.server == server && now_ - a.denied < kMoment * static_cast<double>(p.attempts.size());
+    });
   }
 
   int choose(const Part& p, int c, int most_distrust = 3) {
-    int best = -1, best_distrust = most_distrust, ties = 0;
-    double best_cost = 0;
+    winchhall::placement::LeastCost<int> least;
     for (std::size_t k = 0; k < (p.holders ? p.holders->size() : servers_.size()); ++k) {
       auto named = p.holders ? by_name_.find((*p.holders)[k]) : by_name_.end();
       if (p.holders && named == by_name_.end()) continue;
@@ -184,16 +182,10 @@
       if (s.state != ServerState::ready || (!p.holders && !holds(s, p.shard))) continue;  // Rule: drains
       if (may_drain(s) || denied_lately(i, p)) continue;
       if (!cold_allows(s, std::max(p.hint, mean_hint(c)))) continue;
-      int d = distrust(s, p, c);
-      double x = cost(s, c, p.hint);
-      if (d > best_distrust || (best >= 0 && d == best_distrust && x > best_cost)) continue;
-      if (d < best_distrust || x < best_cost) ties = 0;
-      ++ties;
-      if (ties == 1 || std::uniform_int_distribution<>(1, ties)(random_) == 1) best = i;
-      best_distrust = d;
-      best_cost = x;
+      int rank = distrust(s, p, c);
+      if (rank <= most_distrust) least.offer(i, cost(s, c, p.hint), random_, rank);
     }
-    return best;
+    return least.empty() ? -1 : least.best();
   }
 
   Millis patience(int c) const {
--- a/src/policy/tuning.hpp
+++ b/src/policy/tuning.hpp
@@ -20,9 +20,8 @@
 constexpr Millis kRestMax = 4000;    // ms set aside at most: a sound server is found again within this time
 constexpr double kColdSafety = 0.8;  // of the cold allowance: slack for what others send and for chance
 constexpr double kTurnShare = 0.75;  // of that, by lot: all brokers' lots together stray by chance
-constexpr double kTurnsSaved =
-    4;  // spans without an occasion that add to a lot's chance: a burst spends them
-constexpr double kLeastCores = 1;   // work ms per ms: what any warm server does at the least
+constexpr double kTurnsSaved = 4;    // spans without an occasion that add to a lot: a burst spends them
+constexpr double kLeastCores = 1;    // work ms per ms: what any warm server does at the least
 constexpr double kMoveShare = 0.1;  // of first attempts may be repeated for lateness: it must not feed itself
 constexpr double kMoveMost = 5;     // saved up at most: one query's parts
 constexpr double kHedgeAfter = 3;   // x the usual response: later than that a second copy is sent
--- a/src/takeover/pairing.cpp
+++ b/src/takeover/pairing.cpp
@@ -20,12 +20,12 @@
       std::count_if(known_.begin(), known_.end(), [&](auto& k) { return live(k.second, now); }));
 }
 
-bool Pairing::elder(Millis now) const {
+bool Pairing::predecessor(Millis now) const {
   return std::any_of(known_.begin(), known_.end(),
                      [&](auto& k) { return k.first < own_ && live(k.second, now); });
 }
 
-bool Pairing::heir(Millis now) const {
+bool Pairing::successor(Millis now) const {
   return std::any_of(known_.begin(), known_.end(), [&](auto& k) {
     return own_ < k.first && k.second.state.listens && live(k.second, now);
   });
--- a/src/takeover/pairing.hpp
+++ b/src/takeover/pairing.hpp
@@ -22,8 +22,8 @@
 
   // Processes besides this one that may still act, by what they said last.
   int others(Millis now) const;
-  bool elder(Millis now) const;  // one that was here before
-  bool heir(Millis now) const;   // one that came later and has begun to listen
+  bool predecessor(Millis now) const;  // one that was here before
+  bool successor(Millis now) const;    // one that came later and has begun to listen
   int listening(Millis now) const;
   // May this process begin: those before it have heard of it, or had the time to.
   bool may_begin(Millis now) const;
--- /dev/null
+++ b/tests/coordinator_health_test.cpp
@@ -0,0 +1,300 @@
+// The module, driven through its interface: servers that fail, and overload.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "driver.hpp"
+#include "teach.hpp"
+
+namespace pewterrill::testing {
+namespace {
+
+TEST(Health, AServerThatErrsIsSetAsideThoughItsSumIsLeast) {
+  Driver d(plain_settings());
+  d.servers({"a", "b"});
+  for (int i = 0, errors = 0; i < 20 && errors < 2; ++i) {
+    std::string id = "q" + std::to_string(i);
+    d.query(id, {10});
+    bool bad = d.sent_to(id + "/0") == "a";
+    errors += bad;
+    d.ended(id + "/0", bad ? "a" : "b", bad ? Outcome::error : Outcome::ok);
+    if (bad) d.ended(id + "/0", "b", Outcome::ok, 1);
+  }
+  d.query("big", {500});
+  d.query("next", {10});
+  EXPECT_EQ(d.sent_to("next/0"), "b");
+  d.now += 600;  // after its rest it gets one trial part, not more
+  d.query("trial", {10, 10});
+  EXPECT_NE(d.sent_to("trial/0"), d.sent_to("trial/1"));
+}
+
+TEST(Health, ErrorsOfOneClassAreNotForgivenForAnothersSuccesses) {
+  Settings s = plain_settings();
+  s.classes.push_back(s.classes[0]);
+  Driver d(s);
+  d.servers({"a", "b"});
+  for (int i = 0; i < 30; ++i) {  // server a fails class 1 and serves class 0
+    std::string id = "q" + std::to_string(i);
+    int c = i % 2;
+    d.query(id, {10}, c);
+    std::string to = d.sent_to(id + "/0");
+    bool bad = c == 1 && to == "a";
+    d.ended(id + "/0", to, bad ? Outcome::error : Outcome::ok);
+    if (bad) d.ended(id + "/0", "b", Outcome::ok, 1);
+  }
+  for (int i = 0; i < 6; ++i) {
+    std::string one = "one" + std::to_string(i), other = "other" + std::to_string(i);
+    d.query(one, {10}, 1);
+    EXPECT_EQ(d.sent_to(one + "/0"), "b");
+    d.query(other, {1}, 0);
+    EXPECT_EQ(d.sent_to(other + "/0"), "a");
+    d.ended(other + "/0", "a", Outcome::ok);
+  }
+}
+
+TEST(Health, AQueryThatFellsServersIsStoppedAndRemembered) {
+  Settings s = plain_settings(3);
+  Driver d(s);
+  std::vector<std::string> names;
+  for (int i = 0; i < 12; ++i) names.push_back("s" + std::to_string(i));
+  d.servers(names);
+  std::set<std::string> fallen;
+  auto ask = [&](const std::string& id, std::uint64_t key) {
+    QueryArrived q;
+    q.query = id;
+    q.give_up_at = d.now + 3000;
+    q.key = key;
+    for (int i = 0; i < 4; ++i) q.parts.push_back({id + "/" + std::to_string(i), 0, 0.25, 10.0});
+    d.event(q);
+  };
+  ask("poison", 99);
+  std::vector<SendPart> sends = d.of<SendPart>();
+  std::map<std::string, int> attempts;
+  ASSERT_EQ(sends.size(), 4u);
+  for (std::size_t i = 0; i < sends.size(); ++i) {  // grows: every attempt breaks its server
+    fallen.insert(sends[i].server);
+    d.ended(sends[i].part, sends[i].server, Outcome::reset, attempts[sends[i].part]++);
+    for (const SendPart& more : d.of<SendPart>()) sends.push_back(more);
+  }
+  EXPECT_LE(fallen.size(), 6u);  // the four it was first sent to, and two more
+  ask("again", 99);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  EXPECT_EQ(d.of<FailQuery>().size() + d.of<RefuseQuery>().size(), 1u);
+  ask("other", 98);  // one part first, the rest when it has come back
+  ASSERT_EQ(d.of<SendPart>().size(), 1u);
+  auto first = d.of<SendPart>()[0];
+  d.ended(first.part, first.server, Outcome::ok);
+  d.pass(20);
+  EXPECT_EQ(d.of<SendPart>().size(), 3u);
+}
+
+TEST(Health, ABystanderOfACrashGoesOnOnePartAtATimeAndIsCleared) {
+  Driver d(plain_settings(3));
+  d.servers({"a", "b", "c", "d"});
+  d.query("q", {10, 10, 10, 10});
+  auto sends = d.of<SendPart>();
+  d.ended(sends[2].part, sends[2].server, Outcome::ok);
+  d.ended(sends[0].part, sends[0].server, Outcome::reset);
+  std::vector<SendPart> retries = d.of<SendPart>();
+  d.ended(sends[1].part, sends[1].server, Outcome::reset);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.ended(sends[3].part, sends[3].server, Outcome::ok);  // clears it
+  d.pass(20);
+  EXPECT_EQ(d.of<SendPart>().size() + retries.size(), 2u);
+  EXPECT_TRUE(d.of<FailQuery>().empty());
+}
+
+TEST(Health, AServerThatFailsAtOnceRanksBehindSilentOnes) {
+  Driver d(plain_settings());
+  d.servers({"a", "b"});
+  for (int i = 0, errors = 0; errors < 2; ++i) {
+    std::string id = "q" + std::to_string(i);
+    d.query(id, {10});
+    std::string to = d.sent_to(id + "/0");
+    errors += to == "a";
+    d.ended(id + "/0", to, to == "a" ? Outcome::error : Outcome::ok);
+    if (to == "a") d.ended(id + "/0", "b", Outcome::ok, 1);
+  }
+  d.query("full", {10});
+  ASSERT_EQ(d.sent_to("full/0"), "b");
+  d.ended("full/0", "b", Outcome::full);
+  d.query("next", {500});
+  EXPECT_EQ(d.sent_to("next/0"), "b");
+}
+
+TEST(Health, AFurtherAttemptWaitsWhileAllFailAtOnce) {
+  Driver d(plain_settings(4));
+  d.servers({"a"});
+  d.query("q", {10});
+  d.ended("q/0", "a", Outcome::connect_failed);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.pass(400);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.pass(200);
+  EXPECT_EQ(d.of<SendPart>().size(), 1u);
+}
+
+TEST(Health, WhenAllReplicasLookBadTheLeastSumDecides) {
+  Driver d(plain_settings());
+  d.servers({"a", "b"});
+  d.query("q", {10, 10});
+  std::string s0 = d.sent_to("q/0"), s1 = d.sent_to("q/1");
+  d.ended("q/0", s0, Outcome::connect_failed);
+  d.ended("q/1", s1, Outcome::connect_failed);
+  d.query("r", {10});
+  EXPECT_EQ(d.of<SendPart>().size(), 1u);
+}
+
+TEST(Health, AnOverdueAttemptAtASilentServerIsMoved) {
+  Driver d(plain_settings());
+  d.servers({"a", "b"});
+  teach(d, 20, 100);
+  d.query("q", {100});
+  std::string first = d.sent_to("q/0");
+  d.pass(450);
+  ASSERT_EQ(d.of<CancelAttempt>().size(), 1u);
+  d.ended("q/0", first, Outcome::cancelled);
+  ASSERT_EQ(d.of<SendPart>().size(), 1u);
+  EXPECT_NE(d.of<SendPart>()[0].server, first);
+}
+
+TEST(Health, ACutConnectionOfALivingServerCondemnsNobody) {
+  // Servers go on answering right after connections broke: later breaks are cuts, and a query under which
+  // several broke is neither ended nor made to wait.
+  Driver d(plain_settings(5));
+  d.servers({"a", "b", "c"});
+  for (int i = 0; i < 6; ++i) {
+    std::string id = "cut" + std::to_string(i);
+    d.query(id, {100});
+    std::string server = d.sent_to(id + "/0");
+    ASSERT_NE(server, "");
+    d.query(id + "x", {100, 100, 100});  // something out on every server
+    auto others = d.of<SendPart>();
+    d.now += 30;
+    d.ended(id + "/0", server, Outcome::reset);
+    std::string again = d.sent_to(id + "/0");
+    for (const SendPart& o : others) d.ended(o.part, o.server, Outcome::ok);
+    if (!again.empty()) d.ended(id + "/0", again, Outcome::ok, 1);
+  }
+  d.query("q", {100, 100, 100});
+  auto sends = d.of<SendPart>();
+  ASSERT_EQ(sends.size(), 3u);
+  for (const SendPart& s : sends) {
+    d.ended(s.part, s.server, Outcome::reset);
+    EXPECT_EQ(d.of<RefuseQuery>().size() + d.of<FailQuery>().size(), 0u);
+    EXPECT_EQ(d.of<SendPart>().size(), 1u) << s.part;
+  }
+}
+
+TEST(Health, AServerThatSwallowsOneClassIsAvoidedForThatClassOnly) {
+  Settings s = plain_settings();
+  s.classes.push_back(s.classes[0]);
+  Driver d(s);
+  d.servers({"a", "b"});
+  int swallowed = 0, served = 0;
+  for (int i = 0; i < 40; ++i) {
+    std::string id = "q" + std::to_string(i);
+    d.query(id, {100}, i % 2);
+    std::string server = d.sent_to(id + "/0");
+    ASSERT_NE(server, "");
+    if (i % 2 == 1 && server == "a") {
+      ++swallowed;
+      d.now += 1000;
+      d.ended(id + "/0", server, Outcome::timeout);
+      continue;
+    }
+    served += server == "a";
+    d.now += 20;
+    d.ended(id + "/0", server, Outcome::ok);
+  }
+  EXPECT_LE(swallowed, 6);
+  EXPECT_GE(served, 5);
+}
+
+TEST(Overload, WhatCannotBeInTimeIsRefusedBeforeItIsSent) {
+  Settings s = plain_settings();
+  s.retry_after_heard = true;
+  s.max_retry_after = 400;
+  Driver d(s);
+  d.servers({"a"});
+  for (int round = 0; round < 5; ++round) {  // queues of five, worked off one after another
+    std::string id = "deep" + std::to_string(round) + ".";
+    for (int i = 0; i < 5; ++i) d.query(id + std::to_string(i), {100});
+    for (int i = 0; i < 5; ++i) {
+      d.now += 100;
+      d.ended(id + std::to_string(i) + "/0", "a", Outcome::ok);
+    }
+  }
+  for (int i = 0; i < 30; ++i) {
+    d.query("q" + std::to_string(i), {100});
+    if (!d.of<RefuseQuery>().empty()) break;
+  }
+  ASSERT_EQ(d.of<RefuseQuery>().size(), 1u);
+  EXPECT_GT(d.of<RefuseQuery>()[0].retry_after, 0);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+}
+
+// Seen on a day of many slow leafs: a server's pace, learned as its time over a part's hint with its queue of
+// then in it, was multiplied into the work ahead once more, and parts that its server would answer in time
+// were refused.
+TEST(Overload, APartItsServerAnsweredInTimeAloneOfLateIsNotRefused) {
+  Driver d(plain_settings());
+  d.servers({"a", "b", "c"});
+  auto only = [&](const std::vector<std::string>& ready) {
+    for (const char* name : {"a", "b", "c"}) {
+      bool is = std::find(ready.begin(), ready.end(), name) != ready.end();
+      d.change(Driver::entry(name, is ? ServerState::ready : ServerState::draining));
+    }
+  };
+  only({"a"});
+  teach(d, 8, 400);  // alone, 400 ms a part
+  only({"b", "c"});
+  teach(d, 8, 50);
+  only({"a", "b", "c"});
+  d.pass(10);  // the peers' median pace is now b's and c's, an eighth of a's
+  only({"a"});
+  d.query("q", {100}, 0, 600);
+  EXPECT_TRUE(d.of<RefuseQuery>().empty());
+  EXPECT_EQ(d.sent_to("q/0"), "a");
+}
+
+TEST(Overload, UnderPressureThePartsThatWeighLeastForTheirWorkAreLeftOut) {
+  Settings s = plain_settings();
+  s.classes.push_back(s.classes[0]);
+  s.classes[1].floor = 0.6;
+  s.classes[1].partial_worth = 0.9;
+  Driver d(s);
+  d.servers({"a"});
+  for (int round = 0; round < 5; ++round) {
+    std::string id = "deep" + std::to_string(round) + ".";
+    for (int i = 0; i < 5; ++i) d.query(id + std::to_string(i), {100});
+    for (int i = 0; i < 5; ++i) {
+      d.now += 100;
+      d.ended(id + std::to_string(i) + "/0", "a", Outcome::ok);
+    }
+  }
+  QueryArrived q;
+  q.query_class = 1;
+  q.parts = {{"", 0, 0.6, 50.0}, {"", 0, 0.25, 50.0}, {"", 0, 0.15, 50.0}};
+  auto ask = [&](const std::string& id) {
+    q.query = id;
+    q.give_up_at = d.now + 3000;
+    for (int i = 0; i < 3; ++i) q.parts[static_cast<std::size_t>(i)].part = id + "/" + std::to_string(i);
+    d.event(q);
+  };
+  ask("calm");
+  EXPECT_EQ(d.of<SendPart>().size(), 3u);
+  for (int i = 0; i < 5; ++i) d.query("before" + std::to_string(i), {100});
+  ask("pressed");
+  ASSERT_EQ(d.of<SendPart>().size(), 1u);
+  EXPECT_EQ(d.of<SendPart>()[0].part, "pressed/0");
+  d.ended("pressed/0", "a", Outcome::ok);
+  ASSERT_EQ(d.of<AnswerQuery>().size(), 1u);
+  EXPECT_FALSE(d.of<AnswerQuery>()[0].whole);
+}
+
+}  // namespace
+}  // namespace pewterrill::testing
--- /dev/null
+++ b/tests/coordinator_rules_test.cpp
@@ -0,0 +1,175 @@
+// The module, driven through its interface: the rules of the pages, and misuse.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "driver.hpp"
+
+namespace pewterrill::testing {
+namespace {
+
+TEST(Rules, AnUnsafePartThatMayHaveRunIsNotRepeatedNorRefused) {
+  for (Outcome outcome : {Outcome::error, Outcome::reset, Outcome::timeout, Outcome::cancelled}) {
+    Settings s = plain_settings();
+    s.classes[0].repeat = Repeat::unsafe;
+    Driver d(s);
+    d.servers({"a", "b"});
+    d.query("q", {10});
+    d.ended("q/0", d.sent_to("q/0"), outcome);
+    EXPECT_TRUE(d.of<SendPart>().empty());
+    EXPECT_TRUE(d.of<RefuseQuery>().empty());
+    EXPECT_EQ(d.of<FailQuery>().size(), 1u);
+  }
+}
+
+TEST(Rules, AnUnsafePartProvenNotRunIsRepeated) {
+  for (Outcome outcome : {Outcome::full, Outcome::connect_failed, Outcome::unsent}) {
+    Settings s = plain_settings();
+    s.classes[0].repeat = Repeat::unsafe;
+    Driver d(s);
+    d.servers({"a", "b"});
+    d.query("q", {10});
+    std::string first = d.sent_to("q/0");
+    d.ended("q/0", first, outcome);
+    ASSERT_EQ(d.of<SendPart>().size(), 1u);
+    EXPECT_NE(d.sent_to("q/0"), first);
+  }
+}
+
+TEST(Rules, AKeyedPartIsRepeatedOnlyWithinItsWindow) {
+  for (Millis after : {100.0, 300.0}) {
+    Settings s = plain_settings();
+    s.classes[0].repeat = Repeat::keyed;
+    s.classes[0].repeat_window = 200;
+    s.may_cancel = false;
+    Driver d(s);
+    d.servers({"a", "b"});
+    d.query("q", {10});
+    std::string first = d.sent_to("q/0");
+    d.pass(after);
+    d.ended("q/0", first, Outcome::error);
+    EXPECT_EQ(d.of<SendPart>().size(), after < 200 ? 1u : 0u);
+  }
+}
+
+TEST(Rules, NoMoreAttemptsThanAllowed) {
+  Driver d(plain_settings(2));
+  d.servers({"a", "b", "c"});
+  d.query("q", {10});
+  d.ended("q/0", d.sent_to("q/0"), Outcome::error, 0);
+  ASSERT_EQ(d.of<SendPart>().size(), 1u);
+  d.ended("q/0", d.sent_to("q/0"), Outcome::error, 1);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  EXPECT_EQ(d.of<FailQuery>().size() + d.of<RefuseQuery>().size(), 1u);
+}
+
+TEST(Rules, NothingNewToADrainingOrGoneServer) {
+  for (ServerState state : {ServerState::draining, ServerState::gone}) {
+    Driver d(plain_settings());
+    d.servers({"a", "b"});
+    d.change(Driver::entry("a", state));
+    for (int i = 0; i < 10; ++i) {
+      std::string id = "q" + std::to_string(i);
+      d.query(id, {10});
+      EXPECT_EQ(d.sent_to(id + "/0"), "b");
+    }
+  }
+  Driver d(plain_settings());
+  d.servers({"a", "b"});
+  d.servers({"b"});  // not named in a complete list: gone
+  d.query("q", {1, 1, 1});
+  for (const SendPart& s : d.of<SendPart>()) EXPECT_EQ(s.server, "b");
+}
+
+TEST(Rules, AColdServerGetsItsFractionOfTheAllowanceInAnyWindow) {
+  Settings s = plain_settings();
+  s.brokers = 2;
+  Driver d(s);
+  d.servers({"a"});
+  d.now = 5000;
+  ServerEntry cold = Driver::entry("a");
+  cold.started = 4999;
+  d.change(cold);
+  double sent = 0;
+  for (int i = 0; i < 60; ++i) {
+    d.query("q" + std::to_string(i), {20});
+    sent += 20.0 * static_cast<double>(d.of<SendPart>().size());
+  }
+  // 2 x (0.25 of one core) x 1000 ms / 2 brokers
+  EXPECT_GT(sent, 0);
+  EXPECT_LE(sent, 250);
+  d.now += 10001;
+  d.query("warm", {20});
+  EXPECT_EQ(d.sent_to("warm/0"), "a");
+}
+
+TEST(Rules, TheBudgetOfFurtherAttemptsHoldsInAnyWindow) {
+  Settings s = plain_settings(100);
+  s.budget = true;
+  s.budget_free = 2;
+  s.budget_share = 0.1;
+  s.budget_window = 500;
+  s.classes[0].aim = 900;
+  Driver d(s);
+  d.servers({"a", "b"});
+  d.query("q", {1, 1, 1, 1, 1, 1, 1, 1, 1});  // ten taken: 2 + 1 further attempts
+  auto sends = d.of<SendPart>();
+  std::size_t further = 0;
+  for (auto& send : sends) {
+    d.ended(send.part, send.server, Outcome::unsent);
+    further += d.of<SendPart>().size();
+  }
+  EXPECT_EQ(further, 3u);
+  d.pass(495);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.pass(30);
+  EXPECT_EQ(d.of<SendPart>().size(), 2u);  // the query itself has left the window: the free ones alone
+}
+
+TEST(List, AnAskedForListIsWatchedFromTheStartAndAgainAfterFailures) {
+  Settings s = plain_settings();
+  s.list_on_request = true;
+  s.must_ask_in = 10000;
+  Driver d(s);
+  EXPECT_EQ(d.of<WatchList>().size(), 1u);
+  for (int i = 0; i < 5; ++i) {
+    d.event(ServerList{ServerList::Kind::failed, {}});
+    d.pass(2600);
+    EXPECT_EQ(d.of<WatchList>().size(), 1u);
+  }
+  d.servers({"a"});
+  d.pass(20000, 100);
+  EXPECT_TRUE(d.of<WatchList>().empty());  // the watch holds
+}
+
+TEST(Misuse, UnknownIdsTimersAndTimeGoingBackAreHarmless) {
+  Driver d(plain_settings());
+  d.servers({"a"});
+  d.now = 100;
+  d.query("q", {10});
+  d.now = 50;
+  d.ended("nobody", "nowhere", Outcome::ok);
+  d.ended("q/0", "a", Outcome::ok, 5);
+  d.ended("q/0", "a", Outcome::ok, -1);
+  d.event(QueryWithdrawn{"nobody"});
+  d.event(PartsAdded{"q", {{"q/x", 0, 1.0, 1.0}}});
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.event(TimerFired{99});
+  d.ended("q/0", "a", Outcome::ok);
+  EXPECT_EQ(d.of<AnswerQuery>().size(), 1u);
+}
+
+TEST(Misuse, NothingIsSentAfterTheClientHasLeft) {
+  Driver d(plain_settings());
+  d.servers({"a", "b"});
+  d.query("q", {10});
+  std::string first = d.sent_to("q/0");
+  d.event(QueryWithdrawn{"q"});
+  d.ended("q/0", first, Outcome::error);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.pass(3500);
+  EXPECT_TRUE(d.of<SendPart>().empty() && d.of<FailQuery>().empty() && d.of<RefuseQuery>().empty());
+}
+
+}  // namespace
+}  // namespace pewterrill::testing
--- /dev/null
+++ b/tests/coordinator_sparse_test.cpp
@@ -0,0 +1,230 @@
+// The module, driven through its interface: servers seldom heard of, copies and moves.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "driver.hpp"
+#include "teach.hpp"
+
+namespace pewterrill::testing {
+namespace {
+
+// ---- Many brokers, each seeing little
+
+TEST(Sparse, AServerUnheardOfIsTakenForTheTiersAverage) {
+  Settings s = plain_settings();
+  s.cells = 2;
+  s.reports = true;
+  s.report_fields = {ReportField::queued};
+  Driver d(s);
+  ServerList list;
+  for (const char* name : {"a", "b", "c"}) {
+    list.servers.push_back(Driver::entry(name));
+    list.servers.back().cell = name[0] == 'c';
+  }
+  d.event(list);
+  auto ask = [&](const std::string& id, int shard) {
+    QueryArrived q;
+    q.query = id;
+    q.give_up_at = d.now + 3000;
+    q.parts.push_back({id + "/0", shard, 1.0, 100.0});
+    d.event(q);
+    return d.sent_to(id + "/0");
+  };
+  // One replica of shard 0 reports a short queue, the rest of the tier, heard often, long ones.
+  std::string first = ask("q", 0);
+  for (int i = 0; i < 30; ++i) {
+    std::string id = "c" + std::to_string(i);
+    ASSERT_EQ(ask(id, 1), "c");
+    d.now += 20;
+    d.ended(id + "/0", "c", Outcome::ok, 0, {3});
+  }
+  d.ended("q/0", first, Outcome::ok, 0, {1});
+  EXPECT_EQ(ask("r", 0), first);
+}
+
+TEST(Sparse, AShareOfTheColdAllowanceBelowOnePartIsKeptInExpectation) {
+  // 50 brokers against one cold server: together they send about the share, and none sends two in a span.
+  Settings s = plain_settings();
+  s.brokers = 50;
+  double sent = 0;
+  int most = 0;
+  for (int broker = 0; broker < s.brokers; ++broker) {
+    Driver d(s, 1000 + static_cast<std::uint64_t>(broker));
+    d.now = 2000;  // past the broker's own first span
+    ServerEntry cold = Driver::entry("cold");
+    cold.started = d.now;
+    d.event(ServerList{ServerList::Kind::complete, {cold}});
+    int mine = 0;
+    for (int i = 0; i < 19; ++i) {
+      d.query("q" + std::to_string(i), {100});
+      mine += static_cast<int>(d.of<SendPart>().size());
+      d.now += 50;
+    }
+    sent += mine * 100;
+    most = std::max(most, mine);
+  }
+  EXPECT_EQ(most, 1);
+  EXPECT_GT(sent, 0);
+  EXPECT_LE(sent,
+            2 * 0.25 * 1000 * 2);  // multiple x cold share x span, for the two cores that such servers have
+}
+
+TEST(Sparse, CallsForTheListAfterACommonFailureAreSpreadByTheSizeOfTheFleet) {
+  // 100 brokers lose their watch in one moment, and every call for a new one fails after 2 s in the queue.
+  // The service is never asked by more than half of them in a second, and within 12 s each has asked again.
+  Settings s = plain_settings();
+  s.brokers = 100;
+  s.list_on_request = true;
+  s.must_ask_in = 10000;
+  std::vector<int> calls(60);
+  for (int broker = 0; broker < s.brokers; ++broker) {
+    Driver d(s, 500 + static_cast<std::uint64_t>(broker));
+    d.servers({"a"});
+    d.now = 1000;
+    d.event(ServerList{ServerList::Kind::failed, {}});
+    Millis fails_at = 0;
+    int asked = 0;
+    while (d.now < 30000) {
+      d.pass(10);
+      if (!d.of<WatchList>().empty()) {
+        ++calls[static_cast<std::size_t>(d.now / 1000)];
+        fails_at = d.now + 2000;
+        ++asked;
+      } else if (fails_at > 0 && d.now >= fails_at) {
+        fails_at = 0;
+        d.event(ServerList{ServerList::Kind::failed, {}});
+      }
+      if (d.now >= 13000 && asked == 0) ADD_FAILURE() << "broker " << broker << " never asked again";
+    }
+  }
+  for (std::size_t second = 0; second < calls.size(); ++second) EXPECT_LE(calls[second], 50) << second;
+  int later = 0;  // once each has failed a few times
+  for (std::size_t second = 15; second < 30; ++second) later += calls[second];
+  EXPECT_LE(later, 15 * 20);
+  EXPECT_GE(later, 15 * 5);
+}
+
+TEST(Sparse, APartLateByTheUsualResponseGetsACopyAndTheFirstAnswerCounts) {
+  Settings s = plain_settings();
+  s.may_hedge = true;
+  Driver d(s);
+  d.servers({"a", "b", "c"});
+  teach(d, 20, 30);
+  d.query("q", {10});
+  auto first = d.of<SendPart>();
+  ASSERT_EQ(first.size(), 1u);
+  d.pass(20);
+  EXPECT_TRUE(d.of<SendPart>().empty()) << "not late yet";
+  d.pass(40);
+  auto copies = d.of<SendPart>();
+  ASSERT_EQ(copies.size(), 1u);
+  EXPECT_TRUE(d.of<CancelAttempt>().empty()) << "the first attempt may still be the faster one";
+  EXPECT_NE(copies[0].server, first[0].server);
+  d.ended("q/0", copies[0].server, Outcome::ok, 1);
+  ASSERT_EQ(d.of<AnswerQuery>().size(), 1u);
+  EXPECT_TRUE(d.of<AnswerQuery>()[0].whole);
+  auto cancelled = d.of<CancelAttempt>();
+  ASSERT_EQ(cancelled.size(), 1u);
+  EXPECT_EQ(cancelled[0].attempt, 0);
+  d.ended("q/0", first[0].server, Outcome::ok, 0);
+  EXPECT_TRUE(d.of<AnswerQuery>().empty()) << "one final answer";
+}
+
+TEST(Sparse, AnAttemptWhoseStreamHasBegunIsNeitherCopiedNorCalledOff) {
+  Settings s = plain_settings();
+  s.may_hedge = true;
+  Driver d(s);
+  d.servers({"a", "b"});
+  teach(d, 20, 30);
+  d.query("q", {10});
+  d.event(AttemptStarted{"q/0", 0});
+  d.pass(140);
+  EXPECT_TRUE(d.of<SendPart>().empty());
+  d.event(QueryWithdrawn{"q"});
+  EXPECT_TRUE(d.of<CancelAttempt>().empty());
+}
+
+TEST(Sparse, ACopyThatFailsLeavesTheFirstAttemptToCount) {
+  Settings s = plain_settings();
+  s.may_hedge = true;
+  Driver d(s);
+  d.servers({"a", "b"});
+  teach(d, 20, 30);
+  d.query("q", {10});
+  std::string first = d.sent_to("q/0");
+  d.pass(140);
+  std::string copy = d.sent_to("q/0");
+  ASSERT_FALSE(copy.empty());
+  d.ended("q/0", copy, Outcome::full, 1);
+  EXPECT_TRUE(d.of<RefuseQuery>().empty());
+  EXPECT_TRUE(d.of<FailQuery>().empty());
+  d.ended("q/0", first, Outcome::ok, 0);
+  EXPECT_EQ(d.of<AnswerQuery>().size(), 1u);
+}
+
+TEST(Sparse, OnePartTurnedAwayIsNotTheEndOfAQueryOfMany) {
+  // 60 parts, a third of them turned away at once: each goes on to another replica, whatever was saved for
+  // moves.
+  Driver d(plain_settings());
+  d.servers({"a", "b", "c"});
+  d.query("q", std::vector<double>(60, 10));
+  auto sends = d.of<SendPart>();
+  ASSERT_EQ(sends.size(), 60u);
+  int again = 0;
+  for (const SendPart& p : sends)
+    if (p.server == "a") {
+      d.ended(p.part, "a", Outcome::full);
+      again += static_cast<int>(d.of<SendPart>().size());
+      ASSERT_TRUE(d.of<RefuseQuery>().empty());
+    }
+  EXPECT_EQ(again, 20);
+}
+
+TEST(Sparse, CopiesAreSavedUpForAllPartsOfTheLargestQuery) {
+  // One of three servers vanishes under a query of 60 parts: each of its 20 parts is copied, not five of
+  // them.
+  Settings s = plain_settings();
+  s.may_hedge = true;
+  Driver d(s);
+  d.servers({"a", "b", "c"});
+  for (int i = 0; i < 10; ++i) {
+    std::string id = "t" + std::to_string(i);
+    d.query(id, std::vector<double>(60, 10));
+    auto sends = d.of<SendPart>();
+    d.now += 30;
+    for (const SendPart& p : sends) d.ended(p.part, p.server, Outcome::ok);
+  }
+  d.query("q", std::vector<double>(60, 10));
+  std::vector<SendPart> lost;
+  for (const SendPart& p : d.of<SendPart>()) {
+    if (p.server == "a") lost.push_back(p);
+  }
+  auto sends = d.of<SendPart>();
+  d.now += 30;
+  for (const SendPart& p : sends)
+    if (p.server != "a") d.ended(p.part, p.server, Outcome::ok);
+  d.pass(150);
+  EXPECT_EQ(d.of<SendPart>().size(), lost.size());
+}
+
+TEST(Sparse, MovesOfLatePartsArePaidForByFirstAttempts) {
+  // One of two servers falls silent with many parts: a few are moved, not all of them at once.
+  Driver d(plain_settings());
+  d.servers({"a", "b"});
+  teach(d, 20, 50);
+  d.query("q", std::vector<double>(40, 13));
+  auto sends = d.of<SendPart>();
+  ASSERT_EQ(sends.size(), 40u);
+  d.now += 30;
+  for (const SendPart& s : sends)
+    if (s.server == "b") d.ended(s.part, s.server, Outcome::ok);
+  d.pass(700);
+  auto moved = d.of<CancelAttempt>();
+  EXPECT_GE(moved.size(), 1u);
+  EXPECT_LE(moved.size(), 5u + (20u + 40u) / 10u);
+}
+
+}  // namespace
+}  // namespace pewterrill::testing
--- /dev/null
+++ b/tests/flight_stage.hpp
@@ -0,0 +1,192 @@
+// A node and a client that speak Flight, for stories of the Flight front and of Flight calls to nodes.
+#pragma once
+
+#include "command.pb.h"
+#include "flight.pb.h"
+#include "flight/arrow.hpp"
+#include "flight/flight_pool.hpp"
+#include "flight/flight_server.hpp"
+#include "flight/grpc.hpp"
+#include "stage.hpp"
+
+namespace winchhall::flight::testing {
+
+using namespace winchhall::testing;
+namespace wire = arrow::flight::protocol;
+
+inline std::string data_message(const ArrowMessage& m) {
+  wire::FlightData data;
+  data.set_data_header(m.header);
+  data.set_data_body(m.body);
+  return frame_message(data.SerializeAsString());
+}
+
+// A ledger node on Flight. A script may answer otherwise than with two rows in two batches.
+class StandIn {
+ public:
+  struct Side : Http2::Handler {
+    Side(StandIn& node, net::Loop& loop) : owner(node), http2(loop, *this, true) {}
+    void head(std::int32_t id, const Headers& headers) override { heads[id] = headers; }
+    void data(std::int32_t id, std::string_view bytes) override { in[id].append(bytes); }
+    void peer_done(std::int32_t id) override {
+      bool bad = false;
+      auto message = take_message(in[id], kMessageMost, bad);
+      wire::Ticket ticket;
+      PartCommand command;
+      REQUIRE(message);
+      REQUIRE(ticket.ParseFromString(*message));
+      REQUIRE(command.ParseFromString(ticket.ticket()));
+      REQUIRE(find_header(heads[id], "grpc-timeout"));
+      owner.asked.push_back({this, id, command.shard(), command.text()});
+      owner.on_part(owner.asked.back());
+    }
+    void closed(std::int32_t, std::uint32_t error) override { owner.cancelled += error == NGHTTP2_CANCEL; }
+    void down() override { over = true; }
+    StandIn& owner;
+    Http2 http2;
+    std::map<std::int32_t, Headers> heads;
+    std::map<std::int32_t, std::string> in;
+    bool over = false;
+  };
+  struct Part {
+    Side* side;
+    std::int32_t stream;
+    int shard;
+    std::string text;
+  };
+
+  explicit StandIn(net::Loop& loop)
+      : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) {
+          sides.push_back(std::make_shared<Side>(*this, loop));
+          sides.back()->http2.adopt(std::move(fd));
+        }) {}
+
+  static std::string rows(int shard) {
+    std::string v = "v" + std::to_string(shard);
+    return data_message(schema_message()) + data_message(batch_message({{shard, v}}));
+  }
+  static void reply(const Part& p, const std::string& body, const Headers& trailers) {
+    p.side->http2.respond(p.stream, {{":status", "200"}, {"content-type", "application/grpc"}}, body,
+                          trailers);
+  }
+  static void answer(const Part& p) {
+    Headers trailers = status_trailers(Status::ok, "");
+    trailers.emplace_back("node-load", "inflight=1");
+    reply(p, rows(p.shard), trailers);
+  }
+
+  net::Listener listener;
+  std::vector<std::shared_ptr<Side>> sides;
+  std::vector<Part> asked;
+  std::function<void(const Part&)> on_part = [](const Part& p) { answer(p); };
+  int cancelled = 0;
+};
+
+struct Reply {
+  Headers headers;
+  std::string in;
+  bool done = false;
+  std::uint32_t error = 0;
+  int status() const {
+    const std::string* text = find_header(headers, "grpc-status");
+    return text ? std::stoi(*text) : -1;
+  }
+};
+
+// The Flight side of a stage: nodes over Flight, the Flight front, and an analyst's client.
+struct FlightStage : Http2::Handler {
+  explicit FlightStage(pewterrill::Settings settings = two_classes())
+      : exchange(
+            std::move(settings), 7, [this] { return loop.now(); }, [](const std::string&) {}),
+        pool(loop, exchange, {}),
+        front(loop, exchange, loopback(0), 16, 9, 20),
+        client(loop, *this, false) {
+    spdlog::set_level(spdlog::level::off);
+    exchange.attach(pool, none);
+  }
+  void begin(const std::vector<core::Member>& members) {
+    exchange.start(members);
+    REQUIRE(client.connect(loopback(front.port())));
+  }
+  void head(std::int32_t id, const Headers& headers) override {
+    for (const auto& h : headers) replies[id].headers.push_back(h);
+  }
+  void data(std::int32_t id, std::string_view bytes) override { replies[id].in.append(bytes); }
+  void peer_done(std::int32_t id) override { replies[id].done = true; }
+  void closed(std::int32_t id, std::uint32_t error) override {
+    replies[id].done = true;
+    replies[id].error = error;
+  }
+  void down() override { lost = true; }
+
+  void until(const std::function<bool()>& done) {
+    net::Millis give_up = loop.now() + 60000;  // only ends a test that hangs
+    while (!done()) {
+      loop.turn(std::clamp(exchange.next_due() - loop.now(), 0.0, 20.0));
+      exchange.run();
+      REQUIRE(loop.now() < give_up);
+    }
+  }
+
+  static std::string command(const std::vector<int>& shards, const std::string& query_class = "lookup") {
+    QueryCommand c;
+    c.set_query_class(query_class);
+    c.set_tenant("acme");
+    c.set_key(0x7f3a);
+    c.set_text("c41e77d0");
+    for (int shard : shards) {
+      auto* part = c.add_parts();
+      part->set_shard(shard);
+      part->set_weight(1.0 / static_cast<double>(shards.size()));
+    }
+    return c.SerializeAsString();
+  }
+  std::int32_t call(const std::string& method, const std::string& message, const std::string& timeout = "8S",
+                    const std::string& id = "") {
+    Headers headers{{":method", "POST"},
+                    {":scheme", "http"},
+                    {":path", "/arrow.flight.protocol.FlightService/" + method},
+                    {":authority", "here"},
+                    {"te", "trailers"},
+                    {"content-type", "application/grpc"}};
+    if (!timeout.empty()) headers.emplace_back("grpc-timeout", timeout);
+    if (!id.empty()) headers.emplace_back("x-request-id", id);
+    std::int32_t stream = client.request(headers, frame_message(message));
+    client.pump();
+    return stream;
+  }
+  std::int32_t get(const std::string& cmd, const std::string& timeout = "8S", const std::string& id = "") {
+    wire::Ticket ticket;
+    ticket.set_ticket(cmd);
+    return call("DoGet", ticket.SerializeAsString(), timeout, id);
+  }
+  Reply& finish(std::int32_t stream) {
+    until([&] { return replies[stream].done; });
+    return replies[stream];
+  }
+  static std::vector<ArrowRow> read(Reply& r, std::string* metadata = nullptr) {
+    std::vector<ArrowRow> rows;
+    bool bad = false, first = true;
+    while (auto message = take_message(r.in, kMessageMost, bad)) {
+      wire::FlightData data;
+      REQUIRE(data.ParseFromString(*message));
+      CHECK(read_arrow(data.data_header(), data.data_body(), rows) ==
+            (first ? ArrowKind::schema : ArrowKind::batch));
+      if (metadata) *metadata = data.app_metadata();
+      first = false;
+    }
+    CHECK(!bad);
+    return rows;
+  }
+
+  net::Loop loop;
+  core::Exchange exchange;
+  NoDiscovery none;
+  FlightPool pool;
+  FlightServer front;
+  Http2 client;
+  std::map<std::int32_t, Reply> replies;
+  bool lost = false;
+};
+
+}  // namespace winchhall::flight::testing
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -25,7 +25,7 @@
 TEST_CASE("the phases do what a plain account of the orders says, whatever comes in whatever order") {
   CHECK(rc::check([] {
     Lifecycle life;
-    bool able = false, away = false, elder = false, heir = false, leaving = false, stopped = false;
+    bool able = false, away = false, predecessor = false, successor = false, leaving = false, stopped = false;
     double now = 0, since = 0;
     auto orders = *rc::gen::container<std::vector<std::pair<int, int>>>(
         rc::gen::pair(rc::gen::inRange(0, app::kOrders), rc::gen::inRange(0, 1500)));
@@ -41,19 +41,19 @@
       if (order == Order::resume && !leaving) away = false;
       if (!leaving) {
         able |= order == Order::able;
-        elder |= order == Order::elder;
-        heir |= order == Order::heir;
-        if (order == Order::alone) elder = heir = false;
+        predecessor |= order == Order::predecessor;
+        successor |= order == Order::successor;
+        if (order == Order::alone) predecessor = successor = false;
       }
       RC_ASSERT(r.taken == !refused);
       RC_ASSERT(std::string(r.word) != "");
       RC_ASSERT(life.admits() == (able && !away && !leaving));
-      RC_ASSERT(life.sends_away() == (away || leaving));
+      RC_ASSERT(life.drains() == (away || leaving));
       RC_ASSERT(life.closes_idle(now) == ((away || leaving) && now - since >= 500));
       RC_ASSERT(life.closes_door(now) == (leaving && now - since >= 1000));
       RC_ASSERT((life.phase() == Phase::Stopped) == stopped);
-      RC_ASSERT((life.phase() == Phase::HandingOver) == (able && heir && !away && !leaving));
-      RC_ASSERT((life.phase() == Phase::TakingOver) == (!able && elder && !away && !leaving));
+      RC_ASSERT((life.phase() == Phase::HandingOver) == (able && successor && !away && !leaving));
+      RC_ASSERT((life.phase() == Phase::TakingOver) == (!able && predecessor && !away && !leaving));
     }
   }));
 }
--- /dev/null
+++ b/tests/platform_client_stories.cpp
@@ -0,0 +1,196 @@
+// Stories of the platform's front and its clients. Each guards against one failure.
+#include "stage.hpp"
+
+using namespace winchhall;
+using namespace winchhall::testing;
+
+TEST_CASE("a query is served though every byte comes alone") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  leaf.on_part = [&](const ScriptedLeaf::Part& p) {
+    CHECK(p.text == "c41e77d0");
+    std::string frame =
+        platform::make_frame('O', p.id + " 200 7 inflight=2,util=0.5\nv" + std::to_string(p.shard));
+    for (char c : frame) p.from->stream->write({&c, 1});
+  };
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  for (char c : Stage::query("q1", kTwoParts)) {
+    client->stream->write({&c, 1});
+    s.loop.turn(0);
+  }
+  std::string got = s.answer(*client);
+  CHECK(has(got, "200 OK"));
+  CHECK(has(got, R"({"exact":true,"rows":[{"data":"v3","id":3},{"data":"v4","id":4}]})"));
+  CHECK(leaf.parts[0].id.substr(0, 3) == "q1.");
+  CHECK(leaf.parts[0].list.substr(0, 2) == "d=");
+}
+
+TEST_CASE("two requests written at once are answered in turn on one connection") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  client->stream->write(Stage::query("q1", R"({"id":1,"w":1})") + Stage::query("q2", R"({"id":2,"w":1})"));
+  CHECK(has(s.answer(*client), "\"v1\""));
+  CHECK(has(s.answer(*client), "\"v2\""));
+  CHECK(s.pool.connections() == 1);
+}
+
+TEST_CASE("malformed requests get their status, and the program goes on") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::string fine = Stage::query("q", kTwoParts);
+  auto with = [&](const std::string& from, const std::string& to) {
+    std::string changed = fine;
+    changed.replace(changed.find(from), from.size(), to);
+    return changed;
+  };
+  auto body = [](const std::string& text) {
+    return "POST /lookup HTTP/1.1\r\nX-Request-ID: z\r\nContent-Length: " + std::to_string(text.size()) +
+           "\r\n\r\n" + text;
+  };
+  const std::pair<std::string, int> cases[] = {
+      {with("/lookup", "/nothing"), 404},
+      {with("POST", "DELETE"), 405},
+      {"POST /ready HTTP/1.1\r\n\r\n", 405},
+      {with("X-Request-ID: q\r\n", ""), 400},
+      {with("X-Request-ID: q", "X-Request-ID: q 1 2"), 400},
+      {with("8000m", "soon"), 400},
+      {with("8000m", "-5m"), 400},
+      {with("Content-Length: ", "Content-Length: 9999"), 413},
+      {with("Content-Length: ", "Content-Length: x"), 400},
+      {with("HTTP/1.1", "SPDY/3"), 505},
+      {"nonsense\r\n\r\n", 400},
+      {"GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n", 431},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n", 413},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n", 400},
+      {with("8000m", "1e300m"), 400},
+      {with("8000m", "nanm"), 400},
+      {body("{"), 400},
+      {body("[]"), 400},
+      {body(R"({"parts":[]})"), 400},
+      {body(R"({"parts":[{"id":99,"w":1}]})"), 400},
+      {body(R"({"parts":[{"id":-1,"w":1}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":0.5},{"id":1,"w":0.5}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":0.2}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":"all"}]})"), 400},
+      {body(R"({"parts":[{"id":1,"w":1}],"expr":5})"), 400},
+      {body(std::string(60000, '[')), 400},
+  };
+  for (const auto& [request, status] : cases) {
+    auto client = s.dial();
+    INFO(request.substr(0, 80));
+    CHECK(s.ask(*client, request).substr(9, 3) == std::to_string(status));
+  }
+  auto client = s.dial();
+  CHECK(has(s.ask(*client, "GET /ready HTTP/1.1\r\n\r\n"), "200 OK"));
+  CHECK(has(s.ask(*client, fine), "\"exact\":true"));
+  CHECK(leaf.parts.size() == 2);
+}
+
+TEST_CASE("clients that say nothing, or half of something, crowd nobody out and are let go") {
+  Stage s;  // holds 100 connections of clients
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::vector<std::shared_ptr<Peer>> crowd;
+  for (int i = 0; i < 150; ++i) {
+    crowd.push_back(s.dial());
+    if (i % 3 == 0) crowd.back()->stream->write("POST /lookup HTTP/1.1\r\nX-Request-ID: ");
+  }
+  auto trickle = s.dial(), client = s.dial();
+  CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "\"exact\":true"));
+  CHECK(s.front.connections() <= 100);
+  net::Millis written = 0;
+  s.until([&] {
+    // Slowly enough that its head does not grow too long before its time is up.
+    if (!trickle->over && s.loop.now() > written + 50) {
+      trickle->stream->write("x");
+      written = s.loop.now();
+    }
+    bool all = trickle->over || has(trickle->text, "408");
+    for (const auto& peer : crowd) all = all && (peer->over || has(peer->text, "408"));
+    return all;
+  });
+  auto late = s.dial();  // the other may have been closed between its requests
+  CHECK(has(s.ask(*late, Stage::query("p", kTwoParts)), "\"exact\":true"));
+}
+
+TEST_CASE("clients that ask once and hold their connection leave room for others") {
+  Stage s;  // holds 100 connections of clients
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  std::vector<std::shared_ptr<Peer>> holders;
+  for (int i = 0; i < 70; ++i) {
+    holders.push_back(s.dial());
+    CHECK(has(s.ask(*holders.back(), Stage::query("q" + std::to_string(i), R"({"id":1,"w":1})")), "200 OK"));
+  }
+  net::Millis asked = s.loop.now();
+  s.until([&] { return s.loop.now() > asked + 300; });  // all are idle for that long
+  for (int i = 0; i < 20; ++i) {
+    holders.push_back(s.dial());
+    CHECK(has(s.ask(*holders.back(), Stage::query("r" + std::to_string(i), R"({"id":1,"w":1})")), "200 OK"));
+  }
+  CHECK(s.front.connections() <= 71);  // each newcomer took an idle one's place
+  s.until([&] { return s.front.connections() < 40; });
+  auto client = s.dial();
+  CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "\"exact\":true"));
+}
+
+TEST_CASE("a client that goes on sending after its error still reads it, and none of that is held") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  // It reads nothing before it has sent all it has.
+  net::UniqueFd client(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in to = loopback(s.front.port());
+  REQUIRE(::connect(client.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  std::string all = "POST /lookup HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + std::string(2 << 20, 'x');
+  std::size_t sent = 0;
+  s.until([&] {
+    ssize_t n = ::send(client.get(), all.data() + sent, all.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+    REQUIRE((n > 0 || errno == EAGAIN));
+    sent += n > 0 ? static_cast<std::size_t>(n) : 0;
+    return sent == all.size();
+  });
+  char answer[64] = "";
+  s.until([&] { return ::recv(client.get(), answer, 20, MSG_DONTWAIT) > 0; });
+  CHECK(has(answer, "HTTP/1.1 413"));
+  client.reset();
+  s.until([&] { return s.front.connections() == 0; });
+}
+
+TEST_CASE("a name in use is not taken twice, and is free once answered") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  std::vector<ScriptedLeaf::Part> held;
+  leaf.on_part = [&](const ScriptedLeaf::Part& p) { held.push_back(p); };
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto one = s.dial(), two = s.dial();
+  one->stream->write(Stage::query("same", R"({"id":1,"w":1})"));
+  s.until([&] { return held.size() == 1; });
+  CHECK(has(s.ask(*two, Stage::query("same", R"({"id":1,"w":1})")), "409"));
+  ScriptedLeaf::answer(held[0]);
+  CHECK(has(s.answer(*one), "200 OK"));
+  leaf.on_part = [](const ScriptedLeaf::Part& p) { ScriptedLeaf::answer(p); };
+  CHECK(has(s.ask(*two, Stage::query("same", R"({"id":1,"w":1})")), "200 OK"));
+}
+
+TEST_CASE("a client that goes away has its parts given up, and nothing is kept of it") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  leaf.on_part = [](const ScriptedLeaf::Part&) {};
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  client->stream->write(Stage::query("q", kTwoParts));
+  s.until([&] { return leaf.parts.size() == 2; });
+  client->stream->close();
+  s.until([&] { return leaf.given_up.size() == 2; });
+  s.until([&] { return s.exchange.open_queries() == 0 && s.exchange.attempts_out() == 0; });
+  CHECK(s.exchange.figures()[0].withdrawn == 1);
+  CHECK(s.front.connections() == 0);
+}
--- /dev/null
+++ b/tests/spans_directory_stories.cpp
@@ -0,0 +1,141 @@
+// The watch of the directory of ranges.
+#include "desk.hpp"
+#include "platform/range_directory.hpp"
+#include "platform/range_words.hpp"
+#include "ranges/change.hpp"
+#include "spans_fixture.hpp"
+
+using namespace winchhall;
+using namespace winchhall::testing;
+using namespace winchhall::ranges;
+using namespace winchhall::ranges::testing;
+
+namespace {
+
+struct DirectoryStage {
+  DirectoryStage()
+      : exchange(
+            two_classes(), 7, [this] { return loop.now(); }, [](const std::string&) {}),
+        listener(std::make_unique<net::Listener>(loop, loopback(0),
+                                                 [this](net::UniqueFd fd) { accept(std::move(fd)); })),
+        port(listener->port()),
+        directory(loop, exchange, "127.0.0.1:" + std::to_string(port), {1000, 1000}, 5) {
+    spdlog::set_level(spdlog::level::off);
+    exchange.attach(nobody, none);
+    directory.start();
+  }
+  void accept(net::UniqueFd fd) {
+    peers.push_back(std::make_shared<Peer>(loop));
+    Peer* raw = peers.back().get();
+    raw->heard = [this, raw](std::string& in) {
+      if (!has(in, "\r\n\r\n")) return;
+      asked.push_back(in.substr(0, in.find('\r')));
+      in.clear();
+      raw->stream->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    };
+    raw->adopt(std::move(fd));
+  }
+  void say(const std::string& line) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+    peers.back()->stream->write(size + line + "\n\r\n");
+  }
+  void say(const RangeMap& map) { say(platform::write_update({map.revision(), true, false, map.all(), {}})); }
+  void say(Revision revision, std::vector<Change> changes) {
+    say(platform::write_update({revision, false, false, {}, std::move(changes)}));
+  }
+  void until(const std::function<bool()>& done) {
+    net::Millis give_up = loop.now() + 60000;
+    while (!done()) {
+      loop.turn(20);
+      exchange.run();
+      REQUIRE(loop.now() < give_up);
+    }
+  }
+  void until_asked(std::size_t times) {
+    until([&] { return asked.size() >= times; });
+  }
+  Revision revision() const { return exchange.map().revision(); }
+
+  net::Loop loop;
+  core::Exchange exchange;
+  Nobody nobody;
+  NoDiscovery none;
+  std::vector<std::shared_ptr<Peer>> peers;
+  std::vector<std::string> asked;
+  std::unique_ptr<net::Listener> listener;
+  int port;
+  platform::RangeDirectory directory;
+};
+
+}  // namespace
+
+TEST_CASE("the directory is watched: whole map, changes, a broken watch, a gap, an older revision") {
+  DirectoryStage s;
+  s.until_asked(1);
+  CHECK(s.asked[0] == "GET /v1/ranges?watch=1 HTTP/1.1");
+  s.say(four());
+  s.until([&] { return s.revision() == Revision{1, 5}; });
+  s.say({1, 6}, {kSplitFirst});
+  s.until([&] { return s.revision() == Revision{1, 6}; });
+  // The watch breaks: it asks for what came after the revision held.
+  s.peers.back()->stream->close();
+  s.until_asked(2);
+  CHECK(s.asked[1] == "GET /v1/ranges?watch=1&incarnation=1&after=6 HTTP/1.1");
+  s.say({1, 7}, {Weigh{{4, 0}, 3}});
+  s.until([&] { return s.revision() == Revision{1, 7}; });
+  // A change is lost on the way.
+  s.say({1, 9}, {Weigh{{4, 0}, 5}});
+  s.until_asked(3);
+  CHECK(s.asked[2] == "GET /v1/ranges?watch=1&incarnation=1&after=7 HTTP/1.1");
+  CHECK(s.revision() == Revision{1, 7});
+  // It comes back with less than it told: what is held serves on, and its changes are not believed.
+  s.say(four());
+  s.until([&] { return s.directory.figures().refused >= 2; });
+  s.say({1, 8}, {Weigh{{4, 0}, 9}});
+  s.until_asked(4);
+  CHECK(s.asked[3] == "GET /v1/ranges?watch=1 HTTP/1.1");
+  CHECK(s.revision() == Revision{1, 7});
+  s.say(four({2, 1}));
+  s.until([&] { return s.revision() == Revision{2, 1}; });
+}
+
+TEST_CASE("a directory that speaks nonsense, or is away: the last map serves on, and it is asked again") {
+  DirectoryStage s;
+  s.until_asked(1);
+  s.say(four());
+  s.until([&] { return !s.exchange.map().empty(); });
+  s.say("{\"incarnation\":1,\"revision\":6,\"changes\":[{\"op\":\"frob\"}]}");
+  s.until_asked(2);
+  CHECK(s.directory.figures().refused == 1);
+  CHECK(s.revision() == Revision{1, 5});
+  // Away altogether, then back.
+  s.listener.reset();
+  s.peers.back()->stream->close();
+  std::size_t broken = s.directory.figures().broken;
+  s.until([&] { return s.directory.figures().broken >= broken + 2; });
+  CHECK(s.revision() == Revision{1, 5});
+  s.listener = std::make_unique<net::Listener>(s.loop, loopback(s.port),
+                                               [&](net::UniqueFd fd) { s.accept(std::move(fd)); });
+  s.until_asked(3);
+  s.say({1, 6}, {kSplitFirst});
+  s.until([&] { return s.revision() == Revision{1, 6}; });
+}
+
+TEST_CASE("a map over the bound is refused, and a refresh reopens the watch at once") {
+  DirectoryStage s;
+  s.until_asked(1);
+  std::vector<Range> many;
+  for (std::size_t i = 0; i < 1001; ++i)
+    many.push_back({i, {i, i == 1000 ? kKeyEnd : i + 1}, 1, held({"a"})});
+  s.say(platform::write_update({{1, 1}, true, false, many, {}}));
+  s.until_asked(2);
+  CHECK(s.exchange.map().empty());
+  s.say(four());
+  s.until([&] { return !s.exchange.map().empty(); });
+  s.directory.refresh();
+  s.until_asked(3);
+  CHECK(s.asked[2] == "GET /v1/ranges?watch=1&incarnation=1&after=5 HTTP/1.1");
+  s.say({1, 6}, {kSplitFirst});
+  s.until([&] { return s.revision() == Revision{1, 6}; });
+}
--- /dev/null
+++ b/tests/spans_fixture.hpp
@@ -0,0 +1,49 @@
+// Maps of a few ranges and changes to them, for stories about queries over accounts.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ranges/change.hpp"
+#include "ranges/map.hpp"
+
+namespace winchhall::ranges::testing {
+
+inline HoldersPtr held(std::vector<std::string> servers) {
+  Holders list;
+  for (auto& s : servers) list.push_back({s, Role::serving});
+  return std::make_shared<const Holders>(std::move(list));
+}
+
+// Three ranges of 100 keys and the rest, each held by a and b.
+inline RangeMap four(Revision revision = {1, 5}) {
+  std::string why;
+  auto map = RangeMap::build(revision,
+                             {{0, {0, 100}, 1, held({"a", "b"})},
+                              {1, {100, 200}, 1, held({"a", "b"})},
+                              {2, {200, 300}, 1, held({"a", "b"})},
+                              {3, {300, kKeyEnd}, 1, held({"a", "b"})}},
+                             why);
+  REQUIRE_MESSAGE(map, why);
+  return *map;
+}
+
+inline RangeMap after(const RangeMap& map, const Change& change) {
+  std::string why;
+  auto next = apply(map, change, why);
+  REQUIRE_MESSAGE(next, why);
+  return *next;
+}
+
+inline RangeMap after_all(RangeMap map, const std::vector<Change>& changes) {
+  for (const Change& c : changes) map = after(map, c);
+  return map;
+}
+
+inline const Change kSplitFirst = Split{{0, 0}, 40, 4, 5, 1, 1};
+
+}  // namespace winchhall::ranges::testing
--- /dev/null
+++ b/tests/spans_not_mine_stories.cpp
@@ -0,0 +1,203 @@
+// Queries over accounts while ranges move, on the exchange alone: nodes that say not mine, and maps that come
+// late. Each story causes one of the hard cases of docs/ranges.md.
+#include "desk.hpp"
+#include "ranges/change.hpp"
+#include "spans_fixture.hpp"
+
+using namespace winchhall;
+using namespace winchhall::testing;
+using namespace winchhall::ranges;
+using namespace winchhall::ranges::testing;
+using core::Outcome;
+using core::Verdict;
+
+TEST_CASE("a node that says not mine for ever costs three attempts, and its query is refused at once then") {
+  Desk d;
+  d.remap(four());
+  d.ask_spans(0, 20000, {{0, 100}});
+  int attempts = 0;
+  for (int i = 0; i < 100 && d.verdicts.empty(); ++i) {
+    while (!d.out.empty()) {
+      ++attempts;
+      d.deny(d.out.begin()->first, {{1, 4}, {}});
+    }
+    d.pass(50);
+  }
+  CHECK(attempts == 3);
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].kind == Verdict::Kind::refused);
+  CHECK(d.verdicts[0].retry_after > 0);
+  CHECK(d.exchange.moves().denied == 3);
+}
+
+TEST_CASE("a node behind is given a moment: the other holder is asked first, itself later") {
+  Desk d;
+  std::string why;
+  d.remap(*RangeMap::build({1, 5}, {{0, {0, kKeyEnd}, 1, held({"a"})}}, why));
+  d.ask_spans(0, 20000, {{0, 100}});
+  d.deny(d.out.begin()->first, {{1, 4}, {}});
+  CHECK(d.out.empty());  // the only holder isn't asked again at once
+  CHECK(d.refreshed == 0);
+  d.pass(120);
+  CHECK(d.out.size() == 1);
+}
+
+TEST_CASE("a node ahead: the directory is asked at once, and no further attempt is spent before its word") {
+  Desk d;
+  d.remap(four());
+  d.ask_spans(0, 20000, {{0, 100}});
+  d.deny(d.out_for({0, 100}), {{1, 6}, {}});
+  CHECK(d.refreshed == 1);
+  CHECK(d.out.empty());
+  SUBCASE("its word comes") {
+    d.remap(after(four(), kSplitFirst));
+    CHECK(d.is_out({0, 40}));
+    CHECK(d.is_out({40, 100}));
+  }
+  SUBCASE("it doesn't: after a while the other holder of the old map is asked") {
+    d.pass(100);
+    CHECK(d.out.empty());
+    d.pass(100);
+    CHECK(d.is_out({0, 100}));
+  }
+}
+
+TEST_CASE("a node ahead that names successors: they are asked at once; ones that don't cover are not") {
+  Desk d;
+  d.remap(four());
+  d.ask_spans(0, 20000, {{0, 100}});
+  auto part = d.out_for({0, 100});
+  SUBCASE("covering") {
+    d.deny(part, {{1, 6}, {{{0, 30}, 8, {}, held({"a"}), 0, {}}, {{30, 100}, 9, {}, held({"b"}), 0, {}}}});
+    CHECK(d.out.at(d.out_for({0, 30})).server == "a");
+    CHECK(d.out.at(d.out_for({30, 100})).server == "b");
+    CHECK(d.out.at(d.out_for({30, 100})).revision == Revision{1, 6});
+  }
+  SUBCASE("another holder of the same keys") {
+    std::string other = d.out.at(part).server == "a" ? "b" : "a";
+    d.deny(part, {{1, 6}, {{{0, 100}, 8, {}, held({other}), 0, {}}}});
+    CHECK(d.out.at(d.out_for({0, 100})).server == other);
+  }
+  SUBCASE("with a gap") {
+    d.deny(part, {{1, 6}, {{{0, 30}, 8, {}, held({"a"}), 0, {}}, {{40, 100}, 9, {}, held({"b"}), 0, {}}}});
+    CHECK(d.out.empty());
+    CHECK(d.refreshed == 1);
+  }
+  SUBCASE("of the revision that we hold: the directory's word stands") {
+    d.deny(part, {{1, 5}, {{{0, 100}, 8, {}, held({"zz"}), 0, {}}}});
+    CHECK(d.refreshed == 1);
+    CHECK(d.is_out({0, 100}));
+  }
+}
+
+TEST_CASE("not mine for a part whose range was split while it was out: its children are asked, not itself") {
+  Desk d;
+  d.remap(four());
+  d.ask_spans(0, 20000, {{0, 100}});
+  d.remap(after(four(), kSplitFirst));
+  d.deny(d.out_for({0, 100}), {{1, 6}, {}});
+  CHECK_FALSE(d.is_out({0, 100}));
+  CHECK(d.is_out({0, 40}));
+  CHECK(d.is_out({40, 100}));
+}
+
+TEST_CASE("two holders that disagree on the revision, and one has it: it is answered") {
+  Desk d;
+  d.remap(four());
+  d.ask_spans(0, 20000, {{0, 100}});
+  d.deny(d.out_for({0, 100}), {{1, 3}, {}});
+  d.end(d.out_for({0, 100}), Outcome::ok);
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].whole);
+}
+
+TEST_CASE("a sliver of a range is asked for like any part: without it nothing is whole") {
+  Desk d;
+  std::string why;
+  d.remap(*RangeMap::build(
+      {1, 1}, {{0, {0, 1'000'000}, 1, held({"a", "b"})}, {1, {1'000'000, kKeyEnd}, 1e-9, held({"a", "b"})}},
+      why));
+  d.ask_spans(0, 5000, {{0, 1'000'010}});
+  REQUIRE(d.out.size() == 2);  // also the one that weighs next to nothing
+  d.end(d.out_for({0, 1'000'000}), Outcome::ok);
+  CHECK(d.verdicts.empty());
+  d.end(d.out_for({1'000'000, 1'000'010}), Outcome::ok);
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].whole);
+}
+
+TEST_CASE("a map that comes between a query's planning and the module's hearing of it, in either order") {
+  Desk d;
+  d.remap(four());
+  bool map_first = false;
+  SUBCASE("the query first") {}
+  SUBCASE("the map first") { map_first = true; }
+  if (map_first) d.exchange.remap(after(four(), kSplitFirst));
+  d.exchange.submit({.id = "x", .give_up_at = d.now + 5000, .spans = {{0, 100}}},
+                    [&](Verdict v) { d.verdicts.push_back(v); });
+  if (!map_first) d.exchange.remap(after(four(), kSplitFirst));
+  d.exchange.run();
+  // Never a parent and its children beside each other, and never more than three attempts for an account.
+  int at_zero = 0;
+  for (int round = 0; round < 4 && d.verdicts.empty(); ++round) {
+    SpanSet out;
+    for (const auto& [n, order] : d.out) {
+      CHECK_FALSE(out.overlaps(order.span));
+      out.add(order.span);
+      at_zero += order.span.contains(0);
+    }
+    if (round == 0) CHECK(out.contains({0, 100}));
+    for (const auto& [n, order] : std::map(d.out)) d.end(n, Outcome::error);
+    d.pass(600);
+  }
+  CHECK(at_zero <= 3);
+  REQUIRE(d.verdicts.size() == 1);
+  CHECK(d.verdicts[0].kind != Verdict::Kind::answered);
+  CHECK(d.exchange.moves().dropped == 0);
+}
+
+TEST_CASE("many reshuffles under many queries: one verdict each, every account once, nothing left behind") {
+  Desk d;
+  RangeMap map = four();
+  d.remap(map);
+  std::uint64_t dice = 42;
+  auto below = [&](std::uint64_t n) {  // Knuth's MMIX constants
+    dice = dice * 6364136223846793005ULL + 1442695040888963407ULL;
+    return (dice >> 33) % n;
+  };
+  for (int round = 0; round < 600; ++round) {
+    if (d.exchange.open_queries() < 6) d.ask_spans(0, 4000, {{below(150), 151 + below(149)}});
+    Place p = map.find(below(300));
+    if (below(2) == 0 && p.span.size() > 4 && p.span.to <= 300)
+      map = after(
+          map,
+          Split{
+              {p.id, p.span.from}, p.span.from + p.span.size() / 2, map.next_id(), map.next_id() + 1, 1, 1});
+    else if (p.span.to < 300)
+      map = after(map, Merge{{p.id, p.span.from}, {map.find(p.span.to).id, p.span.to}, map.next_id(), {}});
+    d.remap(map);
+    for (const auto& [n, order] : std::map(d.out)) {
+      std::uint64_t what = below(8);
+      if (what < 3) d.end(n, Outcome::ok, text_of(order.span));
+      if (what == 3) d.end(n, Outcome::error);
+      if (what == 4) d.deny(n, {map.revision(), {}});
+    }
+    d.pass(10);
+  }
+  d.pass(6000);
+  CHECK(d.verdicts.size() == static_cast<std::size_t>(d.asked));
+  CHECK(d.exchange.open_queries() == 0);
+  CHECK(d.exchange.attempts_out() == 0);
+  std::size_t whole = 0;
+  for (const Verdict& v : d.verdicts) {
+    SpanSet seen;
+    for (const auto& row : v.rows) {
+      CHECK_FALSE(seen.overlaps(row.span));
+      CHECK(row.values[0] == text_of(row.span));
+      seen.add(row.span);
+    }
+    whole += v.whole;
+    if (v.whole) CHECK(seen.spans().size() == 1);
+  }
+  CHECK(whole > d.verdicts.size() / 4);
+}
--- /dev/null
+++ b/tests/spans_wire_stories.cpp
@@ -0,0 +1,285 @@
+// Queries over accounts on the wires: both fronts and both carriers.
+#include "command.pb.h"
+#include "desk.hpp"
+#include "flight.pb.h"
+#include "flight/arrow.hpp"
+#include "flight/flight_pool.hpp"
+#include "flight/flight_server.hpp"
+#include "flight/grpc.hpp"
+#include "platform/range_words.hpp"
+#include "ranges/change.hpp"
+#include "spans_fixture.hpp"
+
+using namespace winchhall;
+using namespace winchhall::testing;
+using namespace winchhall::ranges;
+using namespace winchhall::ranges::testing;
+
+namespace {
+
+// Platform's fronts and carriers with spans on, and a directory whose word is the test's.
+struct SpanStage {
+  explicit SpanStage(pewterrill::Settings settings = patient())
+      : exchange(
+            std::move(settings), 7, [this] { return loop.now(); }, [](const std::string&) {}),
+        pool(loop, exchange, {1, 32, 250, 30000, 50, true}),
+        front(loop, exchange, loopback(0), {exchange.settings(), 16, true}, 100, [] { return true; }) {
+    spdlog::set_level(spdlog::level::off);
+    exchange.attach(pool, none);
+  }
+  void until(const std::function<bool()>& done) {
+    net::Millis give_up = loop.now() + 60000;  // only ends a test that hangs
+    while (!done()) {
+      loop.turn(std::clamp(exchange.next_due() - loop.now(), 0.0, 20.0));
+      exchange.run();
+      REQUIRE(loop.now() < give_up);
+    }
+  }
+  std::shared_ptr<Peer> dial() {
+    auto peer = std::make_shared<Peer>(loop);
+    peer->dial(front.port());
+    return peer;
+  }
+  static std::string request(const std::string& body, const std::string& id = "q1") {
+    return "POST /lookup HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id +
+           "\r\nX-Timeout: 60000m\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  net::Loop loop;
+  core::Exchange exchange;
+  NoDiscovery none;
+  platform::LeafPool pool;
+  platform::ClientFront front;
+};
+
+// A leaf whose frames the test reads as they are.
+struct RawLeaf {
+  explicit RawLeaf(net::Loop& loop)
+      : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) {
+          peers.push_back(std::make_shared<Peer>(loop));
+          Peer* raw = peers.back().get();
+          raw->heard = [this, raw](std::string& in) {
+            bool bad = false;
+            while (auto frame = platform::take_frame(in, bad)) on_frame(*raw, *frame);
+          };
+          raw->adopt(std::move(fd));
+        }) {}
+  net::Listener listener;
+  std::vector<std::shared_ptr<Peer>> peers;
+  std::function<void(Peer&, const platform::Frame&)> on_frame;
+};
+
+}  // namespace
+
+TEST_CASE("spans over HTTP and frames: interval and revision on the wire, not mine, successors, rows") {
+  SpanStage s;
+  RawLeaf a(s.loop), b(s.loop);
+  std::vector<std::string> asked;
+  auto serve = [&](Peer& from, const platform::Frame& f) {
+    if (f.letter != 'D') return;
+    asked.push_back(f.rest);
+    std::string part = f.rest.substr(0, f.rest.find(' '));
+    std::string words = platform::write_denial(
+        {{1, 6}, {{{0, 40}, 8, {}, held({"a"}), 0, {}}, {{40, 100}, 9, {}, held({"b"}), 0, {}}}});
+    bool whole = has(f.rest, "from=0,to=100,");
+    from.stream->write(platform::make_frame(
+        'O', part + (whole ? " 421 1 busy_reqs=1\n" + words : " 200 1 busy_reqs=1\nrows of " + part)));
+  };
+  a.on_frame = b.on_frame = serve;
+  s.exchange.start({member("a", a.listener.port(), 0), member("b", b.listener.port(), 1)});
+  s.exchange.remap(four());
+  auto client = s.dial();
+  client->stream->write(SpanStage::request(R"({"spans":[{"from":0,"to":100}],"expr":"c41e","hint":9000})"));
+  s.until([&] { return has(client->text, "\r\n\r\n{\"exact\""); });
+  REQUIRE(asked.size() == 3);
+  CHECK(asked[0].find("q1.r0 0 d=") == 0);
+  CHECK(has(asked[0], ",from=0,to=100,rev=1.5 4\nc41e"));
+  CHECK(has(client->text, R"("exact":true)"));
+  CHECK(has(client->text, R"({"data":"rows of q1.r1","from":0,"rev":"1.6","to":40})"));
+  CHECK(has(client->text, R"({"data":"rows of q1.r2","from":40,"rev":"1.6","to":100})"));
+}
+
+TEST_CASE("errors say in their body what was wrong, and spans are wrong where no directory is followed") {
+  SpanStage s;
+  s.exchange.remap(four());
+  auto client = s.dial();
+  auto wrong = [&](const std::string& request, const std::string& status, const std::string& words) {
+    client->text.clear();
+    client->stream->write(request);
+    s.until([&] { return has(client->text, "}"); });
+    INFO(client->text);
+    CHECK(has(client->text, "HTTP/1.1 " + status));
+    CHECK(has(client->text, "{\"error\":\""));
+    CHECK(has(client->text, words));
+  };
+  wrong(SpanStage::request(R"({"spans":[{"from":5,"to":5}]})"), "400", "[5, 5)");
+  wrong(SpanStage::request(R"({"spans":[{"from":0,"to":9},{"from":8,"to":20}]})"), "400", "overlaps");
+  wrong(SpanStage::request(R"({"spans":[{"from":-1,"to":9}]})"), "400", "whole numbers from 0");
+  wrong(SpanStage::request(R"({"spans":[]})"), "400", "'spans' is empty");
+  wrong(SpanStage::request(R"({"spans":[{"from":0,"to":9}],"parts":[]})"), "400", "both 'parts' and 'spans'");
+  wrong(SpanStage::request("{"), "400", "a JSON object is wanted");
+  wrong("POST /nothing HTTP/1.1\r\nX-Request-ID: a\r\nContent-Length: 0\r\n\r\n", "404",
+        "known are lookup, report");
+  wrong("GET /lookup HTTP/1.1\r\nX-Request-ID: a\r\nContent-Length: 0\r\n\r\n", "405", "wanted is POST");
+
+  Stage off;
+  off.begin({});
+  auto other = off.dial();
+  std::string answer = off.ask(*other, SpanStage::request(R"({"spans":[{"from":0,"to":9}]})"));
+  CHECK(has(answer, "400"));
+  CHECK(has(answer, "no directory of ranges is followed here"));
+}
+
+TEST_CASE("with the feature off, what passes on the platform's sockets is byte for byte what it was") {
+  Stage s(patient());
+  RawLeaf leaf(s.loop);
+  std::string frames;
+  leaf.on_frame = [&](Peer& from, const platform::Frame& f) {
+    // The time to wait differs from run to run; it is the only thing that does.
+    std::string rest = f.rest;
+    if (std::size_t d = rest.find("d="); d != std::string::npos)
+      rest.replace(d, rest.find(' ', d) - d, "d=N");
+    frames += f.letter + rest + "\n--\n";
+    if (f.letter != 'D') return;
+    std::string part = f.rest.substr(0, f.rest.find(' '));
+    from.stream->write(platform::make_frame('O', part + " 200 1840277719 inflight=7,util=0.61\n5be2a07c"));
+  };
+  s.begin({member("a", leaf.listener.port(), 0)});
+  auto client = s.dial();
+  CHECK(s.ask(*client, Stage::query("9b1f", kTwoParts)) ==
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 77\r\n\r\n"
+        R"({"exact":true,"rows":[{"data":"5be2a07c","id":3},{"data":"5be2a07c","id":4}]})");
+  CHECK(frames == "D9b1f.4 4 d=N 8\nc41e77d0\n--\nD9b1f.3 3 d=N 8\nc41e77d0\n--\n");
+  CHECK(s.ask(*client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n") ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  // An end that only parts of spans can have is no answer here.
+  leaf.on_frame = [&](Peer& from, const platform::Frame& f) {
+    if (f.letter != 'D') return;
+    from.stream->write(platform::make_frame('O', f.rest.substr(0, f.rest.find(' ')) + " 421 1 -\n{}"));
+  };
+  client->stream->write(Stage::query("9b20", kTwoParts));
+  s.until([&] { return leaf.peers.front()->over; });
+}
+
+TEST_CASE("spans over Flight, to nodes over Flight: schema, interval, not mine, rows") {
+  struct Node : flight::Http2::Handler {
+    explicit Node(net::Loop& loop)
+        : listener(loop, loopback(0), [this, &loop](net::UniqueFd fd) {
+            http2 = std::make_unique<flight::Http2>(loop, *this, true);
+            http2->adopt(std::move(fd));
+          }) {}
+    void head(std::int32_t, const flight::Headers&) override {}
+    void data(std::int32_t id, std::string_view bytes) override { in[id].append(bytes); }
+    void peer_done(std::int32_t id) override {
+      bool bad = false;
+      arrow::flight::protocol::Ticket ticket;
+      PartCommand command;
+      REQUIRE(ticket.ParseFromString(*flight::take_message(in[id], flight::kMessageMost, bad)));
+      REQUIRE(command.ParseFromString(ticket.ticket()));
+      asked.push_back(command);
+      flight::Headers trailers;
+      std::string body;
+      const auto& i = command.interval();
+      if (asked.size() == 1) {
+        trailers = flight::status_trailers(flight::Status::failed_precondition, "");
+        flight::add_denial(
+            trailers,
+            {{1, 6}, {{{0, 40}, 8, {}, held({"a"}), 0, {}}, {{40, 100}, 9, {}, held({"a"}), 0, {}}}});
+      } else {
+        trailers = flight::status_trailers(flight::Status::ok, "");
+        flight::ArrowRow row;
+        row.span = {i.from(), i.to()};
+        if (bent) row.span.to += 1;
+        row.data = "rows";
+        for (const auto& m : {flight::schema_message(flight::Layout::spans),
+                              flight::batch_message({row}, flight::Layout::spans)}) {
+          arrow::flight::protocol::FlightData part;
+          part.set_data_header(m.header);
+          part.set_data_body(m.body);
+          body += flight::frame_message(part.SerializeAsString());
+        }
+      }
+      http2->respond(id, {{":status", "200"}, {"content-type", "application/grpc"}}, body, trailers);
+      http2->pump();
+    }
+    void closed(std::int32_t, std::uint32_t) override {}
+    void down() override {}
+    net::Listener listener;
+    std::unique_ptr<flight::Http2> http2;
+    std::map<std::int32_t, std::string> in;
+    std::vector<PartCommand> asked;
+    bool bent = false;
+  };
+  struct Client : flight::Http2::Handler {
+    explicit Client(net::Loop& loop) : http2(loop, *this, false) {}
+    void head(std::int32_t, const flight::Headers& h) override {
+      headers.insert(headers.end(), h.begin(), h.end());
+    }
+    void data(std::int32_t, std::string_view bytes) override { in.append(bytes); }
+    void peer_done(std::int32_t) override { done = true; }
+    void closed(std::int32_t, std::uint32_t) override { done = true; }
+    void down() override { done = true; }
+    flight::Http2 http2;
+    flight::Headers headers;
+    std::string in;
+    bool done = false;
+  };
+  net::Loop loop;
+  spdlog::set_level(spdlog::level::off);
+  core::Exchange exchange(
+      patient(), 7, [&] { return loop.now(); }, [](const std::string&) {});
+  flight::FlightPool pool(loop, exchange, {});
+  NoDiscovery none;
+  exchange.attach(pool, none);
+  flight::FlightServer front(loop, exchange, loopback(0), 16, 9, 20, true);
+  Node node(loop);
+  exchange.start({member("a", node.listener.port(), 0)});
+  std::string why;
+  exchange.remap(*RangeMap::build({1, 5}, {{0, {0, kKeyEnd}, 1, held({"a"})}}, why));
+  Client client(loop);
+  REQUIRE(client.http2.connect(loopback(front.port())));
+  QueryCommand command;
+  command.set_query_class("lookup");
+  command.set_text("c41e");
+  auto* span = command.add_spans();
+  span->set_from(0);
+  span->set_to(100);
+  arrow::flight::protocol::Ticket ticket;
+  ticket.set_ticket(command.SerializeAsString());
+  client.http2.request({{":method", "POST"},
+                        {":scheme", "http"},
+                        {":path", "/arrow.flight.protocol.FlightService/DoGet"},
+                        {":authority", "x"},
+                        {"te", "trailers"},
+                        {"content-type", "application/grpc"}},
+                       flight::frame_message(ticket.SerializeAsString()));
+  client.http2.pump();
+  SUBCASE("rows of the interval that was asked for") {}
+  SUBCASE("rows of another interval are no answer") { node.bent = true; }
+  net::Millis give_up = loop.now() + 60000;
+  while (!client.done) {
+    loop.turn(std::clamp(exchange.next_due() - loop.now(), 0.0, 20.0));
+    exchange.run();
+    REQUIRE(loop.now() < give_up);
+  }
+  REQUIRE(node.asked.size() >= 3);
+  CHECK(node.asked[0].interval().to() == 100);
+  CHECK(node.asked[0].interval().revision() == 5);
+  CHECK(node.asked[1].interval().revision() == 6);
+  if (node.bent) {
+    CHECK(*flight::find_header(client.headers, "grpc-status") != "0");
+    return;
+  }
+  CHECK(*flight::find_header(client.headers, "grpc-status") == "0");
+  std::vector<flight::ArrowRow> rows;
+  bool bad = false;
+  while (auto message = flight::take_message(client.in, flight::kMessageMost, bad)) {
+    arrow::flight::protocol::FlightData data;
+    REQUIRE(data.ParseFromString(*message));
+    CHECK(flight::read_arrow(data.data_header(), data.data_body(), rows, flight::Layout::spans) !=
+          flight::ArrowKind::bad);
+  }
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[0].span == Span{0, 40});
+  CHECK(rows[1].span == Span{40, 100});
+  CHECK(rows[0].revision == "1.6");
+}
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -92,21 +92,21 @@
 TEST_CASE("one begins when those before it have heard of it, and without them in a second and a half") {
   Pairing p("n0", {2000, 1}, 0);
   CHECK(p.may_begin(0));
-  State elder = state(1000);
-  p.saw({elder}, 0);
-  CHECK(p.elder(0));
+  State predecessor = state(1000);
+  p.saw({predecessor}, 0);
+  CHECK(p.predecessor(0));
   CHECK_FALSE(p.may_begin(100));
   CHECK(p.may_begin(1500));
-  elder.heard_of = {{2000, 1}};
-  ++elder.number;
-  p.saw({elder}, 200);
+  predecessor.heard_of = {{2000, 1}};
+  ++predecessor.number;
+  p.saw({predecessor}, 200);
   CHECK(p.may_begin(200));
-  CHECK_FALSE(p.heir(200));
-  p.saw({elder, state(3000, 1, false)}, 300);
-  CHECK_FALSE(p.heir(300));  // it has not begun to listen
-  CHECK(p.may_begin(300));   // and need not have heard of us
-  p.saw({elder, state(3000, 2, true)}, 400);
-  CHECK(p.heir(400));
+  CHECK_FALSE(p.successor(200));
+  p.saw({predecessor, state(3000, 1, false)}, 300);
+  CHECK_FALSE(p.successor(300));  // it has not begun to listen
+  CHECK(p.may_begin(300));        // and need not have heard of us
+  p.saw({predecessor, state(3000, 2, true)}, 400);
+  CHECK(p.successor(400));
   CHECK(p.others(400) == 2);
   CHECK(p.listening(400) == 2);
 }
@@ -114,20 +114,20 @@
 TEST_CASE(
     "a word that does not change expires; a file that is gone is gone at once; other names count nothing") {
   Pairing p("n0", {2000, 1}, 0);
-  State elder = state(1000), foreign = state(500);
+  State predecessor = state(1000), foreign = state(500);
   foreign.name = "n1";
-  p.saw({elder, foreign}, 0);
+  p.saw({predecessor, foreign}, 0);
   CHECK(p.others(0) == 1);
-  p.saw({elder, foreign}, 9000);
+  p.saw({predecessor, foreign}, 9000);
   CHECK(p.others(9999) == 1);
   CHECK(p.others(10000) == 0);
   CHECK(p.expired(10000) == std::vector<Who>{{1000, 7}});
-  ++elder.number;  // it had only been stopped
-  p.saw({elder}, 11000);
+  ++predecessor.number;  // it had only been stopped
+  p.saw({predecessor}, 11000);
   CHECK(p.others(11000) == 1);
   p.saw({}, 11100);
   CHECK(p.others(11100) == 0);
-  CHECK_FALSE(p.elder(11100));
+  CHECK_FALSE(p.predecessor(11100));
 }
 
 TEST_CASE("the later list is taken, of whoever has one") {
