--- a/src/cluster/store/database.hpp
+++ b/src/cluster/store/database.hpp
@@ -21,6 +21,7 @@
   std::size_t block_cache_bytes = 128 << 10;
   int open_files = 74;  // the least that LevelDB allows: 64 tables, one descriptor each, and 10 others
   std::chrono::milliseconds reopen_pause{100};  // between attempts to open a database that failed
+  std::chrono::milliseconds closing_wait{100};  // for the disk, at the end; then its thread is left behind
 };
 
 struct StoreEntry {
--- a/src/cluster/store/level_store.hpp
+++ b/src/cluster/store/level_store.hpp
@@ -18,7 +18,7 @@
   // Takes over a writer and what its database held; see `open_level_store`.
   LevelStore(std::shared_ptr<StoreWriter> writer, std::vector<StoreEntry> entries, bool replaces_damaged);
   // Batches that still wait are dropped. Waits for the write that is under way, but not for a disk that hangs
-  // longer than StoreWriter::kClosingWait.
+  // longer than StoreTuning::closing_wait.
   ~LevelStore() override;
 
   void commit(StoreBatch batch, std::function<void(CommitOutcome)> done) override;
--- a/src/cluster/store/store_writer.cpp
+++ b/src/cluster/store/store_writer.cpp
@@ -26,7 +26,7 @@
   std::unique_lock lock(mutex_);
   stopping_ = true;
   wake_.notify_all();
-  const bool ended = wake_.wait_for(lock, kClosingWait, [this] { return ended_; });
+  const bool ended = wake_.wait_for(lock, tuning_.closing_wait, [this] { return ended_; });
   lock.unlock();
   if (ended) {
     thread_.join();
--- a/src/cluster/store/store_writer.hpp
+++ b/src/cluster/store/store_writer.hpp
@@ -20,9 +20,6 @@
 // Shared with its thread, which may outlive its owner on a disk that hangs.
 class StoreWriter : public std::enable_shared_from_this<StoreWriter> {
  public:
-  // How long `stop` waits for the disk.
-  static constexpr std::chrono::milliseconds kClosingWait{100};
-
   StoreWriter(std::string path, Disk& disk, const StoreTuning& tuning, PostToLoop post_to_loop);
 
   // Starts the thread, which alone uses the database from now on.
--- a/tests/cluster/store_damage_test.cpp
+++ b/tests/cluster/store_damage_test.cpp
@@ -13,7 +13,7 @@
 DiskFiles filled() {
   SimulatedDisk disk;
   TestLoop loop;
-  StoreTuning tuning;
+  StoreTuning tuning = patient_tuning();
   tuning.write_buffer_bytes = 64 << 10;
   {
     auto store = open_level_store(kFolder, loop.poster(), disk, tuning);
@@ -37,13 +37,13 @@
   SimulatedDisk disk(files);
   TestLoop loop;
   {
-    auto store = open_level_store(kFolder, loop.poster(), disk);
+    auto store = open_level_store(kFolder, loop.poster(), disk, patient_tuning());
     REQUIRE(store);
     CHECK(store.value()->replaces_damaged());
     CHECK(content(*store.value()).empty());
     CHECK(commit(*store.value(), loop, {{"identity", "new"}}) == CommitOutcome::durable);
   }
-  auto again = open_level_store(kFolder, loop.poster(), disk);
+  auto again = open_level_store(kFolder, loop.poster(), disk, patient_tuning());
   REQUIRE(again);
   CHECK(again.value()->replaces_damaged());
   CHECK(content(*again.value()) == Content{{"identity", "new"}});
@@ -72,7 +72,7 @@
   table[table.size() / 3] ^= 1;
   SimulatedDisk disk(damaged);
   TestLoop loop;
-  REQUIRE(open_level_store(kFolder, loop.poster(), disk));
+  REQUIRE(open_level_store(kFolder, loop.poster(), disk, patient_tuning()));
   std::mt19937_64 random(5);
   DiskModel model(damaged);
   for (const DiskOperation& operation : disk.trace()) {
--- a/tests/cluster/store_fixture.hpp
+++ b/tests/cluster/store_fixture.hpp
@@ -16,6 +16,14 @@
 
 namespace winchhall::cluster::sim {
 
+// A store whose end is waited for however busy the machine is: a thread left behind would outlive the
+// simulated disk.
+inline StoreTuning patient_tuning() {
+  StoreTuning tuning;
+  tuning.closing_wait = std::chrono::seconds(60);
+  return tuning;
+}
+
 class TestLoop {
  public:
   PostToLoop poster() {
--- a/tests/cluster/store_power_loss_test.cpp
+++ b/tests/cluster/store_power_loss_test.cpp
@@ -12,7 +12,7 @@
 
 // Small files, so that the log, the tables and the MANIFEST change often.
 StoreTuning small_files() {
-  StoreTuning tuning;
+  StoreTuning tuning = patient_tuning();
   tuning.write_buffer_bytes = 64 << 10;
   return tuning;
 }
--- a/tests/cluster/store_refusal_test.cpp
+++ b/tests/cluster/store_refusal_test.cpp
@@ -11,14 +11,15 @@
 const std::string kFolder = "/data";
 
 StoreTuning small_files() {
-  StoreTuning tuning;
+  StoreTuning tuning = patient_tuning();
   tuning.write_buffer_bytes = 64 << 10;
   tuning.reopen_pause = std::chrono::milliseconds(0);
   return tuning;
 }
 
-std::unique_ptr<LevelStore> opened(SimulatedDisk& disk, TestLoop& loop) {
-  auto store = open_level_store(kFolder, loop.poster(), disk, small_files());
+std::unique_ptr<LevelStore> opened(SimulatedDisk& disk, TestLoop& loop,
+                                   const StoreTuning& tuning = small_files()) {
+  auto store = open_level_store(kFolder, loop.poster(), disk, tuning);
   REQUIRE(store);
   return std::move(store.value());
 }
@@ -124,8 +125,10 @@
 TEST_CASE("a disk that hangs holds up neither the caller nor the end of the process") {
   SimulatedDisk disk;
   TestLoop loop;
+  StoreTuning impatient = small_files();
+  impatient.closing_wait = StoreTuning().closing_wait;
   {
-    const std::unique_ptr<LevelStore> store = opened(disk, loop);
+    const std::unique_ptr<LevelStore> store = opened(disk, loop, impatient);
     disk.hang(true);
     store->commit(numbered(1), [](CommitOutcome) { FAIL("reported while the disk hangs"); });
     disk.wait_for_hanging_sync();
--- a/tests/cluster/store_size_test.cpp
+++ b/tests/cluster/store_size_test.cpp
@@ -53,7 +53,7 @@
   disk.keep_no_trace();
   TestLoop loop;
   {
-    auto store = open_level_store("/data", loop.poster(), disk);
+    auto store = open_level_store("/data", loop.poster(), disk, patient_tuning());
     REQUIRE(store);
     const Stream stream;
     for (std::size_t second = 0; second < stream.seconds; ++second) {
