--- a/src/cluster/agent/leader_call.cpp
+++ b/src/cluster/agent/leader_call.cpp
@@ -11,8 +11,8 @@
 constexpr Millis kMostBackoff{200};
 constexpr unsigned kMostHints = 3;
 // A submit that was sent nowhere is given up after this long, so that its client may come back later.
-constexpr Millis kSubmitPatience{1200};
-constexpr std::uint32_t kRetryAfterMs = 1000;
+constexpr Millis kSubmitPatience{2000};
+constexpr std::uint32_t kRetryAfterMs = 500;
 
 }  // namespace
 
--- a/src/cluster/consensus/leased_shard.cpp
+++ b/src/cluster/consensus/leased_shard.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr Millis kCheckInterval{100};
-constexpr Millis kRankDelay{150};
-constexpr Millis kHeldLeaseDelay{300};  // a node that leads another shard lets others go first
+constexpr Millis kCheckInterval{50};
+constexpr Millis kRankDelay{80};
+constexpr Millis kHeldLeaseDelay{160};  // a node that leads another shard lets others go first
 constexpr Millis::rep kJitterMs = 50;
 
 }  // namespace
--- a/src/cluster/rpc/peer_link.cpp
+++ b/src/cluster/rpc/peer_link.cpp
@@ -6,20 +6,19 @@
 
 namespace {
 
-constexpr Millis kSecondaryPatience{
-    1000};  // a fresh connection that brings nothing for so long is dialled anew
+constexpr Millis kDialSpacing{250};  // between connections that are dialled beside one another
+constexpr std::size_t kMostSockets = 4;
 
 }  // namespace
 
 PeerLink::PeerLink(boost::asio::io_context& loop, Runtime& runtime, Address peer, OnReply on_reply)
     : loop_(loop), runtime_(runtime), peer_(std::move(peer)), on_reply_(std::move(on_reply)) {
-  primary_ = open_socket();
-  last_used_ = last_received_ = secondary_opened_ = runtime_.now();
+  last_used_ = last_received_ = last_dialled_ = runtime_.now();
+  if (auto socket = open_socket()) sockets_.push_back(std::move(socket));
 }
 
 PeerLink::~PeerLink() {
-  if (primary_) primary_->close();
-  if (secondary_) secondary_->close();
+  for (const auto& socket : sockets_) socket->close();
 }
 
 std::shared_ptr<RequestSocket> PeerLink::open_socket() {
@@ -33,29 +32,31 @@
   if (last_received_ < sent_at) suspect_ = true;
 }
 
-void PeerLink::send(const std::string& body, std::uint32_t call_id) {
-  const TimePoint now = runtime_.now();
-  last_used_ = now;
-  const bool secondary_is_stale = secondary_ && now - secondary_opened_ > kSecondaryPatience;
-  if (suspect_ && (!secondary_ || secondary_is_stale)) {
-    if (secondary_) secondary_->close();
-    secondary_ = open_socket();
-    secondary_opened_ = now;
+// The first one is kept: it may be up still and answers soonest after a cut. Of the others the oldest goes,
+// as its opening packets come at the longest intervals.
+void PeerLink::dial_beside() {
+  last_dialled_ = runtime_.now();
+  auto socket = open_socket();
+  if (!socket) return;
+  if (sockets_.size() >= kMostSockets) {
+    sockets_[1]->close();
+    sockets_.erase(sockets_.begin() + 1);
   }
-  if (primary_) primary_->send(body, call_id);
-  if (secondary_) secondary_->send(body, call_id);
+  sockets_.push_back(std::move(socket));
+}
+
+void PeerLink::send(const std::string& body, std::uint32_t call_id) {
+  last_used_ = runtime_.now();
+  if (suspect_ && last_used_ - last_dialled_ >= kDialSpacing) dial_beside();
+  for (const auto& socket : sockets_) socket->send(body, call_id);
 }
 
 void PeerLink::received(const std::shared_ptr<RequestSocket>& socket, wire::Envelope reply) {
   suspect_ = false;
   last_received_ = runtime_.now();
-  if (socket == secondary_) {
-    std::swap(primary_, secondary_);
-  }
-  if (secondary_) {
-    secondary_->close();
-    secondary_.reset();
-  }
+  for (const auto& other : sockets_)
+    if (other != socket) other->close();
+  sockets_.assign(1, socket);
   on_reply_(std::move(reply));
 }
 
--- a/src/cluster/rpc/peer_link.hpp
+++ b/src/cluster/rpc/peer_link.hpp
@@ -1,4 +1,4 @@
-// Connections to one peer: one socket as a rule, a second beside it while the first is silent.
+// Connections to one peer: one socket as a rule, further ones beside it while the peer is silent.
 #pragma once
 
 #include <nng/nng.h>
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "cluster/common/runtime.hpp"
 #include "cluster/rpc/socket.hpp"
@@ -15,6 +16,9 @@
 
 class RequestSocket;
 
+// An opening packet to a machine without power or behind a cut is lost, and TCP sends the next one only after
+// a second or more. So while nothing comes back, new connections are dialled beside the older ones, and the
+// one that brings an answer first stays alone.
 class PeerLink {
  public:
   using OnReply = std::function<void(wire::Envelope)>;
@@ -30,17 +34,17 @@
 
  private:
   std::shared_ptr<RequestSocket> open_socket();
+  void dial_beside();
   void received(const std::shared_ptr<RequestSocket>& socket, wire::Envelope reply);
 
   boost::asio::io_context& loop_;
   Runtime& runtime_;
   Address peer_;
   OnReply on_reply_;
-  std::shared_ptr<RequestSocket> primary_;
-  std::shared_ptr<RequestSocket> secondary_;
+  std::vector<std::shared_ptr<RequestSocket>> sockets_;  // the one that brought an answer last goes first
   TimePoint last_used_;
   TimePoint last_received_;
-  TimePoint secondary_opened_;
+  TimePoint last_dialled_;
   bool suspect_ = false;
 };
 
--- a/src/cluster/worker_agent/leader_finder.cpp
+++ b/src/cluster/worker_agent/leader_finder.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 constexpr Millis kAskTimeout{300};
+constexpr unsigned kMostAsked = 3;
 constexpr Millis kPause{100};
+constexpr Millis kHedge{200};  // without an answer for so long, another node is asked beside
 constexpr std::uint64_t kPauseJitterMs = 50;
 constexpr std::size_t kMostNodes = 64;
 
@@ -28,7 +30,6 @@
   least_epoch_ = least_epoch;
   if (searching_ || (nodes_.empty() && sampled_.empty())) return;
   searching_ = true;
-  if (asking_) return;
   const bool too_soon = asked_at_ != TimePoint{} && runtime_.now() - asked_at_ < kPause;
   if (too_soon) {
     pause();
@@ -39,6 +40,8 @@
 
 void LeaderFinder::stop() {
   searching_ = false;
+  asking_ = 0;
+  ++search_number_;
   timer_.reset();
 }
 
@@ -60,7 +63,8 @@
 }
 
 void LeaderFinder::ask_next() {
-  if (nodes_.empty() && sampled_.empty()) return pause();
+  if (!searching_) return;
+  if ((nodes_.empty() && sampled_.empty()) || asking_ >= kMostAsked) return pause();
   ask(next_node());
 }
 
@@ -68,16 +72,19 @@
   wire::Envelope request;
   wire::ConfigurationWatch& watch = *request.mutable_configuration_watch();
   watch.set_version(std::numeric_limits<std::uint64_t>::max());  // the configuration itself is not wanted
-  asking_ = true;
+  ++asking_;
   asked_at_ = runtime_.now();
-  runtime_.call(node, std::move(request), kAskTimeout, [this, alive = alive_](const CallResult& result) {
-    if (*alive) on_answer(result);
-  });
+  timer_ = runtime_.after(kHedge, [this] { ask_next(); });
+  runtime_.call(node, std::move(request), kAskTimeout,
+                [this, alive = alive_, number = search_number_](const CallResult& result) {
+                  if (!*alive) return;
+                  if (number == search_number_) --asking_;
+                  on_answer(result);
+                });
 }
 
 void LeaderFinder::on_answer(const CallResult& result) {
-  asking_ = false;
-  if (!result.answer || !result.answer->has_configuration_update()) return pause();
+  if (!result.answer || !result.answer->has_configuration_update()) return;
   const wire::ConfigurationUpdate& update = result.answer->configuration_update();
   learn_members(update);
   if (!searching_) return;
--- a/src/cluster/worker_agent/leader_finder.hpp
+++ b/src/cluster/worker_agent/leader_finder.hpp
@@ -1,4 +1,4 @@
-// Finds the leader of a service by asking control nodes, one at a time and with pauses.
+// Finds the leader of a service by asking control nodes in turn, a few of them at once.
 #pragma once
 
 #include <cstdint>
@@ -61,7 +61,8 @@
   std::string shard_;
   std::uint64_t least_epoch_ = 0;
   bool searching_ = false;
-  bool asking_ = false;
+  unsigned asking_ = 0;              // nodes that have not answered in this search
+  std::uint64_t search_number_ = 0;  // rises with the end of each search
   TimePoint asked_at_{};
   std::unique_ptr<Timer> timer_;
   const std::shared_ptr<bool> alive_;  // false once this object is gone
--- a/src/cluster/worker_agent/leader_link.cpp
+++ b/src/cluster/worker_agent/leader_link.cpp
@@ -142,7 +142,8 @@
 
 void LeaderLink::follow(const Address& leader) {
   if (stopped_) return;
-  if (leader != target_) {
+  const bool fell_silent = runtime_.now() - heard_at_ >= kSilenceLimit;
+  if (leader != target_ || fell_silent) {  // what is outstanding at a leader that was away is lost
     target_ = leader;
     ++target_number_;
     outstanding_ = 0;
--- a/tests/cluster/rpc_test.cpp
+++ b/tests/cluster/rpc_test.cpp
@@ -5,6 +5,7 @@
 #include <nng/protocol/reqrep0/req.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
 #include "cluster/rpc/dialer.hpp"
@@ -141,6 +142,56 @@
   CHECK(caller.run_until([&] { return answered; }));
 }
 
+// Takes connections and says nothing on them; they stay open when it stops listening.
+class MuteListener {
+ public:
+  MuteListener(boost::asio::io_context& loop, Address& address) : acceptor_(loop) {
+    using boost::asio::ip::tcp;
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    acceptor_.listen();
+    address = "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    accept();
+  }
+  void stop_listening() { acceptor_.close(); }
+
+ private:
+  void accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+          if (error) return;
+          taken_.push_back(std::move(socket));
+          accept();
+        });
+  }
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<boost::asio::ip::tcp::socket> taken_;
+};
+
+TEST_CASE("while a peer is silent it is dialled anew several times a second") {
+  Caller caller;
+  Address address;
+  MuteListener mute(caller.loop, address);
+  std::shared_ptr<NngListener> listener;
+  int calls = 0;
+  bool answered = false;
+  std::function<void()> ask = [&] {
+    if (++calls == 4) {  // connections dialled so far hang at the silent listener
+      mute.stop_listening();
+      listener = listen(caller, address, answer_with_length);
+    }
+    caller.runtime.call(address, count_request("abc"), Millis(200), [&](const CallResult& result) {
+      answered = result.answer.has_value();
+      if (!answered) ask();
+    });
+  };
+  ask();
+  REQUIRE(caller.run_until([&] { return answered; }));
+  CHECK(listener);
+  CHECK(calls <= 5);
+}
+
 TEST_CASE("a message that is no envelope is dropped and the listener goes on") {
   Caller caller;
   Address address;
--- a/tests/cluster/worker_agent_leader_test.cpp
+++ b/tests/cluster/worker_agent_leader_test.cpp
@@ -1,4 +1,5 @@
 // The worker-agent and its leaders: epochs, holds, reports, lost leaders, lives of the leaf.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "cluster/worker_fixture.hpp"
@@ -228,6 +229,34 @@
   CHECK(report.request.worker_report().lists_included());
 }
 
+TEST_CASE_METHOD(WorkerFixture, "while one control node does not answer another is asked") {
+  agent->start();
+  runtime.advance(Millis(280));
+  std::vector<Address> asked;
+  for (const ScriptedRuntime::Call& call : runtime.calls)
+    if (call.request.has_configuration_watch()) asked.push_back(call.peer);
+  REQUIRE(asked.size() == 2);
+  CHECK(asked[0] != asked[1]);
+}
+
+TEST_CASE_METHOD(WorkerFixture,
+                 "a leader that was away and leads again at its address is reported to at once") {
+  settle_in();
+  for (std::uint64_t beat = 0; beat < 3; ++beat) {
+    heartbeat(ScriptedHeartbeat().runs(kTask, 100 + beat));
+    runtime.advance(Millis(20));
+  }
+  const auto reports = [&] {
+    return std::count_if(runtime.calls.begin(), runtime.calls.end(),
+                         [](const ScriptedRuntime::Call& call) { return call.request.has_worker_report(); });
+  };
+  runtime.advance(Millis(700));
+  const auto before = reports();
+  REQUIRE(answer_watch(kLeader, 6) != "");
+  runtime.advance(Millis(10));
+  CHECK(reports() == before + 1);
+}
+
 TEST_CASE_METHOD(WorkerFixture, "a hint of a former leader is followed") {
   settle_in();
   heartbeat({});
