Preempt for small tasks by their number; judge leaves by order of starts; late stages last

Change: Preemption stops as many less urgent runs as small tasks wait beyond the room to come; LeafHealth counts by when runs began and knows a failure rate; the last try of a task spares doubtful leaves; QueueKey puts stages that can end in time before late ones; PriorityUse keeps what each priority holds.

--- a/src/cluster/scheduler/claims.cpp
+++ b/src/cluster/scheduler/claims.cpp
@@ -5,6 +5,7 @@
 
 #include "cluster/scheduler/eligibility.hpp"
 #include "cluster/scheduler/gang_plan.hpp"
+#include "cluster/scheduler/preemption.hpp"
 #include "cluster/scheduler/run_time.hpp"
 
 namespace winchhall::cluster::scheduling {
@@ -12,21 +13,11 @@
 
 constexpr int kMostClaims = 2;           // stages in a round
 constexpr std::uint64_t kSmallPart = 4;  // a task of less than this part of a leaf finds room by itself
-constexpr Millis kClaimAnyway{500};      // waiting for longer, any stage claims
 constexpr Millis kPreemptAfter{300};
 constexpr Millis kPreemptUnsavedAfter{2000};
 constexpr Millis kPreemptPause{600};  // between two rounds of stops for one stage
 constexpr Millis kUnknownEnd{3600000};
 
-bool is_victim(const Run& run, const StageInstance& stage, bool unsaved_too) {
-  if (run.task == nullptr || run.stop_revision > 0 ||
-      run.job->terms.priority() <= stage.job->terms.priority())
-    return false;
-  const wire::Stage& spec = *run.stage->spec;
-  if (spec.gang() || spec.long_running()) return false;
-  return spec.checkpoints() || unsaved_too;
-}
-
 }  // namespace
 
 void Claims::begin_round() {
@@ -35,7 +26,7 @@
 }
 
 bool Claims::needs_much(const StageInstance& stage) const {
-  if (stage.spec->gang() || state_.now - stage.waiting_since >= kClaimAnyway) return true;
+  if (stage.spec->gang()) return true;
   Resources large{stage.demand.cpu * kSmallPart, stage.demand.mem_mb * kSmallPart,
                   stage.demand.gpu * kSmallPart};
   return std::any_of(state_.leaves.all().begin(), state_.leaves.all().end(), [&](const auto& leaf) {
@@ -78,7 +69,7 @@
 }
 
 void Claims::claim(StageInstance& stage) {
-  if (claims_left_ == 0 || stage.waiting.empty() || !needs_much(stage)) return;
+  if (claims_left_ == 0 || stage.waiting.empty()) return;
   std::vector<Prospect> all = prospects(stage);
   std::vector<Prospect> best;
   bool one_rack = stage.spec->gang() && stage.spec->same_rack();
@@ -122,7 +113,7 @@
   std::vector<Run*> victims;
   for (auto& [key, run] : leaf.runs) {
     if (run.stop_revision > 0) reserved = reserved.without(run.demand);
-    if (is_victim(run, stage, unsaved_too)) victims.push_back(&run);
+    if (may_preempt(stage, run, unsaved_too)) victims.push_back(&run);
   }
   // Those with saved work first, then those that have done least.
   std::sort(victims.begin(), victims.end(), [](const Run* a, const Run* b) {
--- a/src/cluster/scheduler/claims.hpp
+++ b/src/cluster/scheduler/claims.hpp
@@ -11,8 +11,10 @@
 
   // Drops all claims: they are made anew in each round, in queue order.
   void begin_round();
-  // Claims leaves for a stage that could not be placed, if it needs much at once; may stop work of less
-  // priority.
+  // True if the stage finds room only where it is kept free for it: a gang, or tasks that are large for their
+  // leaves.
+  bool needs_much(const StageInstance& stage) const;
+  // Claims leaves for a stage that could not be placed and needs much; may stop work of less priority.
   void claim(StageInstance& stage);
 
  private:
@@ -22,7 +24,6 @@
     std::uint64_t places = 0;  // when empty
     TimePoint free_at;         // when it is expected to have room for one task, or for all it takes of a gang
   };
-  bool needs_much(const StageInstance& stage) const;
   std::vector<Prospect> prospects(const StageInstance& stage) const;
   TimePoint free_at(const Leaf& leaf, const StageInstance& stage, std::uint64_t places) const;
   void make_room(StageInstance& stage, const std::vector<Prospect>& chosen);
--- a/src/cluster/scheduler/eligibility.cpp
+++ b/src/cluster/scheduler/eligibility.cpp
@@ -62,6 +62,16 @@
   return state.now + Millis(static_cast<std::int64_t>(ms)) <= leaf.claimed_until;
 }
 
+bool risks_last_try(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage,
+                    const Task& task) {
+  if (!state.trust_health || stage.spec->long_running()) return false;
+  const std::uint32_t failures = failures_of(stage, task);
+  if (failures == 0 || failures + 1 < stage.job->max_retries()) return false;
+  const bool failed_here =
+      std::find(task.failed_on.begin(), task.failed_on.end(), leaf.id) != task.failed_on.end();
+  return failed_here || leaf.health.unsound();
+}
+
 bool may_start(const SchedulerState& state, const Job& job) { return !job.restored || state.unheard.empty(); }
 
 }  // namespace winchhall::cluster::scheduling
--- a/src/cluster/scheduler/eligibility.hpp
+++ b/src/cluster/scheduler/eligibility.hpp
@@ -29,6 +29,11 @@
 // True unless the leaf is kept free for another stage and this one would stand in its way.
 bool leaves_claim_alone(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage);
 
+// True if one more failure ends the task's job and the leaf is likely to bring it: it fails much of what it
+// starts, or this task failed there.
+bool risks_last_try(const SchedulerState& state, const Leaf& leaf, const StageInstance& stage,
+                    const Task& task);
+
 // True if the job may be started: everything that it might be running elsewhere is known.
 bool may_start(const SchedulerState& state, const Job& job);
 
--- a/src/cluster/scheduler/job.cpp
+++ b/src/cluster/scheduler/job.cpp
@@ -6,8 +6,8 @@
 namespace winchhall::cluster::scheduling {
 
 bool QueueKey::operator<(const QueueKey& other) const {
-  return std::tie(priority, hopeless, objective, other.hint, sequence) <
-         std::tie(other.priority, other.hopeless, other.objective, hint, other.sequence);
+  return std::tie(priority, outlook, start_by, other.hint, sequence) <
+         std::tie(other.priority, other.outlook, other.start_by, hint, other.sequence);
 }
 
 TaskName StageInstance::name_of(std::uint32_t index) const { return {job->id, repeat, number, index}; }
--- a/src/cluster/scheduler/job.hpp
+++ b/src/cluster/scheduler/job.hpp
@@ -37,14 +37,19 @@
   std::vector<Run*> runs;        // that may exist on a leaf
   std::uint32_t short_runs = 0;  // long-running tasks: runs in a row that ended early
   TimePoint not_before;          // no start earlier than this
+  TimePoint offered_at;          // when it was last given to the queue
 };
 
-// Place of a stage in the queue: lower goes first.
+// What a stage's job can still earn.
+enum class Outlook : std::uint8_t { in_time, late, none };
+
+// Place of a stage in the queue: lower goes first. Among those that can still end in time the one that has to
+// start first goes first; one that can't no longer goes before them, or all would be late under overload.
 struct QueueKey {
   std::uint32_t priority = 0;
-  bool hopeless = false;  // too late to be of worth
-  TimePoint objective;
-  double hint = 0;  // larger goes first
+  Outlook outlook = Outlook::in_time;
+  TimePoint start_by;  // to end in time, if estimates hold
+  double hint = 0;     // larger goes first
   std::uint64_t sequence = 0;
 
   bool operator<(const QueueKey& other) const;
@@ -65,7 +70,8 @@
   std::unordered_map<const Leaf*, std::uint32_t> on_leaf;  // runs of this stage that may exist there
   bool queued = false;
   QueueKey key;
-  TimePoint hopeless_at;
+  TimePoint late_after;       // not started by then, the job will be late
+  TimePoint worthless_after;  // the job is worth nothing afterwards
   TimePoint waiting_since;
   TimePoint preempted_at;
 
--- a/src/cluster/scheduler/job_book.cpp
+++ b/src/cluster/scheduler/job_book.cpp
@@ -9,6 +9,7 @@
 constexpr double kFirstHint = 1;    // ms, until a queue has given one
 constexpr double kLateAtTimes = 3;  // a job is late up to this many times its objective
 constexpr double kLeastStretch = 1;
+constexpr double kSurelyNeeded = 0.5;  // part of an estimate that the work takes at least
 
 Millis to_millis(double ms) { return Millis(static_cast<std::int64_t>(ms)); }
 
@@ -28,7 +29,8 @@
     queue.hint_sum += stage.estimated_ms();
     queue.hint_count += 1;
   }
-  job->chain_ms = chain_of(*job);
+  const std::vector<double> chains = chains_of(*job);
+  if (!chains.empty()) job->chain_ms = *std::max_element(chains.begin(), chains.end());
   return *(jobs_[id] = std::move(job));
 }
 
@@ -67,33 +69,32 @@
   return queue->second.hint_sum / queue->second.hint_count;
 }
 
-double JobBook::chain_of(const Job& job) const {
-  std::vector<double> ends;
-  double longest = 0;
-  for (const wire::Stage& stage : job.spec.stages()) {
-    double start = 0;
+std::vector<double> JobBook::chains_of(const Job& job) const {
+  std::vector<double> chains(static_cast<std::size_t>(job.spec.stages_size()), 0);
+  for (std::size_t i = chains.size(); i-- > 0;) {
+    const wire::Stage& stage = job.spec.stages(static_cast<int>(i));
+    chains[i] += hint_of(job, stage);
     for (std::uint32_t earlier : stage.depends_on())
-      if (earlier < ends.size()) start = std::max(start, ends[earlier]);
-    ends.push_back(start + hint_of(job, stage));
-    longest = std::max(longest, ends.back());
+      if (earlier < i) chains[earlier] = std::max(chains[earlier], chains[i]);
   }
-  return longest;
+  return chains;
 }
 
 Repeat& JobBook::open_repeat(Job& job, std::uint32_t number, TimePoint due) {
   Repeat& repeat = job.repeats[number];
   repeat.stages.resize(static_cast<std::size_t>(job.spec.stages_size()));
+  const std::vector<double> chains = chains_of(job);
   for (std::size_t i = 0; i < repeat.stages.size(); ++i) {
     StageInstance& stage = repeat.stages[i];
     stage.repeat = number;
     stage.number = static_cast<std::uint32_t>(i);
-    set_up_stage(job, stage, due);
+    set_up_stage(job, stage, due, chains[i]);
     job.open_tasks += stage.tasks.size();
   }
   return repeat;
 }
 
-void JobBook::set_up_stage(Job& job, StageInstance& stage, TimePoint due) {
+void JobBook::set_up_stage(Job& job, StageInstance& stage, TimePoint due, double chain_ms) {
   stage.job = &job;
   stage.spec = &job.spec.stages(static_cast<int>(stage.number));
   stage.demand = demand_of(*stage.spec);
@@ -103,10 +104,11 @@
   double objective =
       std::max(kLeastStretch, job.terms.stretch()) * job.chain_ms + job.terms.target_latency_ms();
   stage.key.priority = job.terms.priority();
-  stage.key.objective = due + to_millis(objective);
+  stage.key.start_by = due + to_millis(objective - chain_ms);
   stage.key.hint = stage.hint;
   stage.key.sequence = next_sequence_++;
-  stage.hopeless_at = due + to_millis(objective * kLateAtTimes);
+  stage.late_after = due + to_millis(objective - chain_ms * kSurelyNeeded);
+  stage.worthless_after = due + to_millis(objective * kLateAtTimes);
 }
 
 }  // namespace winchhall::cluster::scheduling
--- a/src/cluster/scheduler/job_book.hpp
+++ b/src/cluster/scheduler/job_book.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "cluster/scheduler/job.hpp"
 
@@ -44,8 +45,9 @@
     double hint_count = 0;
   };
   double hint_of(const Job& job, const wire::Stage& stage) const;
-  double chain_of(const Job& job) const;
-  void set_up_stage(Job& job, StageInstance& stage, TimePoint due);
+  // For each stage the longest chain of estimated work that begins with it, in ms.
+  std::vector<double> chains_of(const Job& job) const;
+  void set_up_stage(Job& job, StageInstance& stage, TimePoint due, double chain_ms);
 
   Jobs jobs_;
   std::unordered_map<std::string, QueueFigures> queues_;
--- a/src/cluster/scheduler/leaf_state.hpp
+++ b/src/cluster/scheduler/leaf_state.hpp
@@ -10,6 +10,7 @@
 
 #include "cluster/scheduler/job.hpp"
 #include "cluster/scheduler/leaf_health.hpp"
+#include "cluster/scheduler/priority_use.hpp"
 
 namespace winchhall::cluster::scheduling {
 
@@ -25,6 +26,7 @@
   Task* task = nullptr;            // none: the task no longer counts on this run
   Resources demand;
   bool demand_known = true;
+  std::uint32_t priority = 0;  // of its job's queue; meaningless while the demand is unknown
   double cost = 0;
   Revision start_revision = 0;  // 0: found on the leaf
   Revision stop_revision = 0;   // 0: no stop ordered
@@ -78,6 +80,7 @@
   std::string node;
   Resources capacity;
   Resources reserved;
+  PriorityUse use;  // of `reserved`, what is known by priority
   std::vector<std::string> labels;
   std::string rack;
   bool draining = false;
--- a/src/cluster/scheduler/run_ledger.cpp
+++ b/src/cluster/scheduler/run_ledger.cpp
@@ -28,6 +28,21 @@
   return run;
 }
 
+void RunLedger::reserve(Run& run) {
+  run.leaf->reserved += run.demand;
+  if (!run.demand_known) return;
+  run.priority = run.job->terms.priority();
+  run.leaf->use.add(run.priority, run.demand);
+  state_.use.add(run.priority, run.demand);
+}
+
+void RunLedger::release(const Run& run) {
+  run.leaf->reserved = run.leaf->reserved.without(run.demand);
+  if (!run.demand_known) return;
+  run.leaf->use.remove(run.priority, run.demand);
+  state_.use.remove(run.priority, run.demand);
+}
+
 void RunLedger::attach(Run& run, const TaskPlace& place) {
   run.task = place.task;
   place.task->runs.push_back(&run);
@@ -43,7 +58,7 @@
   run.demand = stage.demand;
   run.cost = cost;
   run.start_revision = ++leaf.revision;
-  leaf.reserved += run.demand;
+  reserve(run);
   leaf.cost += cost;
   leaf.health.started();
   ++stage.on_leaf[&leaf];
@@ -86,7 +101,7 @@
     ++leaf.unknown_runs;
   }
   if (place.job != nullptr) ++place.job->live_runs;
-  leaf.reserved += run.demand;
+  reserve(run);
   leaf.cost += run.cost;
   if (!may_attach(run, place)) {
     stop(run);
@@ -117,7 +132,7 @@
 
 void RunLedger::take_out(Run& run) {
   Leaf& leaf = *run.leaf;
-  leaf.reserved = leaf.reserved.without(run.demand);
+  release(run);
   leaf.cost = std::max(0.0, leaf.cost - run.cost);
   if (!run.demand_known) --leaf.unknown_runs;
   disown(run);
@@ -156,7 +171,7 @@
   }
   if (!stage.spec->long_running() && failures_of(stage, task) >= job.max_retries()) return;
   if (!stage.queued) stage.waiting_since = state_.now;
-  stage.waiting.insert(task.index);
+  if (stage.waiting.insert(task.index).second) task.offered_at = state_.now;
   if (!stage.spec->gang() || stage.waiting.size() == stage.tasks.size()) state_.queue.add(stage);
   state_.changed = true;
 }
--- a/src/cluster/scheduler/run_ledger.hpp
+++ b/src/cluster/scheduler/run_ledger.hpp
@@ -31,6 +31,8 @@
 
  private:
   Run& enter(Leaf& leaf, const std::string& name, RunNumber number);
+  void reserve(Run& run);
+  void release(const Run& run);
   void attach(Run& run, const TaskPlace& place);
   bool may_attach(const Run& run, const TaskPlace& place) const;
 
--- a/src/cluster/scheduler/scheduler_state.hpp
+++ b/src/cluster/scheduler/scheduler_state.hpp
@@ -33,6 +33,7 @@
   WallClock wall;
   JobBook jobs;
   LeafBook leaves;
+  PriorityUse use;  // on all leaves
   RecordLog records;
   SchedulerCounters counters;
   WaitingQueue queue;
--- a/src/cluster/scheduler/task_ends.cpp
+++ b/src/cluster/scheduler/task_ends.cpp
@@ -36,7 +36,7 @@
   }
   if (place.job == nullptr) return 0;
   if (place.task != nullptr) {
-    judge_leaf(leaf, place, entry.how());
+    judge_leaf(leaf, place, entry.how(), began);
     if (!place.job->final()) apply(place, entry, began);
   }
   return place.job->last_change;
@@ -70,12 +70,12 @@
   task.not_before = state_.now + kFirstHoldBack * (1 << std::min(task.short_runs - 2, kMostDoublings));
 }
 
-void TaskEnds::judge_leaf(Leaf& leaf, const TaskPlace& place, wire::EndKind how) {
+void TaskEnds::judge_leaf(Leaf& leaf, const TaskPlace& place, wire::EndKind how, TimePoint began) {
   bool blamed = how == wire::END_FAILED || how == wire::END_REFUSED;
   if (how == wire::END_DONE) {
-    leaf.health.succeeded();
+    leaf.health.succeeded(began);
   } else if (blamed) {
-    leaf.health.failed(place.job->id, state_.now);
+    leaf.health.failed(place.job->id, began, state_.now);
     if (std::find(place.task->failed_on.begin(), place.task->failed_on.end(), leaf.id) ==
         place.task->failed_on.end())
       place.task->failed_on.push_back(leaf.id);
--- a/src/cluster/scheduler/task_ends.hpp
+++ b/src/cluster/scheduler/task_ends.hpp
@@ -26,7 +26,7 @@
 
  private:
   void save(const TaskPlace& place, const std::string& saved, RunNumber run);
-  void judge_leaf(Leaf& leaf, const TaskPlace& place, wire::EndKind how);
+  void judge_leaf(Leaf& leaf, const TaskPlace& place, wire::EndKind how, TimePoint began);
   void apply(const TaskPlace& place, const wire::FinishedTask& entry, TimePoint began);
   void hold_back(Task& task, TimePoint began);
   void forget_record(Leaf& leaf);
--- a/src/cluster/scheduler/waiting_queue.hpp
+++ b/src/cluster/scheduler/waiting_queue.hpp
@@ -1,13 +1,14 @@
 // Stages with tasks to be placed, in the order in which they are offered room.
 #pragma once
 
+#include <algorithm>
 #include <map>
 
 #include "cluster/scheduler/job.hpp"
 
 namespace winchhall::cluster::scheduling {
 
-// Order: priority, then those still of worth, then the earliest objective, then the largest hint.
+// Order: priority, then what can still be earned, then the earliest time to start by, then the largest hint.
 class WaitingQueue {
  public:
   using Stages = std::map<QueueKey, StageInstance*>;
@@ -22,11 +23,15 @@
     stages_.erase(stage.key);
     stage.queued = false;
   }
-  // Puts a stage behind all of its priority that can still be of worth.
-  void set_hopeless(StageInstance& stage) {
+  // Puts a stage behind all of its priority that can earn more, once it is too late for it.
+  void update_outlook(StageInstance& stage, TimePoint now) {
+    Outlook outlook = stage.key.outlook;
+    if (now > stage.late_after) outlook = std::max(outlook, Outlook::late);
+    if (now > stage.worthless_after) outlook = Outlook::none;
+    if (outlook == stage.key.outlook) return;
     bool was_queued = stage.queued;
     remove(stage);
-    stage.key.hopeless = true;
+    stage.key.outlook = outlook;
     if (was_queued) add(stage);
   }
   bool empty() const { return stages_.empty(); }
--- a/src/cluster/scheduler/watchdog.cpp
+++ b/src/cluster/scheduler/watchdog.cpp
@@ -62,9 +62,9 @@
     if (run.percent > 0 && run.percent < 100) percent_told_ = true;
     if (run.task == nullptr || run.stop_revision > 0 || !run.listed) continue;
     bool still = stands_still(run);
-    if (!still && !must_move(leaf, run)) continue;
+    if (!still && !must_move(leaf, run) && !must_be_spared(leaf, run)) continue;
     if (still) {
-      leaf.health.failed(run.job->id, state_.now);
+      leaf.health.stalled(run.job->id, run.ordered_at, state_.now);
       run.task->failed_on.push_back(leaf.id);
     }
     stopped.push_back(key);
@@ -96,6 +96,12 @@
   return since_ms(state_.now, expected_end(state_, run)) > left;
 }
 
+bool Watchdog::must_be_spared(const Leaf& leaf, const Run& run) const {
+  // What was started there since is a trial and runs to its end.
+  if (!leaf.health.suspect() || run.ordered_at >= leaf.health.suspect_since()) return false;
+  return risks_last_try(state_, leaf, *run.stage, *run.task);
+}
+
 void Watchdog::copy_slow_runs() {
   if (!state_.queue.empty()) return;  // no spare room
   std::vector<StageInstance*> stages;
--- a/src/cluster/scheduler/watchdog.hpp
+++ b/src/cluster/scheduler/watchdog.hpp
@@ -17,6 +17,8 @@
   void look_at_leaves();
   void look_at_runs(Leaf& leaf);
   bool stands_still(const Run& run) const;
+  // True if the leaf has turned out to fail what it starts and the task's job would end by one more failure.
+  bool must_be_spared(const Leaf& leaf, const Run& run) const;
   bool must_move(const Leaf& leaf, const Run& run) const;
   void copy_slow_runs();
   void copy_slow(StageInstance& stage);
--- a/tests/cluster/scheduler_course_test.cpp
+++ b/tests/cluster/scheduler_course_test.cpp
@@ -1,109 +1,16 @@
 // Courses of single jobs, step by step, against a scripted worker-agent.
 #include <catch2/catch.hpp>
 
-#include "cluster/scheduler/scheduler.hpp"
+#include "scheduler_script.hpp"
 
 namespace winchhall::cluster {
 namespace {
 
-constexpr std::int64_t kWall = 1700000000000;
-
-// One scheduler, one virtual clock, worker-agents that say what the test makes them say.
-struct Script {
-  std::int64_t now_ms = 1000;
-  std::unique_ptr<Scheduler> scheduler;
-  std::uint64_t epoch = 1;
-  std::map<std::string, std::string> disk;
-  std::map<std::string, std::uint64_t> report_numbers;
-
-  explicit Script(std::uint64_t lease_epoch = 1, std::vector<ShardEntry> entries = {}) : epoch(lease_epoch) {
-    SchedulerTerms terms;
-    terms.service = "s";
-    scheduler = make_scheduler(terms, epoch, 5);
-    scheduler->restore(entries, time(), wall());
-  }
-  TimePoint time() const { return TimePoint(Millis(now_ms)); }
-  std::int64_t wall() const { return kWall + now_ms; }
-  std::vector<ShardEntry> entries() const {
-    std::vector<ShardEntry> all;
-    for (const auto& [key, value] : disk) all.push_back({key, value});
-    return all;
-  }
-
-  // Lets all changes become durable, then plans.
-  void settle() {
-    for (int i = 0; i < 3; ++i) {
-      scheduler->plan(time(), wall());
-      Scheduler::Changes changes = scheduler->take_changes();
-      if (changes.number == 0) continue;
-      for (ShardChange& change : changes.changes) {
-        if (change.value) {
-          disk[change.key] = *change.value;
-        } else {
-          disk.erase(change.key);
-        }
-      }
-      scheduler->changes_durable(changes.number);
-    }
-    scheduler->plan(time(), wall());
-  }
-
-  wire::WorkerReport report_of(const std::string& leaf) {
-    wire::WorkerReport report;
-    report.set_node_name("node-" + leaf);
-    report.set_session(77);
-    report.set_report_number(++report_numbers[leaf]);
-    report.mutable_leaf()->set_leaf_id(leaf);
-    report.mutable_leaf()->set_service("s");
-    report.mutable_leaf()->set_cpu(8000);
-    report.mutable_leaf()->set_mem_mb(8000);
-    report.mutable_leaf()->add_labels("a");
-    report.mutable_leaf()->add_labels("r-1");
-    report.set_epoch(epoch);
-    report.set_lists_included(true);
-    return report;
-  }
-  void tell(const wire::WorkerReport& report) {
-    scheduler->report(report, time(), wall());
-    settle();
-  }
-  wire::WorkerOrders orders(const std::string& leaf) { return scheduler->orders(leaf, time()); }
-
-  SubmitResult submit(const std::string& id, const wire::JobSpec& spec, std::uint32_t max_retries = 2) {
-    wire::QueueTerms terms;
-    terms.set_queue("q");
-    terms.set_max_retries(max_retries);
-    terms.set_stretch(2);
-    terms.set_target_latency_ms(500);
-    return scheduler->submit(id, spec, terms, time(), wall());
-  }
-};
-
-wire::JobSpec one_stage(std::uint32_t count) {
-  wire::JobSpec spec;
-  spec.set_spec("what");
-  wire::Stage* stage = spec.add_stages();
-  stage->set_count(count);
-  stage->set_cpu(1000);
-  stage->set_estimated_ms(500);
-  return spec;
-}
-
-void add_running(wire::WorkerReport& report, const wire::StartOrder& start, std::uint32_t percent = 0) {
-  wire::RunningTask* entry = report.add_running();
-  entry->set_task(start.task());
-  entry->set_run(start.run());
-  entry->set_percent(percent);
-}
-
-void add_end(wire::WorkerReport& report, std::uint64_t number, const wire::StartOrder& start,
-             wire::EndKind how) {
-  wire::FinishedTask* entry = report.add_finished();
-  entry->set_number(number);
-  entry->set_task(start.task());
-  entry->set_run(start.run());
-  entry->set_how(how);
-}
+using test::add_end;
+using test::add_running;
+using test::kWall;
+using test::one_stage;
+using test::Script;
 
 TEST_CASE("a job is queued, runs, and is shown as completed once that is durable") {
   Script script;
--- a/tests/cluster/scheduler_units_test.cpp
+++ b/tests/cluster/scheduler_units_test.cpp
@@ -140,20 +140,20 @@
 
 TEST_CASE("a leaf that fails what several jobs start there is set aside and tried again") {
   LeafHealth health;
-  health.failed("a", at(0));
-  health.failed("a", at(0));
-  health.failed("b", at(0));
+  health.failed("a", at(0), at(0));
+  health.failed("a", at(0), at(0));
+  health.failed("b", at(0), at(0));
   CHECK_FALSE(health.aside(at(0)));
-  health.failed("c", at(0));
+  health.failed("c", at(0), at(0));
   CHECK(health.aside(at(1000)));
   CHECK_FALSE(health.aside(at(2500)));
   health.started();
   CHECK(health.aside(at(2500)));
-  health.failed("d", at(2600));
+  health.failed("d", at(2500), at(2600));
   CHECK(health.aside(at(6000)));
   CHECK_FALSE(health.aside(at(7000)));
   health.started();
-  health.succeeded();
+  health.succeeded(at(7000));
   CHECK_FALSE(health.suspect());
 }
 
