--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -83,6 +83,7 @@
       *answer.mutable_member_ping() = own_ping();
       reply(std::move(answer));
       note_ping(request.member_ping());
+      ping_back(request.member_ping().from());
       return true;
     }
     case wire::Envelope::kJoinRequest:
@@ -209,6 +210,12 @@
               });
 }
 
+// A member that has just come up is heard without waiting for the next tick.
+void ControlGroup::ping_back(std::uint64_t from) {
+  const wire::Member* member = find_member(record_, from);
+  if (member != nullptr && from != standing_.id && !peers_.heard_within(from, kTouch)) ping(*member);
+}
+
 void ControlGroup::note_ping(const wire::MemberPing& ping) {
   if (ping.member_epoch() > record_.epoch() && !ping.address().empty()) fetch_record(ping.address());
   peers_.note_leaders(ping);
--- a/src/cluster/consensus/control_group.hpp
+++ b/src/cluster/consensus/control_group.hpp
@@ -92,6 +92,7 @@
   void tick();
   void ping(const wire::Member& member);
   wire::MemberPing own_ping() const;
+  void ping_back(std::uint64_t from);
   void note_ping(const wire::MemberPing& ping);
   void fetch_record(const Address& address);
   void push_record(const wire::Member& member);
--- a/src/cluster/consensus/lease_terms.hpp
+++ b/src/cluster/consensus/lease_terms.hpp
@@ -6,10 +6,10 @@
 namespace winchhall::cluster {
 
 // An acceptor keeps a lease for so long from the arrival of the request, by its own steady clock.
-constexpr Millis kLeaseDuration{1000};
+constexpr Millis kLeaseDuration{800};
 // The holder counts on it from the sending of the request for 12% less: 2% for clocks that run at unlike
 // speeds and 10% to act within.
-constexpr Millis kLeaseUsable{880};
-constexpr Millis kRenewInterval{200};
+constexpr Millis kLeaseUsable{704};
+constexpr Millis kRenewInterval{160};
 
 }  // namespace winchhall::cluster
--- a/src/cluster/consensus/leased_shard.cpp
+++ b/src/cluster/consensus/leased_shard.cpp
@@ -56,6 +56,8 @@
 }
 
 Millis LeasedShard::delay_before_asking() const {
+  // The former holder, back from a crash: all others wait for the end of its lease.
+  if (group_.lease_in_force(name_)) return Millis(0);
   const auto order = [this](std::uint64_t member) {
     return stable_hash(name_ + "/" + std::to_string(member));
   };
--- a/src/cluster/worker_agent/leader_finder.cpp
+++ b/src/cluster/worker_agent/leader_finder.cpp
@@ -6,7 +6,8 @@
 namespace winchhall::cluster {
 namespace {
 
-constexpr Millis kAskTimeout{300};
+constexpr Millis kAskTimeout{500};
+constexpr Millis kAskWait{250};  // a node that knows nothing new answers after so long, or once it does
 constexpr unsigned kMostAsked = 3;
 constexpr Millis kPause{100};
 constexpr Millis kHedge{200};  // without an answer for so long, another node is asked beside
@@ -30,6 +31,7 @@
   least_epoch_ = least_epoch;
   if (searching_ || (nodes_.empty() && sampled_.empty())) return;
   searching_ = true;
+  leaders_digest_ = 0;
   const bool too_soon = asked_at_ != TimePoint{} && runtime_.now() - asked_at_ < kPause;
   if (too_soon) {
     pause();
@@ -72,6 +74,8 @@
   wire::Envelope request;
   wire::ConfigurationWatch& watch = *request.mutable_configuration_watch();
   watch.set_version(std::numeric_limits<std::uint64_t>::max());  // the configuration itself is not wanted
+  watch.set_leaders_digest(leaders_digest_);
+  if (leaders_digest_ != 0) watch.set_wait_ms(static_cast<std::uint32_t>(kAskWait.count()));
   ++asking_;
   asked_at_ = runtime_.now();
   timer_ = runtime_.after(kHedge, [this] { ask_next(); });
@@ -88,6 +92,7 @@
   const wire::ConfigurationUpdate& update = result.answer->configuration_update();
   learn_members(update);
   if (!searching_) return;
+  leaders_digest_ = update.leaders_digest();
   FoundLeader best;
   for (const wire::ShardLeader& leader : update.leaders()) {
     const bool better = leader.shard() == shard_ && !leader.address().empty() && leader.epoch() >= best.epoch;
--- a/src/cluster/worker_agent/leader_finder.hpp
+++ b/src/cluster/worker_agent/leader_finder.hpp
@@ -61,8 +61,9 @@
   std::string shard_;
   std::uint64_t least_epoch_ = 0;
   bool searching_ = false;
-  unsigned asking_ = 0;              // nodes that have not answered in this search
-  std::uint64_t search_number_ = 0;  // rises with the end of each search
+  unsigned asking_ = 0;               // nodes that have not answered in this search
+  std::uint64_t leaders_digest_ = 0;  // of the leaders that were named last in this search
+  std::uint64_t search_number_ = 0;   // rises with the end of each search
   TimePoint asked_at_{};
   std::unique_ptr<Timer> timer_;
   const std::shared_ptr<bool> alive_;  // false once this object is gone
--- a/src/cluster/worker_agent/leader_link.cpp
+++ b/src/cluster/worker_agent/leader_link.cpp
@@ -11,6 +11,8 @@
 constexpr Millis kSilenceLimit{600};  // of the leader, then others are asked
 constexpr Millis kSilenceCheck{100};
 constexpr Millis kLeastFollowGap{100};  // between two hints that are followed
+constexpr Millis kTakeOverPause{
+    40};  // before a node that holds the lease but does not lead yet is tried again
 constexpr unsigned kMostOutstanding = 3;
 
 }  // namespace
@@ -57,6 +59,10 @@
 void LeaderLink::pump() {
   if (stopped_ || !session_.has_leaf()) return;
   if (target_.empty()) return search();
+  if (runtime_.now() < paused_until_) {
+    poll_timer_ = runtime_.after(kTakeOverPause, [this] { pump(); });
+    return;
+  }
   const SteadyClock::duration since = runtime_.now() - sent_at_;
   const bool wanted = news_ || !poll_waits() || since >= kPollInterval;
   if (wanted && outstanding_ < kMostOutstanding && since >= kLeastReportGap) send();
@@ -130,7 +136,11 @@
 
 void LeaderLink::on_refused(const Sent& sent, const wire::WorkerOrders& orders) {
   if (sent.target_number != target_number_) return;
-  const bool hinted = !orders.leader_address().empty() && orders.leader_address() != target_;
+  if (orders.leader_address() == target_) {  // it takes over
+    paused_until_ = runtime_.now() + kTakeOverPause;
+    return;
+  }
+  const bool hinted = !orders.leader_address().empty();
   const bool paced = runtime_.now() - followed_at_ >= kLeastFollowGap;
   if (hinted && paced) {
     followed_at_ = runtime_.now();
@@ -142,16 +152,17 @@
 
 void LeaderLink::follow(const Address& leader) {
   if (stopped_) return;
+  const bool changed = leader != target_;
   const bool fell_silent = runtime_.now() - heard_at_ >= kSilenceLimit;
-  if (leader != target_ || fell_silent) {  // what is outstanding at a leader that was away is lost
+  if (changed || fell_silent) {  // what is outstanding at a leader that was away is lost
     target_ = leader;
     ++target_number_;
     outstanding_ = 0;
     answered_number_ = report_number_;
     lists_version_known_ = 0;
     lists_report_known_ = 0;
-    heard_at_ = runtime_.now();
   }
+  if (changed) heard_at_ = runtime_.now();
   news_ = true;
   pump();
 }
--- a/src/cluster/worker_agent/leader_link.hpp
+++ b/src/cluster/worker_agent/leader_link.hpp
@@ -72,7 +72,8 @@
   std::uint64_t report_number_ = 0;    // of the newest report
   std::uint64_t answered_number_ = 0;  // newest report at the target that needs no answer any more
   TimePoint sent_at_{};
-  TimePoint heard_at_{};  // last answer of the target as leader, or when it became the target
+  TimePoint paused_until_{};  // nothing is sent before
+  TimePoint heard_at_{};      // last answer of the target as leader, or when it became the target
   std::uint64_t lists_version_known_ = 0;  // lists that the target has answered for; 0: none
   std::uint64_t lists_report_known_ = 0;   // report that held them
   std::unique_ptr<Timer> poll_timer_;
