Name a lease holder only once a majority granted; a candidate promises to itself last

Change: a lease request says whether it is still asking; a lease granted here and not known to have a majority is flagged in ShardLeader and not named to callers; the own acceptor is asked after the others make a majority with it.

--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -120,6 +120,7 @@
   std::vector<wire::ShardLeader> leaders;
   for (const std::string& shard : shards) {
     std::optional<wire::ShardLeader> leader = lease_in_force(shard);
+    if (leader && leader->unconfirmed()) leader = peers_.leader(shard);
     if (leader && !leader->address().empty()) leaders.push_back(std::move(*leader));
   }
   return leaders;
--- a/src/cluster/consensus/lease_keeper.cpp
+++ b/src/cluster/consensus/lease_keeper.cpp
@@ -41,6 +41,7 @@
   request.set_duration_ms(static_cast<std::uint32_t>(kLeaseDuration.count()));
   request.set_member_epoch(group_.record().epoch());
   request.set_release(release);
+  request.set_asking(!acquired_);
   return envelope;
 }
 
@@ -48,18 +49,34 @@
   auto round = std::make_shared<Round>();
   round->sent_at = group_.runtime().now();
   round->record = group_.record();
-  const wire::Envelope message = request(false);
   for (const wire::Member& member : round->record.members()) {
-    group_.call(member, message, kLeaseCallTimeout,
-                [weak = weak_from_this(), round, member](const CallResult& result) {
-                  const std::shared_ptr<LeaseKeeper> self = weak.lock();
-                  if (self && !self->ended_) self->answered(*round, member, result);
-                });
+    if (acquired_ || member.id() != group_.self_id()) ask(round, member);
   }
+  if (!acquired_) ask_self_last(round);
   renew_timer_ = group_.runtime().after(kRenewInterval, [this] { send_round(); });
 }
 
-void LeaseKeeper::answered(Round& round, const wire::Member& member, const CallResult& result) {
+void LeaseKeeper::ask(const std::shared_ptr<Round>& round, const wire::Member& member) {
+  group_.call(member, request(false), kLeaseCallTimeout,
+              [weak = weak_from_this(), round, member](const CallResult& result) {
+                const std::shared_ptr<LeaseKeeper> self = weak.lock();
+                if (self && !self->ended_) self->answered(round, member, result);
+              });
+}
+
+// A node that reaches no majority must not raise the epoch promised here: coming back with it, it would
+// depose the holder that the others have.
+void LeaseKeeper::ask_self_last(const std::shared_ptr<Round>& round) {
+  if (round->self_asked || round->granted.size() + 1 < majority(round->record)) return;
+  const wire::Member* self = find_member(round->record, group_.self_id());
+  if (self == nullptr) return;
+  round->self_asked = true;
+  ask(round, *self);
+}
+
+void LeaseKeeper::answered(const std::shared_ptr<Round>& shared, const wire::Member& member,
+                           const CallResult& result) {
+  Round& round = *shared;
   if (!result.answer || !result.answer->has_lease_reply()) return;
   const wire::LeaseReply& reply = result.answer->lease_reply();
   if (find_member(round.record, reply.acceptor()) == nullptr) return;
@@ -68,6 +85,7 @@
   const bool same_record = reply.member_epoch() == round.record.epoch();
   if (reply.granted() && same_record && reply.epoch() == epoch_) {
     if (reply.voting()) count_grant(round, reply.acceptor());
+    if (!ended_ && !acquired_) ask_self_last(shared);
     if (!ended_) callbacks_.on_granted(reply.acceptor(), reply.voting());
     return;
   }
--- a/src/cluster/consensus/lease_keeper.hpp
+++ b/src/cluster/consensus/lease_keeper.hpp
@@ -46,11 +46,14 @@
     wire::MemberRecord record;
     std::set<std::uint64_t> granted;
     std::size_t refused = 0;
+    bool self_asked = false;
   };
 
   wire::Envelope request(bool release) const;
   void send_round();
-  void answered(Round& round, const wire::Member& member, const CallResult& result);
+  void ask(const std::shared_ptr<Round>& round, const wire::Member& member);
+  void ask_self_last(const std::shared_ptr<Round>& round);
+  void answered(const std::shared_ptr<Round>& round, const wire::Member& member, const CallResult& result);
   void count_grant(Round& round, std::uint64_t member);
   void majority_granted(const Round& round);
   void watch_end();
--- a/src/cluster/consensus/peer_book.cpp
+++ b/src/cluster/consensus/peer_book.cpp
@@ -34,6 +34,7 @@
 
 void PeerBook::note_leaders(const wire::MemberPing& ping) {
   for (const wire::ShardLeader& leader : ping.leaders()) {
+    if (leader.unconfirmed()) continue;
     const TimePoint expiry = runtime_.now() + Millis(leader.remaining_ms());
     ReportedLease& known = leases_[leader.shard()];
     const bool newer = leader.epoch() > known.leader.epoch();
--- a/src/cluster/consensus/shard_acceptor.cpp
+++ b/src/cluster/consensus/shard_acceptor.cpp
@@ -132,7 +132,7 @@
     const wire::ShardState& state = shard.replica.state;
     if (state.epoch() == 0) continue;
     const TimePoint expiry = runtime_.now() + kLeaseDuration;
-    shard.lease = {state.epoch(), state.holder(), state.session(), state.holder_address(), expiry};
+    shard.lease = {state.epoch(), state.holder(), state.session(), state.holder_address(), expiry, false};
   }
 }
 
@@ -186,7 +186,8 @@
   Shard& shard = shards_[name];
   const wire::ShardState& state = shard.replica.state;
   const TimePoint expiry = runtime_.now() + kLeaseDuration;
-  shard.lease = {epoch, request.holder(), request.session(), request.holder_address(), expiry};
+  const bool confirmed = !request.asking();
+  shard.lease = {epoch, request.holder(), request.session(), request.holder_address(), expiry, confirmed};
   answer.set_granted(true);
   answer.set_epoch(epoch);
   answer.set_holder(request.holder());
@@ -244,6 +245,8 @@
   StoreBatch batch;
   // Only who was promised this epoch by a majority writes under it.
   const wire::ShardState writer = promise_to(request);
+  Lease& lease = shards_[name].lease;
+  if (lease.epoch == request.epoch() && lease.session == request.session()) lease.confirmed = true;
   if (!same_promise(writer, shards_[name].replica.state)) promise(name, writer, batch);
   apply(request, batch);
   if (request.establishes()) establish(name, request.epoch(), batch);
@@ -287,6 +290,7 @@
   leader.set_address(shard.lease.address);
   const auto remaining = std::chrono::duration_cast<Millis>(shard.lease.expiry - runtime_.now()).count();
   leader.set_remaining_ms(static_cast<std::uint32_t>(remaining + 1));
+  leader.set_unconfirmed(!shard.lease.confirmed);
   return leader;
 }
 
--- a/src/cluster/consensus/shard_acceptor.hpp
+++ b/src/cluster/consensus/shard_acceptor.hpp
@@ -65,6 +65,7 @@
     std::uint64_t session = 0;
     Address address;
     TimePoint expiry{};
+    bool confirmed = false;  // a majority granted it
   };
   struct Shard {
     ShardReplica replica;
