Leave the test of fresh dials one whole call of slack

Cause: its bound of five calls of 0.2 s left one slow answer no room on a busy machine. Change: calls of 0.4 s, the listener changes before the third one, four calls at most.

--- a/tests/cluster/rpc_test.cpp
+++ b/tests/cluster/rpc_test.cpp
@@ -177,11 +177,11 @@
   int calls = 0;
   bool answered = false;
   std::function<void()> ask = [&] {
-    if (++calls == 4) {  // connections dialled so far hang at the silent listener
+    if (++calls == 3) {  // connections dialled so far hang at the silent listener
       mute.stop_listening();
       listener = listen(caller, address, answer_with_length);
     }
-    caller.runtime.call(address, count_request("abc"), Millis(200), [&](const CallResult& result) {
+    caller.runtime.call(address, count_request("abc"), Millis(400), [&](const CallResult& result) {
       answered = result.answer.has_value();
       if (!answered) ask();
     });
@@ -189,7 +189,7 @@
   ask();
   REQUIRE(caller.run_until([&] { return answered; }));
   CHECK(listener);
-  CHECK(calls <= 5);
+  CHECK(calls <= 4);
 }
 
 TEST_CASE("a message that is no envelope is dropped and the listener goes on") {
