Play control nodes of neighbouring versions against each other in one group

Cause: the new fields of leases (asking, unconfirmed) were seen between nodes of one version only. Change: the simulated world can rewrite what a node sends; older nodes leave the fields out, later ones add an unknown one; the candidates of the cut leader's test moved to a header, its checks are unchanged.

--- a/tests/cluster/consensus_cut_leader_test.cpp
+++ b/tests/cluster/consensus_cut_leader_test.cpp
@@ -2,34 +2,13 @@
 // nobody.
 #include <catch2/catch.hpp>
 
-#include "consensus_fixture.hpp"
+#include "consensus_candidate.hpp"
 
 namespace winchhall::cluster::sim {
 namespace {
 
-const std::string kShard = "service/one";
-
-// Takes part in one shard on one node.
-struct Candidate {
-  Candidate(SimNode&, ControlGroup& group) : shard(group.open_shard(kShard, callbacks())) {}
-  static ShardCallbacks callbacks() {
-    ShardCallbacks callbacks;
-    callbacks.on_lead = [](std::uint64_t, const std::vector<ShardEntry>&) {};
-    callbacks.on_lost = [] {};
-    return callbacks;
-  }
-  std::unique_ptr<ReplicatedShard> shard;
-};
-using Cluster = ControlCluster<Candidate>;
-
-std::optional<std::size_t> leader_of(Cluster& cluster) {
-  for (std::size_t index = 0; index < cluster.size(); ++index)
-    if (cluster.extra(index).shard->leads()) return index;
-  return std::nullopt;
-}
-
 // Epoch of the leader that a node would send callers to; 0: none.
-std::uint64_t named_epoch(Cluster& cluster, std::size_t index) {
+std::uint64_t named_epoch(CandidateCluster& cluster, std::size_t index) {
   for (const wire::ShardLeader& leader : cluster.group(index).leaders())
     if (leader.shard() == kShard) return leader.epoch();
   return 0;
@@ -37,7 +16,7 @@
 
 void play(std::uint64_t seed, std::size_t machines) {
   CAPTURE(seed, machines);
-  Cluster cluster(seed, machines);
+  CandidateCluster cluster(seed, machines);
   SimWorld& world = cluster.world();
   cluster.bootstrap();
   REQUIRE(world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(5000)));
--- /dev/null
+++ b/tests/cluster/consensus_versions_test.cpp
@@ -0,0 +1,63 @@
+// Control nodes of neighbouring versions in one group: an older one leaves the newer fields of messages out,
+// a later one adds fields that nobody here knows.
+#include <catch2/catch.hpp>
+
+#include "consensus_candidate.hpp"
+
+namespace winchhall::cluster::sim {
+namespace {
+
+enum class Version { older, present, later };
+
+void write_as(Version version, wire::Envelope& message) {
+  constexpr char kUnknownField[] = "\xf8\xff\x03\x01";  // number 8191, a varint
+  if (version == Version::later) REQUIRE(message.MergeFromString(kUnknownField));
+  if (version != Version::older) return;
+  if (message.has_lease_request()) message.mutable_lease_request()->clear_asking();
+  if (!message.has_member_ping()) return;
+  for (wire::ShardLeader& leader : *message.mutable_member_ping()->mutable_leaders())
+    leader.clear_unconfirmed();
+}
+
+void play(std::uint64_t seed, const std::vector<Version>& versions) {
+  CAPTURE(seed);
+  CandidateCluster cluster(seed, versions.size());
+  SimWorld& world = cluster.world();
+  world.rewrite_messages(
+      [&](std::size_t from, wire::Envelope& message) { write_as(versions.at(from), message); });
+  world.on_event([&] {
+    std::size_t leaders = 0;
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+      if (cluster.running(index) && cluster.extra(index).shard->leads()) ++leaders;
+    if (leaders > 1) FAIL("two leaders at once");
+  });
+  cluster.bootstrap();
+  REQUIRE(world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(6000)));
+  std::uint64_t epoch = 0;
+  for (int change = 0; change < 4; ++change) {
+    const std::size_t first = *leader_of(cluster);
+    CHECK(cluster.extra(first).shard->epoch() > epoch);
+    epoch = cluster.extra(first).shard->epoch();
+    cluster.crash(first);
+    REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(4000)));
+    cluster.start(first);
+    REQUIRE(
+        world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(6000)));
+  }
+  world.on_event(nullptr);
+}
+
+TEST_CASE("a group of older and present nodes elects its leaders, whoever crashes") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    play(seed, {Version::older, Version::present, Version::older, Version::present, Version::present});
+    play(seed, {Version::present, Version::older, Version::older, Version::older, Version::present});
+  }
+}
+
+TEST_CASE("a group of present and later nodes elects its leaders, whoever crashes") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    play(seed, {Version::later, Version::present, Version::later, Version::present, Version::later});
+}
+
+}  // namespace
+}  // namespace winchhall::cluster::sim
--- a/tests/cluster/sim_runtime.hpp
+++ b/tests/cluster/sim_runtime.hpp
@@ -175,6 +175,12 @@
   }
   // Called after every event, to check what must hold at all times.
   void on_event(std::function<void()> check) { check_ = std::move(check); }
+  // Called with the sender of every message before it leaves: nodes of other versions.
+  using Rewrite = std::function<void(std::size_t from, wire::Envelope& message)>;
+  void rewrite_messages(Rewrite rewrite) { rewrite_ = std::move(rewrite); }
+  void rewrite(std::size_t from, wire::Envelope& message) const {
+    if (rewrite_) rewrite_(from, message);
+  }
 
   bool step() {
     if (events_.empty()) return false;
@@ -252,6 +258,7 @@
   std::vector<std::unique_ptr<SimNode>> nodes_;
   std::map<Address, SimNode*> by_address_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  Rewrite rewrite_;
   std::function<void()> check_;
 };
 
@@ -311,6 +318,7 @@
   });
   SimNode* receiver = world_.find(peer);
   if (!receiver) return;
+  world_.rewrite(index_, request);
   const std::size_t from = index_;
   const std::size_t to = receiver->index_;
   world_.carry(from, to, [this, receiver, from, to, life = life_, tell, request = std::move(request)] {
@@ -323,8 +331,9 @@
     if (!receiver->running_) return answer_back(CallResult{std::nullopt, CallError::unreachable});
     receiver->run_at(world_.now_us(), [receiver, request, answer_back] {
       auto answered = std::make_shared<bool>(false);
-      receiver->program_.handler(request, [answered, answer_back](wire::Envelope answer) {
+      receiver->program_.handler(request, [receiver, answered, answer_back](wire::Envelope answer) {
         if (std::exchange(*answered, true)) return;
+        receiver->world_.rewrite(receiver->index_, answer);
         answer_back(CallResult{std::move(answer), CallError::timed_out});
       });
     });
