--- a/src/cluster/main.cpp
+++ b/src/cluster/main.cpp
@@ -1,4 +1,5 @@
 // winchhall-cluster: one program, its roles and tools are sub-commands.
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -74,5 +75,10 @@
 
 int main(int argc, char** argv) {
   using namespace winchhall::cluster;
-  return report_failures([argc, argv] { return run_arguments(argc, argv); }, std::cerr);
+  const int code = report_failures([argc, argv] { return run_arguments(argc, argv); }, std::cerr);
+  std::cout.flush();
+  std::cerr.flush();
+  // All that matters is put away by now. NNG's own end waits for connections that are still being opened: to a
+  // machine without power that lasts longer than the grace period.
+  std::quick_exit(code);
 }
