Take no jobs where the settings ask for commands by invocation

Change: such an ingress stays not ready, answers jobs 503 with when to come back, and logs field, value and what is allowed once. Result: ingress_shutdown_test, a new case, fails without it (200 instead of 503 at the probe).

--- a/src/cluster/ingress/ingress.cpp
+++ b/src/cluster/ingress/ingress.cpp
@@ -33,8 +33,13 @@
       gateway_(runtime, settings.feed_address()) {}
 
 void Ingress::start() {
+  if (!takes_jobs()) {
+    log_event(LogLevel::error, "setting_not_supported",
+              {{"field", "commands"}, {"value", "invocation"}, {"allowed", "heartbeat"}});
+  }
   front_ = make_http_server(loop_, settings_.front, [this](const HttpRequest& request, HttpReplier reply) {
-    gateway_.handle(feed_.current().get(), request, std::move(reply));
+    const std::shared_ptr<const Configuration> configuration = takes_jobs() ? feed_.current() : nullptr;
+    gateway_.handle(configuration.get(), request, std::move(reply));
   });
   probes_ = make_http_server(
       loop_, settings_.ready,
@@ -43,7 +48,7 @@
   feed_.start();
 }
 
-bool Ingress::ready() const { return !shutting_down_ && feed_.current() && feed_.in_touch(); }
+bool Ingress::ready() const { return takes_jobs() && !shutting_down_ && feed_.current() && feed_.in_touch(); }
 
 void Ingress::on_probe(const HttpRequest& request, const HttpReplier& reply) const {
   const bool known = request.target() == "/v1/readiness";
--- a/src/cluster/ingress/ingress.hpp
+++ b/src/cluster/ingress/ingress.hpp
@@ -31,6 +31,8 @@
   const HttpServer* front() const { return front_.get(); }
   // True: a probe is answered with 200.
   bool ready() const;
+  // False where the settings ask for what isn't built: jobs that would be taken could never run.
+  bool takes_jobs() const { return settings_.commands == CommandMode::heartbeat; }
 
  private:
   void on_probe(const HttpRequest& request, const HttpReplier& reply) const;
--- a/tests/cluster/ingress_shutdown_test.cpp
+++ b/tests/cluster/ingress_shutdown_test.cpp
@@ -19,12 +19,13 @@
 struct IngressFixture {
   FakeRuntime runtime;
   asio::io_context loop;
-  NodeSettings settings = make_settings();
+  NodeSettings settings;
   Ingress ingress{runtime, settings, loop};
   std::vector<std::unique_ptr<Timer>> held;
   std::optional<TimePoint> done_at;
 
-  IngressFixture() { ingress.start(); }
+  IngressFixture() : IngressFixture(make_settings()) {}
+  explicit IngressFixture(NodeSettings used) : settings(std::move(used)) { ingress.start(); }
 
   static NodeSettings make_settings() {
     NodeSettings settings;
@@ -133,3 +134,16 @@
   CHECK(*done_at - start >= Millis(2500));
   CHECK(*done_at - start <= Millis(2600));
 }
+
+TEST_CASE("an ingress whose settings ask for commands by invocation takes nothing") {
+  NodeSettings settings = IngressFixture::make_settings();
+  settings.commands = CommandMode::invocation;
+  IngressFixture fixture(settings);
+  fixture.start_agent();
+  fixture.pass(Millis(100));
+  CHECK(fixture.probe_says("503"));
+  Client client(fixture.loop, fixture.ingress.front_port());
+  client.send(kSubmit);
+  REQUIRE(fixture.serve_until([&] { return client.has("HTTP/1.1 503"); }));
+  CHECK(client.has("Retry-After"));
+}
