Never refuse an order that was taken; name no job in doubt that was sent nowhere

Cause: the record of the configuration lists the 1,024 newest changes; an older one that was sent again got 412, though it had been taken. A rejection by the agent, which had sent the job nowhere for 2 s, reached the ingress at its second try and became 504. A queue's count was answered 0 or as it was last heard, however old. Change: the record keeps the newest version that may be forgotten, and the first change for good; an order that may be among the forgotten ones gets 503, any other one that was never taken 412 or 400 as before. The agent says how long it has dealt with a request: one that saw every try rejects for certain.

--- a/src/cluster/agent/job_relay.cpp
+++ b/src/cluster/agent/job_relay.cpp
@@ -59,6 +59,7 @@
   entry->second.waiting.push_back({deadline, reply});
   if (!is_new) return;
   entry->second.request = request;
+  entry->second.started = context_.runtime.now();
   entry->second.deadline = deadline;
   start(request, deadline, [this, key](const wire::JobReply& answer) { finish(key, answer); });
 }
@@ -93,6 +94,8 @@
     }
     wire::Envelope envelope;
     *envelope.mutable_job_reply() = answer;
+    const auto age = std::chrono::duration_cast<Millis>(now - finished.started);
+    envelope.mutable_job_reply()->set_relayed_ms(static_cast<std::uint32_t>(age.count()));
     waiting.reply(std::move(envelope));
   }
 }
--- a/src/cluster/agent/job_relay.hpp
+++ b/src/cluster/agent/job_relay.hpp
@@ -32,6 +32,7 @@
   };
   struct OpenRequest {
     wire::JobRequest request;
+    TimePoint started;
     TimePoint deadline;  // of the relay
     std::vector<Waiting> waiting;
   };
--- a/src/cluster/control/configuration_change.cpp
+++ b/src/cluster/control/configuration_change.cpp
@@ -46,13 +46,28 @@
                      });
 }
 
+// True if this change may have been taken so long ago that it is listed no more. What was taken built on an
+// older version than the one it made, and made none above the newest of those that were forgotten. The first
+// change is never forgotten.
+bool may_be_forgotten(const ConfigurationChange& change, const wire::ConfigurationRecord& record) {
+  return change.base > 0 && change.base < change.version && change.version <= record.forgotten_version();
+}
+
+// The first change is kept: an operator that builds on no version is told for certain.
+void forget_oldest(wire::ConfigurationRecord& record) {
+  constexpr int kFirstForgotten = 1;
+  const int surplus = record.applied_size() - kAppliedChangesKept;
+  if (surplus <= 0) return;
+  record.set_forgotten_version(record.applied(kFirstForgotten + surplus - 1).version());
+  record.mutable_applied()->DeleteSubrange(kFirstForgotten, surplus);
+}
+
 void note_applied(const ConfigurationChange& change, wire::ConfigurationRecord& record) {
   wire::AppliedChange* const applied = record.add_applied();
   applied->set_base(change.base);
   applied->set_version(change.version);
   applied->set_digest(change.digest);
-  const int surplus = record.applied_size() - kAppliedChangesKept;
-  if (surplus > 0) record.mutable_applied()->DeleteSubrange(0, surplus);
+  forget_oldest(record);
 }
 
 leaf::result<void> check_version_rises(const ConfigurationChange& change, std::uint64_t current) {
@@ -102,6 +117,7 @@
 ChangeResult apply_change(const ConfigurationChange& change, const wire::ConfigurationRecord& current) {
   if (was_applied(change, current)) return unchanged(ConfigurationOutcomeKind::applied, change.version);
   if (change.base != current.version()) {
+    if (may_be_forgotten(change, current)) return unchanged(ConfigurationOutcomeKind::unavailable, 0);
     return unchanged(ConfigurationOutcomeKind::conflict, current.version());
   }
   return leaf::try_handle_all(
--- a/src/cluster/ingress/job_answers.cpp
+++ b/src/cluster/ingress/job_answers.cpp
@@ -55,7 +55,8 @@
     case wire::JOB_NO_QUEUE:
       return json_response(404, "{}");
     default:
-      return in_doubt_answer();
+      // A question changes nothing, whoever may have read it.
+      return verb == wire::JOB_QUERY ? not_taken_answer(kDefaultRetryAfter) : in_doubt_answer();
   }
 }
 
--- a/src/cluster/ingress/job_gateway.cpp
+++ b/src/cluster/ingress/job_gateway.cpp
@@ -21,6 +21,9 @@
 constexpr Millis kTryTimeout{1400};
 constexpr Millis kRetryPause{50};
 constexpr Millis kRetryWithoutConfiguration{1000};
+// A count may be two seconds old when it arrives; what is kept back covers its way to the client.
+constexpr Millis kCountLasts{1500};
+constexpr Millis kRetryCount{500};
 
 Millis timeout_of(const RequestTarget& target, const HttpRequest& request) {
   if (target.verb == wire::JOB_COUNT) return kCountTimeout;
@@ -110,7 +113,7 @@
   OpenCall& call = found->second;
   const auto left = std::chrono::duration_cast<Millis>(call.deadline - runtime_.now());
   if (left <= Millis::zero()) return finish(number, reply_in_doubt());
-  ++call.tries;
+  if (++call.tries == 2) call.second_try_at = runtime_.now();
   const Millis agent_time = std::max({left - kAgentReserve, left / 2, Millis(1)});
   wire::Envelope envelope;
   *envelope.mutable_job_request() = call.request;
@@ -137,19 +140,26 @@
   const OpenCall& call = node.mapped();
   const wire::JobVerb verb = call.request.verb();
   if (verb == wire::JOB_COUNT) return call.reply(count_answer(call.request.terms().queue(), reply));
-  // With an earlier try, the job may have been taken all the same.
-  const bool uncertain = reply.outcome() == wire::JOB_REJECTED && call.tries > 1;
-  if (uncertain) return call.reply(in_doubt_answer());
+  if (reply.outcome() == wire::JOB_REJECTED && uncertain(call, reply)) return call.reply(in_doubt_answer());
   call.reply(job_answer(verb, reply));
 }
 
-// A queue that is in force has a count, though it may be an old one.
+// An agent that was restarted between two tries knows nothing of the first one, which may have been taken.
+// One that has dealt with the request since before the second try has seen them all.
+bool JobGateway::uncertain(const OpenCall& call, const wire::JobReply& reply) const {
+  if (call.tries < 2) return false;
+  return runtime_.now() - Millis(reply.relayed_ms()) >= call.second_try_at;
+}
+
 HttpResponse JobGateway::count_answer(const std::string& queue, const wire::JobReply& reply) {
-  std::uint32_t& newest = newest_counts_[queue];
-  if (reply.outcome() == wire::JOB_OK) newest = reply.pending();
+  const TimePoint now = runtime_.now();
+  if (reply.outcome() == wire::JOB_OK) newest_counts_[queue] = {reply.pending(), now};
+  const auto newest = newest_counts_.find(queue);
+  const bool fresh = newest != newest_counts_.end() && now - newest->second.at <= kCountLasts;
+  if (!fresh) return not_taken_answer(kRetryCount);
   wire::JobReply answer;
   answer.set_outcome(wire::JOB_OK);
-  answer.set_pending(newest);
+  answer.set_pending(newest->second.pending);
   return job_answer(wire::JOB_COUNT, answer);
 }
 
--- a/src/cluster/ingress/job_gateway.hpp
+++ b/src/cluster/ingress/job_gateway.hpp
@@ -30,6 +30,7 @@
     wire::JobRequest request;
     TimePoint deadline;
     unsigned tries = 0;
+    TimePoint second_try_at{};  // set where there is one
     HttpReplier reply;
     std::unique_ptr<Timer> retry;
   };
@@ -40,13 +41,20 @@
   void on_result(std::uint64_t number, const CallResult& result);
   void retry_later(std::uint64_t number);
   void finish(std::uint64_t number, const wire::JobReply& reply);
+  // True if some try may have reached a control node, for all that the answer tells.
+  bool uncertain(const OpenCall& call, const wire::JobReply& reply) const;
   HttpResponse count_answer(const std::string& queue, const wire::JobReply& reply);
 
   Runtime& runtime_;
   Address agent_;
   std::uint64_t last_number_ = 0;
   std::map<std::uint64_t, OpenCall> calls_;
-  std::map<std::string, std::uint32_t> newest_counts_;  // by queue
+  // A queue's count as it was last heard.
+  struct KnownCount {
+    std::uint32_t pending = 0;
+    TimePoint at;
+  };
+  std::map<std::string, KnownCount> newest_counts_;  // by queue
 };
 
 }  // namespace winchhall::cluster
