A control node that hears no majority claims nothing about jobs and leaves

Cause: a cut-off node answered lists of jobs and leaves as empty, and a job as missing. Change: such calls get 503 with the field in_touch; status goes on to say in_touch: false. Result: operator_api_test, a new case.

--- a/src/cluster/control/control_inspection.hpp
+++ b/src/cluster/control/control_inspection.hpp
@@ -21,6 +21,7 @@
       : settings_(settings), group_(group), configuration_(configuration), services_(services) {}
 
   ControlStatus status() const override;
+  bool in_touch() const override { return group_.in_touch(); }
   Leadership leadership(const std::string& service) const override;
   std::vector<ServiceJobs> jobs(const std::string& service, std::size_t limit) const override;
   std::optional<ServiceJob> job(const std::string& service, const std::string& id) const override;
--- a/src/cluster/control/inspection_answers.cpp
+++ b/src/cluster/control/inspection_answers.cpp
@@ -138,6 +138,10 @@
   }
 }
 
+HttpResponse out_of_touch_response() {
+  return error_response(503, {"control node", "in_touch", "false", "a node that hears a majority"});
+}
+
 HttpResponse status_response(const ControlStatus& status) {
   json::object member_record{{"epoch", status.members.epoch()},
                              {"members", array_of(status.members.members(), member_json)}};
--- a/src/cluster/control/inspection_answers.hpp
+++ b/src/cluster/control/inspection_answers.hpp
@@ -9,6 +9,8 @@
 // Stable name of a kind of end, e.g. "done".
 const char* end_kind_name(wire::EndKind kind);
 
+// 503: this node hears no majority.
+HttpResponse out_of_touch_response();
 HttpResponse status_response(const ControlStatus& status);
 // {"services":[{"service","total","jobs":[...]}]}
 HttpResponse jobs_response(const std::vector<ServiceJobs>& services);
--- a/src/cluster/control/node_inspection.hpp
+++ b/src/cluster/control/node_inspection.hpp
@@ -68,6 +68,8 @@
   virtual ~NodeInspection() = default;
 
   virtual ControlStatus status() const = 0;
+  // False: this node hears no majority. What it knows of services and jobs may be old.
+  virtual bool in_touch() const = 0;
   virtual Leadership leadership(const std::string& service) const = 0;
   virtual std::vector<ServiceJobs> jobs(const std::string& service, std::size_t limit) const = 0;
   virtual std::optional<ServiceJob> job(const std::string& service, const std::string& id) const = 0;
--- a/src/cluster/control/operator_api.cpp
+++ b/src/cluster/control/operator_api.cpp
@@ -19,8 +19,8 @@
   return std::string(header->value());
 }
 
-bool concerns_service(const OperatorCall& call) {
-  if (call.service.empty()) return false;
+// Calls about what leaders of services know.
+bool concerns_jobs(const OperatorCall& call) {
   switch (call.kind) {
     case OperatorCallKind::list_jobs:
     case OperatorCallKind::show_job:
@@ -38,7 +38,10 @@
   const OperatorCall call = read_operator_call(request);
   if (call.kind == OperatorCallKind::unknown) return reply(json_response(kNotFound, "{}"));
   if (!call.method_allowed) return reply(json_response(kMethodNotAllowed, "{}"));
-  if (concerns_service(call) && answered_elsewhere(request, call.service, reply)) return;
+  // An empty list or a missing job would be a claim that this node can't make.
+  if (concerns_jobs(call) && !inspection_.in_touch()) return reply(out_of_touch_response());
+  const bool concerns_service = concerns_jobs(call) && !call.service.empty();
+  if (concerns_service && answered_elsewhere(request, call.service, reply)) return;
   carry_out(call, request, reply);
 }
 
--- a/tests/cluster/operator_api_test.cpp
+++ b/tests/cluster/operator_api_test.cpp
@@ -22,7 +22,7 @@
     ControlStatus status;
     status.node = "core-a-1";
     status.member_id = 7;
-    status.in_touch = true;
+    status.in_touch = hears_majority;
     status.configuration_version = 12;
     status.members.set_epoch(3);
     wire::Member& member = *status.members.add_members();
@@ -37,6 +37,7 @@
     status.services.push_back(service);
     return status;
   }
+  bool in_touch() const override { return hears_majority; }
   Leadership leadership(const std::string& service) const override {
     if (service == "core") return {LeadershipKind::here, {}};
     if (service == "fraud") return {LeadershipKind::redirect, "127.0.0.2:8144"};
@@ -71,6 +72,7 @@
     done(cancel_outcome);
   }
 
+  bool hears_majority = true;
   mutable std::size_t asked_limit = 0;
   std::set<std::string> canceled;
   CancelOutcome cancel_outcome = CancelOutcome::canceled;
@@ -118,6 +120,19 @@
   CHECK(service.at("ends").at("done").to_number<std::uint64_t>() == 9);
 }
 
+TEST_CASE_METHOD(ApiFixture, "a node that hears no majority says so, and claims nothing about jobs") {
+  node.hears_majority = false;
+  CHECK_FALSE(get("/v1/status").at("in_touch").as_bool());
+  const char* target =
+      GENERATE("/v1/jobs", "/v1/nodes", "/v1/jobs/00000000000000a1", "/v1/jobs/00000000000000a2",
+               "/v1/jobs?service=core", "/v1/nodes?service=unknown");
+  const HttpResponse answer = ask(http::verb::get, target);
+  CHECK(answer.result_int() == 503);
+  CHECK(json::parse(answer.body()).at("error").at("field").as_string() == "in_touch");
+  CHECK(ask(http::verb::post, "/v1/jobs/00000000000000a1/cancel").result_int() == 503);
+  CHECK(node.canceled.empty());
+}
+
 TEST_CASE_METHOD(ApiFixture, "jobs are listed within a limit") {
   const json::value listed = get("/v1/jobs?limit=3");
   CHECK(node.asked_limit == 3);
