Give an answer only to the call at the peer that sent it

Cause: a call's answer was matched by its number alone, over all peers, and a number that came up again replaced the open call of that number. Change: an answer counts only from the peer that the call went to; a number that is still open is passed over. Result: rpc_test, a new case with a peer that mixes up its callers, fails without the check.

--- a/src/cluster/rpc/dialer.cpp
+++ b/src/cluster/rpc/dialer.cpp
@@ -25,22 +25,31 @@
 
 void NngDialer::call(const Address& peer, wire::Envelope request, Millis timeout,
                      std::function<void(CallResult)> done) {
-  last_call_id_ = (last_call_id_ + 1) & kCallIdMask;
+  // Ids begin again after 2^31 calls: one that is still open is passed over.
+  do {
+    last_call_id_ = (last_call_id_ + 1) & kCallIdMask;
+  } while (calls_.contains(last_call_id_));
   const std::uint32_t call_id = last_call_id_;
   request.set_call_id(call_id);
   std::unique_ptr<PeerLink>& link = links_[peer];
   if (!link) {
-    link = std::make_unique<PeerLink>(loop_, runtime_, peer, [this](wire::Envelope reply) {
-      const std::uint32_t id = reply.call_id();
-      finish(id, CallResult{std::move(reply), CallError::timed_out});
-    });
+    link = std::make_unique<PeerLink>(
+        loop_, runtime_, peer, [this, peer](wire::Envelope reply) { answered(peer, std::move(reply)); });
   }
   OpenCall open{peer, runtime_.now(), std::move(done),
                 runtime_.after(timeout, [this, call_id] { time_out(call_id); })};
-  calls_.insert_or_assign(call_id, std::move(open));
+  calls_.emplace(call_id, std::move(open));
   link->send(request.SerializeAsString(), call_id);
 }
 
+// A peer answers only what it was asked: a call that has ended, or one to another peer, is none of its own.
+void NngDialer::answered(const Address& peer, wire::Envelope reply) {
+  const std::uint32_t call_id = reply.call_id();
+  const auto call = calls_.find(call_id);
+  if (call == calls_.end() || call->second.peer != peer) return;
+  finish(call_id, CallResult{std::move(reply), CallError::timed_out});
+}
+
 void NngDialer::time_out(std::uint32_t call_id) {
   const auto call = calls_.find(call_id);
   if (call == calls_.end()) return;
--- a/src/cluster/rpc/dialer.hpp
+++ b/src/cluster/rpc/dialer.hpp
@@ -32,6 +32,7 @@
     std::unique_ptr<Timer> deadline;
   };
 
+  void answered(const Address& peer, wire::Envelope reply);
   void time_out(std::uint32_t call_id);
   void finish(std::uint32_t call_id, CallResult result);
   void schedule_sweep();
--- a/tests/cluster/rpc_test.cpp
+++ b/tests/cluster/rpc_test.cpp
@@ -2,6 +2,7 @@
 // The library wants its main header first.
 #include <nng/nng.h>
 //
+#include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
 
 #include <boost/asio/io_context.hpp>
@@ -232,3 +233,65 @@
   REQUIRE(caller.run_until([&] { return settled; }));
   CHECK(counted == 1);
 }
+
+namespace {
+
+// A peer that answers each request under the id of the call before it, as a process could that mixes up its
+// callers.
+class MixedUpPeer {
+ public:
+  explicit MixedUpPeer(Address& address) {
+    REQUIRE(nng_rep0_open_raw(&socket_) == 0);
+    for (int port = 23500; port < 23600; ++port) {
+      address = "127.0.0.1:" + std::to_string(port);
+      if (nng_listen(socket_, ("tcp://" + address).c_str(), nullptr, 0) == 0) return;
+    }
+    FAIL("no free port");
+  }
+  ~MixedUpPeer() { nng_close(socket_); }
+
+  // Answers what has arrived; false: nothing has.
+  bool answer_one() {
+    nng_msg* message = nullptr;
+    if (nng_recvmsg(socket_, &message, NNG_FLAG_NONBLOCK) != 0) return false;
+    wire::Envelope request;
+    request.ParseFromArray(nng_msg_body(message), static_cast<int>(nng_msg_len(message)));
+    wire::Envelope answer;
+    answer.set_call_id(request.call_id() - 1);
+    answer.mutable_job_reply()->set_outcome(wire::JOB_OK);
+    const std::string body = answer.SerializeAsString();
+    nng_msg_clear(message);
+    nng_msg_append(message, body.data(), body.size());
+    nng_sendmsg(socket_, message, 0);
+    return true;
+  }
+
+ private:
+  nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+};
+
+}  // namespace
+
+TEST_CASE("an answer under the id of a call to another peer reaches nobody") {
+  Caller caller;
+  Address silent;
+  const auto listener =
+      listen_anywhere(caller, silent, [](const wire::Envelope&, const Replier&) { return true; });
+  REQUIRE(listener);
+  Address mixed_up;
+  MixedUpPeer peer(mixed_up);
+  std::optional<CallResult> first;
+  std::optional<CallResult> second;
+  caller.runtime.call(silent, count_request("first"), Millis(600),
+                      [&first](CallResult result) { first = std::move(result); });
+  caller.runtime.call(mixed_up, count_request("second"), Millis(600),
+                      [&second](CallResult result) { second = std::move(result); });
+  bool answered = false;
+  REQUIRE(caller.run_until([&] {
+    answered = peer.answer_one() || answered;
+    return first && second;
+  }));
+  CHECK(answered);
+  CHECK_FALSE(first->answer);
+  CHECK_FALSE(second->answer);
+}
