--- /dev/null
+++ b/tests/cluster/job_history_test.cpp
@@ -0,0 +1,209 @@
+// Job calls at every control node while their leaders are cut off, frozen or stalled: what was accepted is
+// known to everyone who asks later, and nobody answers for a service that another node leads.
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "cluster/control/service_leader.hpp"
+#include "long_troubles.hpp"
+
+namespace winchhall::cluster::sim {
+namespace {
+
+const std::string kService = "core";
+const std::string kQueue = "r-1";
+
+struct LeaderNode {
+  LeaderNode(SimNode& node, ControlGroup& group)
+      : leader(node, group, control_settings(node.index(), false), kService) {}
+  ServiceLeader leader;
+};
+using LeaderCluster = ControlCluster<LeaderNode>;
+
+// What callers were told of one job. Times are true ones; 0: never.
+struct KnownJob {
+  std::int64_t submitted_us = 0;  // first try
+  std::int64_t accepted_us = 0;
+  std::int64_t cancel_tried_us = 0;
+  std::int64_t canceled_us = 0;
+};
+
+// Calls control nodes and checks each answer against what was told before the call began. There are no
+// leaves: a job waits until it is canceled.
+class JobHistory {
+ public:
+  explicit JobHistory(LeaderCluster& cluster) : cluster_(cluster) {}
+
+  void submit(std::size_t index, const std::string& id) {
+    KnownJob& job = jobs_[id];
+    if (job.submitted_us == 0) job.submitted_us = now();
+    call(index, wire::JOB_SUBMIT, id, [this, &job](const wire::JobReply& reply) {
+      if (reply.outcome() != wire::JOB_OK) return;
+      ++acknowledged_;
+      if (job.accepted_us == 0) job.accepted_us = now();
+    });
+  }
+  void cancel(std::size_t index, const std::string& id) {
+    KnownJob& job = jobs_[id];
+    if (job.cancel_tried_us == 0) job.cancel_tried_us = now();
+    const bool accepted = job.accepted_us != 0;
+    call(index, wire::JOB_CANCEL, id, [this, &job, accepted](const wire::JobReply& reply) {
+      if (reply.outcome() == wire::JOB_NOT_FOUND) REQUIRE_FALSE(accepted);
+      if (reply.outcome() != wire::JOB_OK) return;
+      if (job.canceled_us == 0) job.canceled_us = now();
+    });
+  }
+  void query(std::size_t index, const std::string& id) {
+    const KnownJob known = jobs_[id];
+    call(index, wire::JOB_QUERY, id, [this, id, known](const wire::JobReply& reply) {
+      if (reply.outcome() == wire::JOB_NOT_FOUND) REQUIRE(known.accepted_us == 0);
+      if (reply.outcome() != wire::JOB_OK) return;
+      ++answers_;
+      if (known.canceled_us != 0) REQUIRE(reply.state() == wire::JOB_CANCELED);
+      if (jobs_[id].cancel_tried_us == 0) REQUIRE(reply.state() == wire::JOB_QUEUED);
+    });
+  }
+  void count(std::size_t index) {
+    // Certainly there: accepted before, and nobody has tried to cancel it yet. Perhaps there: tried by now,
+    // and not known to be canceled.
+    std::set<std::string> accepted;
+    std::set<std::string> canceled;
+    for (const auto& [id, job] : jobs_) {
+      if (job.accepted_us != 0) accepted.insert(id);
+      if (job.canceled_us != 0) canceled.insert(id);
+    }
+    call(index, wire::JOB_COUNT, "", [this, accepted, canceled](const wire::JobReply& reply) {
+      if (reply.outcome() != wire::JOB_OK) return;
+      ++answers_;
+      std::size_t least = 0;
+      std::size_t most = 0;
+      for (const auto& [id, job] : jobs_) {
+        if (accepted.contains(id) && job.cancel_tried_us == 0) ++least;
+        if (job.submitted_us != 0 && !canceled.contains(id)) ++most;
+      }
+      REQUIRE(reply.pending() >= least);
+      REQUIRE(reply.pending() <= most);
+    });
+  }
+
+  std::vector<std::string> accepted() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : jobs_)
+      if (job.accepted_us != 0) ids.push_back(id);
+    return ids;
+  }
+  std::size_t answers() const { return answers_; }
+  std::size_t acknowledged() const { return acknowledged_; }
+
+ private:
+  std::int64_t now() const { return cluster_.world().now_us(); }
+
+  void call(std::size_t index, wire::JobVerb verb, const std::string& id,
+            const std::function<void(const wire::JobReply&)>& check) {
+    if (!cluster_.running(index) || cluster_.node(index).frozen()) return;
+    wire::JobRequest request;
+    request.set_verb(verb);
+    request.set_service(kService);
+    request.set_id(id);
+    request.mutable_terms()->set_queue(kQueue);
+    if (verb == wire::JOB_SUBMIT) {
+      wire::Stage& stage = *request.mutable_spec()->add_stages();
+      stage.set_count(1);
+      stage.set_cpu(100);
+    }
+    cluster_.extra(index).leader.handle(request, [id, check](const wire::Envelope& answer) {
+      CAPTURE(id, answer.job_reply().outcome(), answer.job_reply().state(), answer.job_reply().pending());
+      check(answer.job_reply());
+    });
+  }
+
+  LeaderCluster& cluster_;
+  std::map<std::string, KnownJob> jobs_;
+  std::size_t answers_ = 0;
+  std::size_t acknowledged_ = 0;
+};
+
+std::string id_of(std::uint64_t number) {
+  std::string digits = std::to_string(number);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+void require_one_leader(LeaderCluster& cluster) {
+  std::size_t leaders = 0;
+  for (std::size_t index = 0; index < cluster.size(); ++index) {
+    if (cluster.running(index) && !cluster.node(index).frozen() && cluster.extra(index).leader.leads())
+      ++leaders;
+  }
+  if (leaders > 1) FAIL("two nodes lead one service");
+}
+
+std::optional<std::size_t> leader_of(LeaderCluster& cluster) {
+  for (std::size_t index = 0; index < cluster.size(); ++index)
+    if (cluster.running(index) && cluster.extra(index).leader.leads()) return index;
+  return std::nullopt;
+}
+
+void call_all(LeaderCluster& cluster, JobHistory& history, std::uint64_t& jobs) {
+  SimWorld& world = cluster.world();
+  const auto some_job = [&] { return id_of(world.random() % (jobs + 1)); };
+  for (std::size_t index = 0; index < cluster.size(); ++index) {
+    if (world.chance(0.3)) history.submit(index, world.chance(0.7) ? id_of(++jobs) : some_job());
+    if (world.chance(0.1)) history.cancel(index, some_job());
+    if (world.chance(0.4)) history.query(index, some_job());
+    if (world.chance(0.3)) history.count(index);
+  }
+}
+
+void play(std::uint64_t seed, std::size_t machines, bool long_ones, const SimTerms& terms) {
+  CAPTURE(seed, machines, long_ones);
+  LeaderCluster cluster(seed, machines, terms);
+  JobHistory history(cluster);
+  TroubleTerms trouble_terms;
+  Troubles<LeaderNode> troubles(cluster, trouble_terms);
+  LongTroubles<LeaderNode> long_troubles(cluster);
+  SimWorld& world = cluster.world();
+  world.on_event([&] { require_one_leader(cluster); });
+  cluster.bootstrap();
+  std::uint64_t jobs = 0;
+  std::int64_t next_trouble_ms = 3000;
+  const std::int64_t end_ms = world.now_ms() + (long_ones ? 50000 : 25000);
+  while (world.now_ms() < end_ms) {
+    call_all(cluster, history, jobs);
+    world.run_for(Millis(world.random_between(20, 200)));
+    if (world.now_ms() < next_trouble_ms) continue;
+    if (long_ones) {
+      next_trouble_ms = world.now_ms() + long_troubles.one().count() + world.random_between(0, 3000);
+    } else {
+      troubles.one();
+      next_trouble_ms = world.now_ms() + world.random_between(50, 2500);
+    }
+  }
+  troubles.end();
+  world.terms().loss = 0;
+  world.run_for(long_ones ? Millis(30000) : kLongestTrouble);
+  REQUIRE(world.run_until([&] { return leader_of(cluster).has_value(); }, Millis(15000)));
+  const std::size_t answers = history.answers();
+  const std::vector<std::string> accepted = history.accepted();
+  for (const std::string& id : accepted) history.query(*leader_of(cluster), id);
+  REQUIRE(history.answers() - answers == accepted.size());
+  REQUIRE(history.acknowledged() > 20);
+  world.on_event(nullptr);
+}
+
+TEST_CASE(
+    "leaders that are cut off, frozen or stalled for 5 to 30 s confirm nothing that others don't know") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) play(seed, seed % 2 == 0 ? 5 : 3, true, SimTerms());
+}
+
+TEST_CASE("leaders that change often, with messages lost, doubled and late") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    SimTerms terms;
+    terms.duplication = 0.1;
+    terms.late = 0.05;
+    terms.loss = seed % 3 == 0 ? 0.05 : 0;
+    play(seed, seed % 2 == 0 ? 5 : 3, false, terms);
+  }
+}
+
+}  // namespace
+}  // namespace winchhall::cluster::sim
