Send a replica that confirms nothing one record at a time; bound what waits for a disk

Cause: a member whose disk hangs goes on renewing leases from memory, and after each renewal was sent all that it lacked anew: 79.5 MB for 5 MB of records in a hang of 120 s, all of it kept in memory until the disk answers. What registers wrote waited there too, without a bound. Change: after a failed message one record is sent until one is confirmed; a node with over 16 MB waiting for its disk leaves requests of proposers and lease holders unanswered. One check of consensus_parts_test follows: after a failure the rest comes in two messages.

--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -112,7 +112,8 @@
     case wire::Envelope::kLeaseRequest:
     case wire::Envelope::kShardRead:
     case wire::Envelope::kShardWrite:
-      if (active_) acceptor_.handle(request, reply);
+      // Left unanswered where the disk lags far behind: memory would fill up with what can't be written.
+      if (active_ && !journal_.overloaded()) acceptor_.handle(request, reply);
       return true;
     default:
       return false;
--- a/src/cluster/consensus/journal.cpp
+++ b/src/cluster/consensus/journal.cpp
@@ -6,12 +6,21 @@
 
 namespace {
 constexpr Millis kRecoveryPause{100};
+
+std::size_t size_of(const StoreBatch& batch) {
+  std::size_t bytes = 0;
+  for (const StoreWrite& write : batch) bytes += write.key.size() + (write.value ? write.value->size() : 0);
+  return bytes;
 }
 
+}  // namespace
+
 Journal::Journal(Runtime& runtime, DurableStore& store) : runtime_(runtime), store_(store) {}
 
 void Journal::commit(StoreBatch batch, std::function<void()> on_durable) {
-  Entry entry{std::move(batch), std::move(on_durable)};
+  const std::size_t bytes = size_of(batch);
+  waiting_bytes_ += bytes;
+  Entry entry{std::move(batch), std::move(on_durable), bytes};
   if (recovering_) {
     held_.push_back(std::move(entry));
   } else {
@@ -37,6 +46,7 @@
   outstanding_.pop_front();
   if (outcome == CommitOutcome::failed) recovering_ = true;
   if (!recovering_) {
+    waiting_bytes_ -= entry.bytes;
     if (entry.on_durable) entry.on_durable();
     return;
   }
--- a/src/cluster/consensus/journal.hpp
+++ b/src/cluster/consensus/journal.hpp
@@ -22,11 +22,16 @@
   void commit(StoreBatch batch, std::function<void()> on_durable = {});
   // Calls `on_durable` once all batches so far are durable, at once if they are.
   void barrier(std::function<void()> on_durable);
+  // True while so much waits for the disk that nothing more should be taken on.
+  bool overloaded() const { return waiting_bytes_ > kMostWaitingBytes; }
 
  private:
+  static constexpr std::size_t kMostWaitingBytes = 16u << 20;
+
   struct Entry {
     StoreBatch batch;
     std::function<void()> on_durable;
+    std::size_t bytes = 0;
   };
 
   void issue(Entry entry);
@@ -39,6 +44,7 @@
   std::deque<Entry> outstanding_;  // given to the store
   std::vector<Entry> doubtful_;    // to be written once more
   std::vector<Entry> held_;        // not given to the store before that
+  std::size_t waiting_bytes_ = 0;  // of all three
   bool recovering_ = false;
   std::unique_ptr<Timer> recovery_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/cluster/consensus/shard_follower.cpp
+++ b/src/cluster/consensus/shard_follower.cpp
@@ -8,6 +8,8 @@
 
 constexpr unsigned kMessagesInFlight = 4;
 constexpr std::size_t kMessageBytes = 128 << 10;
+// What a replica is sent that confirmed nothing: it may keep in memory all that it is sent.
+constexpr std::size_t kProbeBytes = 1;
 
 }  // namespace
 
@@ -38,11 +40,12 @@
 std::optional<FollowerMessage> ShardFollower::next_message(const HeldRecords& records) {
   // One at a time until the replica is established, so that the last message can complete it.
   const bool completing = content_known_ && !established_;
-  const unsigned limit = completing || !responsive ? 1 : kMessagesInFlight;
+  const unsigned limit = completing || !responsive || stalled_ ? 1 : kMessagesInFlight;
+  const std::size_t most_bytes = stalled_ ? kProbeBytes : kMessageBytes;
   if (in_flight_ >= limit) return std::nullopt;
   FollowerMessage message;
   std::size_t bytes = 0;
-  while (!unsent_.empty() && bytes < kMessageBytes) {
+  while (!unsent_.empty() && bytes < most_bytes) {
     const std::string key = std::move(unsent_.front());
     unsent_.pop_front();
     const auto entry = lacking_.find(key);
@@ -61,6 +64,7 @@
 
 void ShardFollower::confirmed(const FollowerMessage& message, const HeldRecords& records) {
   --in_flight_;
+  stalled_ = false;
   if (message.establishes) established_ = true;
   for (const FollowerMessage::Sent& sent : message.sent) {
     const auto entry = lacking_.find(sent.key);
@@ -89,6 +93,7 @@
 
 void ShardFollower::failed(const FollowerMessage& message) {
   --in_flight_;
+  stalled_ = true;
   for (const FollowerMessage::Sent& sent : message.sent) {
     if (lacking_.contains(sent.key)) send_again(sent);
   }
--- a/src/cluster/consensus/shard_follower.hpp
+++ b/src/cluster/consensus/shard_follower.hpp
@@ -63,7 +63,8 @@
   std::set<std::pair<std::uint64_t, std::string>> by_change_;  // same entries, by `since`
   std::deque<std::string> unsent_;  // may name keys that are sent or confirmed meanwhile
   unsigned in_flight_ = 0;
-  bool tracked_;  // `lacking_` names every record that the replica may lack
+  bool stalled_ = false;  // a message failed, and none was confirmed since: its disk may hang
+  bool tracked_;          // `lacking_` names every record that the replica may lack
   bool content_known_ = false;
   bool established_ = false;
 };
--- /dev/null
+++ b/tests/cluster/consensus_catch_up_test.cpp
@@ -0,0 +1,212 @@
+// A member that was away through hundreds of changes: it catches up in time, at a cost that goes with what it
+// missed, and never leads or votes with older state.
+#include <catch2/catch.hpp>
+#include <cstdio>
+
+#include "consensus_candidate.hpp"
+
+namespace winchhall::cluster::sim {
+namespace {
+
+constexpr Millis kCatchUp{4000};
+constexpr std::size_t kRecordBytes = 500;
+constexpr std::size_t kRegisterBytes = 4000;
+
+// Live records of a shard as one machine's disk holds them.
+std::map<std::string, std::string> records_on_disk(CandidateCluster& cluster, std::size_t index) {
+  std::map<std::string, std::string> records;
+  cluster.node(index).store().load([&records](std::string_view key, std::string_view value) {
+    if (!key.starts_with("record/")) return;
+    wire::ShardRecord record;
+    record.ParseFromArray(value.data(), static_cast<int>(value.size()));
+    if (!record.deleted()) records[record.key()] = record.value();
+  });
+  return records;
+}
+
+struct AwayFixture {
+  explicit AwayFixture(std::uint64_t seed, std::size_t machines = 5) : cluster(seed, machines) {
+    cluster.world().rewrite_messages([this](std::size_t, wire::Envelope& message) {
+      if (counting) bytes += message.ByteSizeLong();
+    });
+    cluster.bootstrap();
+    REQUIRE(world().run_until([this] { return cluster.settled() && leader_of(cluster); }, Millis(8000)));
+    world().run_for(Millis(5500));
+  }
+
+  SimWorld& world() { return cluster.world(); }
+  std::size_t leader() {
+    REQUIRE(world().run_until([this] { return leader_of(cluster).has_value(); }, Millis(5000)));
+    return *leader_of(cluster);
+  }
+
+  // Writes records, some of them over earlier ones; acknowledged at the return.
+  void write_records(std::size_t count, std::size_t first = 0) {
+    constexpr std::size_t kAtOnce = 100;
+    for (std::size_t at = 0; at < count; at += kAtOnce) {
+      std::vector<ShardChange> changes;
+      for (std::size_t number = at; number < std::min(count, at + kAtOnce); ++number) {
+        const std::string key = "job/" + std::to_string(first + number);
+        std::string value = std::to_string(++version);
+        value.resize(kRecordBytes, '.');
+        expected[key] = value;
+        changes.push_back({key, value});
+      }
+      bool durable = false;
+      cluster.extra(leader()).shard->write(std::move(changes), [&durable](ShardWriteOutcome outcome) {
+        durable = outcome == ShardWriteOutcome::durable;
+      });
+      REQUIRE(world().run_until([&durable] { return durable; }, Millis(5000)));
+    }
+  }
+  void change_register(std::size_t times, std::size_t at) {
+    for (std::size_t count = 0; count < times; ++count) {
+      bool chosen = false;
+      std::string value = std::to_string(++register_version);
+      value.resize(kRegisterBytes, '.');
+      register_value = value;
+      cluster.group(at).registers().update(
+          "configuration", [value](const std::string&) { return value; }, Millis(3000),
+          [&chosen](const std::optional<RegisterValue>& result) { chosen = result.has_value(); });
+      REQUIRE(world().run_until([&chosen] { return chosen; }, Millis(3500)));
+    }
+  }
+  bool caught_up(std::size_t index) {
+    return cluster.group(index).votes() && cluster.group(index).in_touch() &&
+           records_on_disk(cluster, index) == expected;
+  }
+  // Time until the member holds everything, in ms; looked at every 50 ms.
+  std::int64_t time_to_catch_up(std::size_t index) {
+    const std::int64_t start_ms = world().now_ms();
+    for (int look = 0; look < 400 && !caught_up(index); ++look) world().run_for(Millis(50));
+    REQUIRE(caught_up(index));
+    return world().now_ms() - start_ms;
+  }
+  // All but this member and one more are gone: of three, it is needed for a majority.
+  void require_usable(std::size_t index) {
+    std::size_t crashed = 0;
+    for (std::size_t other = 0; other < cluster.size() && crashed < 2; ++other) {
+      if (other == index || !cluster.running(other)) continue;
+      cluster.crash(other);
+      ++crashed;
+    }
+    const std::size_t leading = leader();
+    std::map<std::string, std::string> before = expected;
+    write_records(1);
+    std::optional<std::string> found;
+    cluster.group(leading).registers().update(
+        "configuration", [](const std::string&) { return std::nullopt; }, Millis(3000),
+        [&found](const std::optional<RegisterValue>& value) {
+          if (value) found = value->value;
+        });
+    REQUIRE(world().run_until([&found] { return found.has_value(); }, Millis(3500)));
+    CHECK(*found == register_value);
+  }
+
+  CandidateCluster cluster;
+  bool counting = false;
+  std::size_t bytes = 0;
+  std::int64_t away_since_ms = 0;
+  std::uint64_t version = 0;
+  std::uint64_t register_version = 0;
+  std::map<std::string, std::string> expected;
+  std::string register_value;
+};
+
+// How a member is away.
+enum class Absence { crashed, cut_off, stalled_disk, wiped };
+
+constexpr Millis kDiskHang{120000};
+
+void take_away(AwayFixture& fixture, Absence how, std::size_t index) {
+  fixture.away_since_ms = fixture.world().now_ms();
+  if (how == Absence::crashed || how == Absence::wiped) fixture.cluster.crash(index);
+  if (how == Absence::wiped) fixture.cluster.node(index).lose_disk();
+  if (how == Absence::cut_off) fixture.world().isolate(index);
+  if (how == Absence::stalled_disk) fixture.cluster.node(index).hang_disk_for(kDiskHang);
+}
+
+void bring_back(AwayFixture& fixture, Absence how, std::size_t index) {
+  if (how == Absence::cut_off) return fixture.world().heal();
+  if (how == Absence::stalled_disk) {
+    const Millis passed(fixture.world().now_ms() - fixture.away_since_ms);
+    REQUIRE(passed < kDiskHang);
+    return fixture.world().run_for(kDiskHang - passed);
+  }
+  fixture.cluster.start(index);
+}
+
+std::size_t follower_of(AwayFixture& fixture, std::uint64_t seed) {
+  const std::size_t leading = fixture.leader();
+  return (leading + 1 + seed % (fixture.cluster.size() - 1)) % fixture.cluster.size();
+}
+
+TEST_CASE("a member that was away through 2,000 changes and 10,000 jobs catches up in time") {
+  const Absence how = GENERATE(Absence::crashed, Absence::cut_off, Absence::stalled_disk, Absence::wiped);
+  CAPTURE(static_cast<int>(how));
+  AwayFixture fixture(7 + static_cast<std::uint64_t>(how));
+  fixture.write_records(200);
+  const std::size_t away = follower_of(fixture, 1);
+  take_away(fixture, how, away);
+  fixture.world().run_for(Millis(1500));
+  fixture.change_register(2000, fixture.leader());
+  fixture.write_records(10000);
+  // A disk that hangs does not fill the memory with what waits for it.
+  constexpr std::size_t kMostWaiting = 18u << 20;
+  CHECK(fixture.cluster.node(away).store().waiting_bytes() < kMostWaiting);
+  fixture.counting = true;
+  bring_back(fixture, how, away);
+  const std::int64_t took_ms = fixture.time_to_catch_up(away);
+  std::printf("catch-up %d: %lld ms, %.1f MB for 10,000 records of %zu bytes\n", static_cast<int>(how),
+              static_cast<long long>(took_ms), static_cast<double>(fixture.bytes) / 1e6, kRecordBytes);
+  CHECK(took_ms <= kCatchUp.count());
+  fixture.require_usable(away);
+}
+
+TEST_CASE("what catching up costs goes with what was missed") {
+  std::size_t few = 0;
+  std::size_t many = 0;
+  for (const bool all : {false, true}) {
+    AwayFixture fixture(11);
+    fixture.write_records(4000);
+    const std::size_t away = follower_of(fixture, 2);
+    take_away(fixture, Absence::cut_off, away);
+    fixture.world().run_for(Millis(1500));
+    fixture.write_records(all ? 4000 : 100);
+    fixture.counting = true;
+    bring_back(fixture, Absence::cut_off, away);
+    fixture.time_to_catch_up(away);
+    (all ? many : few) = fixture.bytes;
+  }
+  std::printf("catch-up: %zu bytes after 100 records, %zu after 4,000\n", few, many);
+  CHECK(few * 8 < many);
+}
+
+TEST_CASE("changes go on while a member catches up, and its state pages are cut off and begun again") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    const Absence how = seed % 2 == 0 ? Absence::wiped : Absence::crashed;
+    CAPTURE(seed, static_cast<int>(how));
+    AwayFixture fixture(seed);
+    fixture.write_records(1500);
+    const std::size_t away = follower_of(fixture, seed);
+    take_away(fixture, how, away);
+    fixture.world().run_for(Millis(1200));
+    fixture.write_records(1500, 500);
+    fixture.change_register(50, fixture.leader());
+    bring_back(fixture, how, away);
+    for (int round = 0; round < 6; ++round) {
+      fixture.world().run_for(Millis(fixture.world().random_between(1, 120)));
+      fixture.world().isolate(away);
+      fixture.write_records(50, 2500);
+      fixture.world().run_for(Millis(fixture.world().random_between(1, 900)));
+      fixture.world().heal();
+      fixture.write_records(50, 100);
+      fixture.change_register(2, fixture.leader());
+    }
+    CHECK(fixture.time_to_catch_up(away) <= kCatchUp.count());
+    fixture.require_usable(away);
+  }
+}
+
+}  // namespace
+}  // namespace winchhall::cluster::sim
--- a/tests/cluster/consensus_parts_test.cpp
+++ b/tests/cluster/consensus_parts_test.cpp
@@ -74,11 +74,46 @@
   const FollowerMessage second = follower.next_message(records).value();
   follower.failed(second);
   CHECK(follower.holds_up_to(3) == 1);
+  // One record first, to see whether it answers again.
   const FollowerMessage third = follower.next_message(records).value();
+  REQUIRE(third.sent.size() == 1);
+  CHECK_FALSE(follower.next_message(records));
   follower.confirmed(third, records);
+  CHECK(follower.holds_up_to(3) == 2);
+  const FollowerMessage fourth = follower.next_message(records).value();
+  follower.confirmed(fourth, records);
   CHECK(follower.holds_up_to(3) == 3);
 }
 
+TEST_CASE("a replica that confirms nothing is sent one record at a time, however much it lacks") {
+  HeldRecords records(1, {});
+  ShardFollower follower(true);
+  const std::string value(1000, 'x');
+  std::size_t sent = 0;
+  for (std::uint64_t change = 1; change <= 1000; ++change) {
+    const std::string key = std::to_string(change);
+    records.put(key, &value);
+    follower.mark(key, change);
+    if (const std::optional<FollowerMessage> message = follower.next_message(records)) {
+      sent += message->sent.size();
+      follower.failed(*message);
+    }
+  }
+  CHECK(sent == 1000);
+  const FollowerMessage probe = follower.next_message(records).value();
+  REQUIRE(probe.sent.size() == 1);
+  follower.confirmed(probe, records);
+  std::vector<FollowerMessage> rest;
+  while (std::optional<FollowerMessage> message = follower.next_message(records)) rest.push_back(*message);
+  CHECK(rest.size() > 1);
+  while (!rest.empty()) {
+    follower.confirmed(rest.back(), records);
+    rest.pop_back();
+    while (std::optional<FollowerMessage> message = follower.next_message(records)) rest.push_back(*message);
+  }
+  CHECK(follower.holds_up_to(1000) == 1000);
+}
+
 TEST_CASE("a replica is established by the last of the messages that complete it, not before") {
   ShardRecords found;
   const std::string large(100000, 'x');
