--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -105,7 +105,7 @@
       if (active_) handle_state_pull(request.state_pull(), reply);
       return true;
     case wire::Envelope::kRegisterChosen:
-      if (active_) handle_chosen(request.register_chosen(), reply);
+      if (active_ && !journal_.overloaded()) handle_chosen(request.register_chosen(), reply);
       return true;
     case wire::Envelope::kRegisterPrepare:
     case wire::Envelope::kRegisterAccept:
