--- /dev/null
+++ b/tests/cluster/explored_world.hpp
@@ -0,0 +1,306 @@
+// Acceptors and proposers whose every step is chosen from outside: which message arrives, is lost or doubled,
+// which disk syncs, who crashes. A course of events is a list of choices and can be played again, so that all
+// of them up to a bound can be walked through.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/consensus/acceptor.hpp"
+#include "cluster/consensus/ballot.hpp"
+#include "cluster/consensus/group_view.hpp"
+#include "cluster/consensus/member_record.hpp"
+#include "cluster/consensus/register_attempt.hpp"
+#include "cluster/consensus/state_sync.hpp"
+
+namespace winchhall::cluster::explore {
+
+// Time stands still; timers never fire. Calls of the runtime's own are not made.
+class StillRuntime : public Runtime {
+ public:
+  TimePoint now() const override { return TimePoint(std::chrono::seconds(1)); }
+  std::int64_t wall_clock_ms() const override { return 1; }
+  [[nodiscard]] std::unique_ptr<Timer> after(Millis, std::function<void()>) override {
+    return std::make_unique<Timer>();
+  }
+  void call(const Address&, wire::Envelope, Millis, std::function<void(CallResult)>) override {}
+  std::uint64_t random() override { return 4; }
+};
+
+// A disk that writes when it is told to.
+class ChosenStore : public DurableStore {
+ public:
+  void commit(StoreBatch batch, std::function<void(CommitOutcome)> done) override {
+    waiting_.push_back({std::move(batch), std::move(done)});
+  }
+  void load(const std::function<void(std::string_view, std::string_view)>& visit) override {
+    for (const auto& [key, value] : durable_) visit(key, value);
+  }
+  bool has_waiting() const { return !waiting_.empty(); }
+  std::size_t waiting() const { return waiting_.size(); }
+  void sync_all() {
+    while (!waiting_.empty()) {
+      const Waiting next = std::move(waiting_.front());
+      waiting_.pop_front();
+      for (const StoreWrite& write : next.batch) {
+        if (write.value) {
+          durable_[write.key] = *write.value;
+        } else {
+          durable_.erase(write.key);
+        }
+      }
+      next.done(CommitOutcome::durable);
+    }
+  }
+  void lose_unsynced() { waiting_.clear(); }
+  void lose_all() {
+    waiting_.clear();
+    durable_.clear();
+  }
+  void describe(std::string& text) const {
+    for (const auto& [key, value] : durable_) text += key + "=" + value + ";";
+    for (const Waiting& batch : waiting_) {
+      for (const StoreWrite& write : batch.batch)
+        text += "w" + write.key + "=" + write.value.value_or("") + ";";
+    }
+  }
+
+ private:
+  struct Waiting {
+    StoreBatch batch;
+    std::function<void(CommitOutcome)> done;
+  };
+  std::map<std::string, std::string> durable_;
+  std::deque<Waiting> waiting_;
+};
+
+// One machine: its disk, what it knows of the group, and the real acceptor on top.
+struct AcceptorNode {
+  AcceptorNode(Runtime& used_runtime, std::uint64_t id, bool voting) : runtime(used_runtime) {
+    standing.id = id;
+    standing.voting = voting;
+    boot();
+  }
+  void boot() {
+    acceptor.reset();
+    journal = std::make_unique<Journal>(runtime, store);
+    acceptor = std::make_unique<Acceptor>(runtime, *journal, standing,
+                                          [](const std::string&, const RegisterValue&) {});
+    store.load([this](std::string_view key, std::string_view value) { acceptor->load(key, value); });
+  }
+  // What was not synced is gone.
+  void crash() {
+    store.lose_unsynced();
+    boot();
+  }
+  void describe(std::string& text) const {
+    text += std::to_string(standing.member_epoch) + (standing.voting ? "v" : "-") + (lost ? "x" : "");
+    for (const auto& [key, state] : acceptor->registers().states()) text += key + state.SerializeAsString();
+    store.describe(text);
+    text += "|";
+  }
+
+  Runtime& runtime;
+  ChosenStore store;
+  Standing standing;
+  std::unique_ptr<Journal> journal;
+  std::unique_ptr<Acceptor> acceptor;
+  bool lost = false;  // gone with its disk
+};
+
+// A request or its answer on the way. `life` of the receiving acceptor does not matter: a message may be
+// late.
+struct Message {
+  std::size_t caller = 0;  // view that called
+  std::size_t node = 0;    // acceptor called
+  bool answer = false;
+  unsigned broadcast = 0;  // of the caller; answers to an earlier one change nothing
+  wire::Envelope body;
+  std::shared_ptr<std::function<void(CallResult)>> done;
+};
+
+class World;
+
+// What one proposer, or a newcomer that copies state, knows of the group.
+class View : public GroupView {
+ public:
+  View(World& world, std::size_t index, std::uint64_t self) : world_(world), index_(index), self_(self) {}
+
+  Runtime& runtime() override { return runtime_; }
+  const wire::MemberRecord& record() const override { return record_; }
+  std::uint64_t self_id() const override { return self_; }
+  std::uint64_t unique_number() override { return 100 + self_; }
+  bool voting() const override { return true; }
+  bool in_touch() const override { return true; }
+  std::vector<std::uint64_t> voting_members_heard() const override { return {}; }
+  void call(const wire::Member& member, wire::Envelope request, Millis,
+            std::function<void(CallResult)> done) override;
+  void defer(std::function<void()> action) override { action(); }
+  void saw_member_epoch(std::uint64_t, const wire::Member&) override {}
+  std::optional<wire::ShardLeader> lease_in_force(const std::string&) const override { return std::nullopt; }
+  std::size_t leases_held_here() const override { return 0; }
+  std::uint64_t promised_epoch(const std::string&) const override { return 0; }
+
+  void adopt(const wire::MemberRecord& record) { record_ = record; }
+
+ private:
+  World& world_;
+  const std::size_t index_;
+  const std::uint64_t self_;
+  StillRuntime runtime_;
+  wire::MemberRecord record_;
+};
+
+// The messages on their way and the machines that they go to.
+class World {
+ public:
+  AcceptorNode& add_node(std::uint64_t id, bool voting) {
+    nodes_.push_back(std::make_unique<AcceptorNode>(runtime_, id, voting));
+    return *nodes_.back();
+  }
+  std::size_t add_view(std::uint64_t self) {
+    views_.push_back(std::make_unique<View>(*this, views_.size(), self));
+    told_.emplace_back();
+    last_broadcast_.emplace_back();
+    broadcasts_.push_back(0);
+    return views_.size() - 1;
+  }
+  View& view(std::size_t index) { return *views_[index]; }
+  AcceptorNode& node(std::size_t index) { return *nodes_[index]; }
+  std::size_t nodes() const { return nodes_.size(); }
+  std::vector<Message>& messages() { return messages_; }
+
+  void send(std::size_t caller, std::uint64_t member, wire::Envelope request,
+            std::function<void(CallResult)> done) {
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+      if (nodes_[index]->standing.id != member) continue;
+      messages_.push_back({caller, index, false, broadcasts_[caller], std::move(request),
+                           std::make_shared<std::function<void(CallResult)>>(std::move(done))});
+      return;
+    }
+  }
+
+  void deliver(std::size_t index) {
+    const Message message = messages_[index];
+    messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(index));
+    if (message.answer) return answer(message);
+    AcceptorNode& node = *nodes_[message.node];
+    if (node.lost) return;
+    const auto reply = [this, message](wire::Envelope body) {
+      Message back = message;
+      back.answer = true;
+      back.body = std::move(body);
+      const bool wanted = *back.done && back.broadcast == broadcasts_[back.caller];
+      if (wanted) messages_.push_back(std::move(back));
+    };
+    if (node.acceptor->handle(message.body, reply)) return;
+    if (!message.body.has_state_pull()) return;
+    wire::Envelope page;
+    *page.mutable_state_page() = node.acceptor->state_page(message.body.state_pull().after_key());
+    page.mutable_state_page()->set_ok(node.standing.voting);
+    page.mutable_state_page()->set_acceptor(node.standing.id);
+    page.mutable_state_page()->mutable_record()->set_epoch(node.standing.member_epoch);
+    reply(std::move(page));
+  }
+  // The caller hears nothing in time.
+  void lose(std::size_t index) {
+    const Message message = messages_[index];
+    messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(index));
+    told_[message.caller].push_back({message.node, "lost"});
+    tell(message, CallResult{});
+  }
+  void duplicate(std::size_t index) { messages_.push_back(messages_[index]); }
+
+  // A proposer's state follows from what it sent last and what it was told since, in any order.
+  void note_broadcast(std::size_t caller, const std::string& text) {
+    if (last_broadcast_[caller] == text) return;
+    last_broadcast_[caller] = text;
+    ++broadcasts_[caller];
+    told_[caller].clear();
+    std::erase_if(messages_,
+                  [caller](const Message& message) { return message.answer && message.caller == caller; });
+  }
+
+  // The same text for states that differ only in which of the founders is which.
+  std::string describe() const {
+    constexpr std::size_t kFounders = 3;
+    std::vector<std::size_t> order(nodes_.size());
+    for (std::size_t index = 0; index < order.size(); ++index) order[index] = index;
+    std::string least;
+    do {
+      std::string text = describe(order);
+      if (least.empty() || text < least) least = std::move(text);
+    } while (std::next_permutation(order.begin(), order.begin() + kFounders));
+    return least;
+  }
+
+ private:
+  // `rank`: place of each machine in the text.
+  std::string describe(const std::vector<std::size_t>& rank) const {
+    std::vector<std::string> machines(nodes_.size());
+    for (std::size_t index = 0; index < nodes_.size(); ++index)
+      nodes_[index]->describe(machines[rank[index]]);
+    std::string text;
+    for (const std::string& machine : machines) text += machine;
+    std::vector<std::string> on_the_way;
+    for (const Message& message : messages_) {
+      on_the_way.push_back(std::to_string(message.caller) + "/" + std::to_string(rank[message.node]) +
+                           (message.answer ? "a" : "r") + (*message.done ? "o" : "c") +
+                           content(message.body));
+    }
+    append_sorted(std::move(on_the_way), text);
+    for (std::size_t caller = 0; caller < told_.size(); ++caller) {
+      text += last_broadcast_[caller];
+      std::vector<std::string> told;
+      for (const Told& one : told_[caller]) told.push_back(std::to_string(rank[one.node]) + one.text);
+      append_sorted(std::move(told), text);
+    }
+    return text;
+  }
+  static void append_sorted(std::vector<std::string> parts, std::string& text) {
+    std::sort(parts.begin(), parts.end());
+    for (const std::string& part : parts) text += part + ",";
+    text += "|";
+  }
+  // Without the acceptor's name, which goes with its place.
+  static std::string content(wire::Envelope body) {
+    if (body.has_register_promise()) body.mutable_register_promise()->clear_acceptor();
+    if (body.has_register_accepted()) body.mutable_register_accepted()->clear_acceptor();
+    return body.SerializeAsString();
+  }
+
+  void answer(const Message& message) {
+    if (!*message.done) return;  // told already, or too late
+    told_[message.caller].push_back({message.node, content(message.body)});
+    tell(message, CallResult{message.body, CallError::timed_out});
+  }
+  static void tell(const Message& message, CallResult result) {
+    if (*message.done) std::exchange(*message.done, nullptr)(std::move(result));
+  }
+
+  StillRuntime runtime_;
+  std::vector<std::unique_ptr<AcceptorNode>> nodes_;
+  std::vector<std::unique_ptr<View>> views_;
+  std::vector<Message> messages_;
+  struct Told {
+    std::size_t node = 0;
+    std::string text;
+  };
+  // By view.
+  std::vector<std::vector<Told>> told_;  // since its last broadcast
+  std::vector<std::string> last_broadcast_;
+  std::vector<unsigned> broadcasts_;
+};
+
+inline void View::call(const wire::Member& member, wire::Envelope request, Millis,
+                       std::function<void(CallResult)> done) {
+  world_.note_broadcast(index_, request.SerializeAsString());
+  world_.send(index_, member.id(), std::move(request), std::move(done));
+}
+
+}  // namespace winchhall::cluster::explore
