One answer that names a value which can't be used, for operators and clients

Cause: three modules built the same error body, one of them with another library. Change: http/error_response, used by the configuration's, the inspection's and the jobs' answers.

--- a/src/cluster/control/configuration_answers.cpp
+++ b/src/cluster/control/configuration_answers.cpp
@@ -3,6 +3,7 @@
 #include <json/value.h>
 
 #include "cluster/config/json_fields.hpp"
+#include "cluster/http/error_response.hpp"
 
 namespace winchhall::cluster {
 namespace {
@@ -13,16 +14,6 @@
   return write_json(body);
 }
 
-std::string error_body(const InvalidInput& error) {
-  Json::Value body;
-  Json::Value& fields = body["error"];
-  fields["source"] = error.source;
-  fields["field"] = error.field;
-  fields["value"] = error.value;
-  fields["allowed"] = error.allowed;
-  return write_json(body);
-}
-
 }  // namespace
 
 HttpResponse change_response(const ConfigurationOutcome& outcome) {
@@ -32,7 +23,7 @@
     case ConfigurationOutcomeKind::conflict:
       return json_response(412, version_body(outcome.version));
     case ConfigurationOutcomeKind::invalid:
-      return json_response(400, error_body(outcome.error));
+      return error_response(400, outcome.error);
     case ConfigurationOutcomeKind::unavailable:
       break;
   }
--- a/src/cluster/control/inspection_answers.cpp
+++ b/src/cluster/control/inspection_answers.cpp
@@ -197,10 +197,4 @@
   return response;
 }
 
-HttpResponse error_response(unsigned status, const InvalidInput& error) {
-  json::object fields{
-      {"source", error.source}, {"field", error.field}, {"value", error.value}, {"allowed", error.allowed}};
-  return answer(status, {{"error", std::move(fields)}});
-}
-
 }  // namespace winchhall::cluster
--- a/src/cluster/control/inspection_answers.hpp
+++ b/src/cluster/control/inspection_answers.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cluster/control/node_inspection.hpp"
+#include "cluster/http/error_response.hpp"
 #include "cluster/http/server.hpp"
 
 namespace winchhall::cluster {
@@ -21,7 +22,5 @@
 HttpResponse cancel_response(CancelOutcome outcome, const std::string& id);
 // 307 to another node.
 HttpResponse redirect_response(const std::string& http_address, const std::string& target);
-// An answer with {"error":{"source","field","value","allowed"}}.
-HttpResponse error_response(unsigned status, const InvalidInput& error);
 
 }  // namespace winchhall::cluster
--- a/src/cluster/ingress/job_answers.cpp
+++ b/src/cluster/ingress/job_answers.cpp
@@ -1,12 +1,11 @@
 #include "cluster/ingress/job_answers.hpp"
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <string_view>
 
-namespace winchhall::cluster {
+#include "cluster/http/error_response.hpp"
 
-namespace json = boost::json;
+namespace winchhall::cluster {
 
 namespace {
 
@@ -51,7 +50,7 @@
     case wire::JOB_REJECTED:
       return not_taken_answer(retry_after_of(reply));
     case wire::JOB_INVALID:
-      return error_answer(400, {"job", "", "", reply.reason()});
+      return error_response(400, {"job", "", "", reply.reason()});
     case wire::JOB_NO_QUEUE:
       return json_response(404, "{}");
     default:
@@ -70,13 +69,4 @@
 
 HttpResponse in_doubt_answer() { return json_response(504, "{}"); }
 
-HttpResponse error_answer(unsigned status, const InvalidInput& error) {
-  json::object body;
-  body["source"] = error.source;
-  body["field"] = error.field;
-  body["value"] = error.value;
-  body["allowed"] = error.allowed;
-  return json_response(status, json::serialize(json::object{{"error", std::move(body)}}));
-}
-
 }  // namespace winchhall::cluster
--- a/src/cluster/ingress/job_answers.hpp
+++ b/src/cluster/ingress/job_answers.hpp
@@ -1,7 +1,7 @@
 // Turns the outcome of a job request into the answer that its client gets.
 #pragma once
 
-#include "cluster/common/errors.hpp"
+#include "cluster/common/runtime.hpp"
 #include "cluster/http/server.hpp"
 
 namespace winchhall::cluster {
@@ -15,7 +15,4 @@
 // 504: may or may not have been taken; the same ID may be sent again.
 HttpResponse in_doubt_answer();
 
-// An answer with the body {"error":{"source","field","value","allowed"}}.
-HttpResponse error_answer(unsigned status, const InvalidInput& error);
-
 }  // namespace winchhall::cluster
--- a/src/cluster/ingress/job_gateway.cpp
+++ b/src/cluster/ingress/job_gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "cluster/http/error_response.hpp"
 #include "cluster/ingress/job_answers.hpp"
 #include "cluster/ingress/job_json.hpp"
 
@@ -47,7 +48,7 @@
     case TargetError::wrong_method:
       return json_response(405, "{}");
     case TargetError::malformed:
-      return error_answer(400, {"request", "path", "", "the path prefix of a queue and 16 hex digits"});
+      return error_response(400, {"request", "path", "", "the path prefix of a queue and 16 hex digits"});
     default:
       return json_response(404, "{}");
   }
@@ -61,7 +62,7 @@
         return std::optional<wire::JobSpec>(std::move(job));
       },
       [&](const InvalidInput& error) -> std::optional<wire::JobSpec> {
-        reply(error_answer(400, error));
+        reply(error_response(400, error));
         return std::nullopt;
       },
       [&]() -> std::optional<wire::JobSpec> {
