--- a/tests/cluster/agent_configuration_test.cpp
+++ b/tests/cluster/agent_configuration_test.cpp
@@ -65,6 +65,27 @@
   CHECK(agent->view().version() == 9);
 }
 
+TEST_CASE("an answer that was long on its way does not bring an older configuration or leader back") {
+  ClusterView view;
+  const auto update = [](std::uint64_t version, std::uint64_t epoch, const std::string& leader) {
+    wire::ConfigurationUpdate update;
+    update.set_version(version);
+    update.set_configuration(configuration_json(version, {{"/a/", "first"}}));
+    update.set_in_touch(true);
+    wire::ShardLeader& led = *update.add_leaders();
+    led.set_shard("service/first");
+    led.set_epoch(epoch);
+    led.set_address(leader);
+    return update;
+  };
+  REQUIRE(view.absorb(update(9, 5, "10.0.0.2:7000"), TimePoint()).configuration);
+  const ViewChanges late = view.absorb(update(4, 3, "10.0.0.1:7000"), TimePoint());
+  CHECK_FALSE(late.configuration);
+  CHECK_FALSE(late.leaders);
+  CHECK(view.version() == 9);
+  CHECK(view.leader_of("first") == "10.0.0.2:7000");
+}
+
 TEST_CASE_METHOD(AgentFixture, "nodes that are down or hang are replaced by others") {
   controls[0]->stop();
   controls[1]->hang();
--- a/tests/cluster/consensus_cut_leader_test.cpp
+++ b/tests/cluster/consensus_cut_leader_test.cpp
@@ -48,5 +48,65 @@
   }
 }
 
+// Asks one acceptor for a lease in the name of another member; true: granted.
+bool ask_for_lease(ControlCluster<>& cluster, std::size_t acceptor, std::size_t holder, bool asking) {
+  wire::Envelope envelope;
+  wire::LeaseRequest& request = *envelope.mutable_lease_request();
+  request.set_shard(kShard);
+  request.set_epoch(1);
+  request.set_holder(cluster.group(holder).member_id());
+  request.set_session(7);
+  request.set_holder_address(cluster.node(holder).address());
+  request.set_member_epoch(cluster.group(acceptor).members().epoch());
+  request.set_asking(asking);
+  bool granted = false;
+  cluster.group(acceptor).handle(
+      envelope, [&granted](const wire::Envelope& answer) { granted = answer.lease_reply().granted(); });
+  cluster.world().run_until([&granted] { return granted; }, Millis(100));
+  return granted;
+}
+
+TEST_CASE("a lease that one acceptor granted is named to nobody before a majority did") {
+  ControlCluster<> cluster(3, 5);
+  cluster.bootstrap();
+  REQUIRE(cluster.world().run_until([&] { return cluster.settled(); }, Millis(6000)));
+  REQUIRE(ask_for_lease(cluster, 0, 1, true));
+  CHECK(cluster.group(0).leaders().empty());
+  cluster.world().run_for(Millis(400));  // pings have told the others
+  CHECK(cluster.group(2).leaders().empty());
+  REQUIRE(ask_for_lease(cluster, 0, 1, false));
+  REQUIRE(cluster.group(0).leaders().size() == 1);
+  CHECK(cluster.group(0).leaders()[0].address() == cluster.node(1).address());
+}
+
+TEST_CASE("acceptors that start again hold back until the lease that they may have granted is over") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    CandidateCluster cluster(seed, 3);
+    SimWorld& world = cluster.world();
+    cluster.bootstrap();
+    REQUIRE(
+        world.run_until([&] { return cluster.settled() && leader_of(cluster).has_value(); }, Millis(5000)));
+    world.run_for(Millis(world.random_between(0, 300)));
+    const std::size_t holder = *leader_of(cluster);
+    world.isolate(holder);
+    for (const std::size_t other : {(holder + 1) % 3, (holder + 2) % 3}) {
+      cluster.crash(other);
+      cluster.start(other);
+    }
+    std::size_t most = 0;
+    world.on_event([&] {
+      std::size_t leaders = 0;
+      for (std::size_t index = 0; index < 3; ++index)
+        if (cluster.extra(index).shard->leads()) ++leaders;
+      most = std::max(most, leaders);
+    });
+    world.run_for(Millis(3000));
+    world.on_event(nullptr);
+    CHECK(most == 1);
+    CHECK(leader_of(cluster).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace winchhall::cluster::sim
--- a/tests/cluster/consensus_exploration_test.cpp
+++ b/tests/cluster/consensus_exploration_test.cpp
@@ -321,6 +321,70 @@
   return bounds;
 }
 
+// Three founders and one proposer whose messages the test delivers one by one.
+struct OneAttempt {
+  OneAttempt() {
+    wire::MemberRecord record;
+    record.set_epoch(1);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+      record.add_members()->set_id(id);
+      world.add_node(id, true).standing.member_epoch = 1;
+    }
+    world.view(world.add_view(11)).adopt(record);
+  }
+  void start() {
+    wire::Ballot ballot;
+    ballot.set_counter(1);
+    ballot.set_proposer(11);
+    attempt = std::make_shared<RegisterAttempt>(
+        world.view(0), kList, ballot, RegisterValue{},
+        [](const std::string&) { return std::optional<std::string>("a"); },
+        [this](const AttemptResult& ended) { result = ended; });
+    attempt->start();
+  }
+  // Delivers what is on its way until nothing is.
+  void deliver_all() {
+    while (!world.messages().empty()) world.deliver(0);
+  }
+  void sync_all() {
+    for (std::size_t index = 0; index < world.nodes(); ++index) world.node(index).store.sync_all();
+  }
+
+  World world;
+  std::shared_ptr<RegisterAttempt> attempt;
+  std::optional<AttemptResult> result;
+};
+
+TEST_CASE("an acceptor answers once what it says is durable") {
+  OneAttempt play;
+  play.start();
+  play.deliver_all();  // promises wait for the disks
+  CHECK(play.world.messages().empty());
+  play.sync_all();
+  CHECK(play.world.messages().size() == 3);
+  play.deliver_all();  // so do accepted values
+  CHECK_FALSE(play.result);
+  CHECK(play.world.messages().empty());
+  play.sync_all();
+  play.deliver_all();
+  REQUIRE(play.result);
+  CHECK(play.result->outcome == AttemptOutcome::chosen);
+}
+
+TEST_CASE("answers of members that lack the state do not count") {
+  OneAttempt play;
+  play.world.node(1).standing.voting = false;
+  play.world.node(2).standing.voting = false;
+  play.start();
+  for (int round = 0; round < 3; ++round) {
+    play.deliver_all();
+    play.sync_all();
+  }
+  play.deliver_all();
+  REQUIRE(play.result);
+  CHECK(play.result->outcome == AttemptOutcome::refused);
+}
+
 constexpr std::size_t kShort = 8000;
 constexpr std::size_t kLong = 300000;
 
--- a/tests/cluster/job_history_test.cpp
+++ b/tests/cluster/job_history_test.cpp
@@ -100,7 +100,7 @@
 
   void call(std::size_t index, wire::JobVerb verb, const std::string& id,
             const std::function<void(const wire::JobReply&)>& check) {
-    if (!cluster_.running(index) || cluster_.node(index).frozen()) return;
+    if (!cluster_.running(index)) return;
     wire::JobRequest request;
     request.set_verb(verb);
     request.set_service(kService);
@@ -111,14 +111,18 @@
       stage.set_count(1);
       stage.set_cpu(100);
     }
-    cluster_.extra(index).leader.handle(request, [id, check](const wire::Envelope& answer) {
-      CAPTURE(id, answer.job_reply().outcome(), answer.job_reply().state(), answer.job_reply().pending());
-      check(answer.job_reply());
-    });
+    // A frozen node finds the call when it goes on, before or after the timer of its lease's end.
+    calls_.push_back(cluster_.node(index).after(Millis(0), [this, index, request, id, check] {
+      cluster_.extra(index).leader.handle(request, [id, check](const wire::Envelope& answer) {
+        CAPTURE(id, answer.job_reply().outcome(), answer.job_reply().state(), answer.job_reply().pending());
+        check(answer.job_reply());
+      });
+    }));
   }
 
   LeaderCluster& cluster_;
   std::map<std::string, KnownJob> jobs_;
+  std::vector<std::unique_ptr<Timer>> calls_;
   std::size_t answers_ = 0;
   std::size_t acknowledged_ = 0;
 };
@@ -185,6 +189,7 @@
   const std::size_t answers = history.answers();
   const std::vector<std::string> accepted = history.accepted();
   for (const std::string& id : accepted) history.query(*leader_of(cluster), id);
+  world.run_for(Millis(5));
   REQUIRE(history.answers() - answers == accepted.size());
   REQUIRE(history.acknowledged() > 20);
   world.on_event(nullptr);
--- a/tests/cluster/sim_runtime.hpp
+++ b/tests/cluster/sim_runtime.hpp
@@ -301,7 +301,11 @@
 inline void SimNode::run_at(std::int64_t time_us, std::function<void()> action) {
   world_.at(time_us, [this, life = life_, action = std::move(action)]() mutable {
     if (!running_ || life != life_) return;
-    if (frozen()) return run_at(frozen_until_us_, std::move(action));
+    if (frozen()) {
+      // What waited is found in any order: timers and sockets are looked at one after the other.
+      constexpr std::int64_t kCatchUpUs = 2000;
+      return run_at(frozen_until_us_ + world_.random_between(0, kCatchUpUs), std::move(action));
+    }
     action();
   });
 }
