Name a cast's type once and fold a comment, as clang-tidy and clang-format want it

Cause: tools/lint found the one in surplus_removal.cpp, clang-format the other in main.cpp. Change: auto; one line break.

--- a/src/cluster/consensus/surplus_removal.cpp
+++ b/src/cluster/consensus/surplus_removal.cpp
@@ -48,7 +48,7 @@
 }
 
 bool SurplusRemoval::all_others_vote() const {
-  const std::size_t members = static_cast<std::size_t>(group_.record().members_size());
+  const auto members = static_cast<std::size_t>(group_.record().members_size());
   return group_.voting_members_heard().size() == members;
 }
 
--- a/src/cluster/main.cpp
+++ b/src/cluster/main.cpp
@@ -78,7 +78,7 @@
   const int code = report_failures([argc, argv] { return run_arguments(argc, argv); }, std::cerr);
   std::cout.flush();
   std::cerr.flush();
-  // All that matters is put away by now. NNG's own end waits for connections that are still being opened: to a
-  // machine without power that lasts longer than the grace period.
+  // All that matters is put away by now. NNG's own end waits for connections that are still being opened: to
+  // a machine without power that lasts longer than the grace period.
   std::quick_exit(code);
 }
