Let operators send configurations of up to 12 MB

Change: operators' calls have limits of their own, as large as control nodes can send one another. Measured: 3,000 routes are taken by real processes (processes_test, seen to fail without the limit).

--- a/src/cluster/cli/run_control.cpp
+++ b/src/cluster/cli/run_control.cpp
@@ -33,6 +33,7 @@
   const auto http = make_http_server(
       loop, process.settings().control,
       [&node](const HttpRequest& request, const HttpReplier& reply) { node.handle_http(request, reply); });
+  http->set_limits(kOperatorLimits);
   const auto metrics =
       make_metrics_server(loop, options.metrics_port, [&node, &http](MetricFamilies& families) {
         collect_control(node.inspection().status(), families);
--- a/src/cluster/control/operator_api.hpp
+++ b/src/cluster/control/operator_api.hpp
@@ -16,6 +16,10 @@
 
 namespace winchhall::cluster {
 
+// Limits of operators' requests. A configuration may be as large as the processes can send one another
+// (kLargestMessage), with what is kept beside it: about 60,000 routes.
+inline constexpr RequestLimits kOperatorLimits{.max_body_bytes = 12u << 20};
+
 class OperatorApi {
  public:
   // Both references outlive the API.
--- a/tests/cluster/processes_test.cpp
+++ b/tests/cluster/processes_test.cpp
@@ -21,10 +21,22 @@
 constexpr unsigned kControlNodes = 3;
 const std::string kService = "records";
 
-// A configuration of one queue.
-std::string configuration(unsigned version, unsigned timeout_ms) {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"name":"extract","hostname":"demo.example","path_prefix":"/extract/","route_type":"unsafe",)"
+// `count` queues that no job comes to, each followed by a comma.
+std::string idle_routes(unsigned count) {
+  std::string routes;
+  for (unsigned number = 0; number < count; ++number) {
+    const std::string name = "idle-" + std::to_string(number);
+    routes += R"({"name":")" + name + R"(","hostname":"demo.example","path_prefix":"/)" + name +
+              R"(/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":2,)"
+              R"("backend":"records","max_retries":3,"stretch":2.2},)";
+  }
+  return routes;
+}
+
+// A configuration of one queue, beside `idle` others.
+std::string configuration(unsigned version, unsigned timeout_ms, unsigned idle = 0) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + idle_routes(idle) +
+         R"({"name":"extract","hostname":"demo.example","path_prefix":"/extract/","route_type":"unsafe",)"
          R"("timeout_ms":)" +
          std::to_string(timeout_ms) +
          R"(,"target_latency_ms":800,"priority":0,"backend":"records","max_retries":3,"stretch":1.5}],)"
@@ -137,6 +149,17 @@
 
 }  // namespace
 
+TEST_CASE("a configuration of three thousand routes is taken, delivered and changed") {
+  Site site;
+  REQUIRE(site.put(0, configuration(1, 3000, 3000)));
+  REQUIRE(site.submit("00000000000000e1"));
+  CHECK(site.completes("00000000000000e1"));
+  REQUIRE(site.put(1, configuration(5, 2500, 2900)));
+  CHECK(site.read_back() == configuration(5, 2500, 2900));
+  REQUIRE(site.submit("00000000000000e2"));
+  CHECK(site.doubled() == 0);
+}
+
 TEST_CASE("an accepted job and an acknowledged configuration survive the end of all control processes") {
   Site site;
   REQUIRE(site.put(0, configuration(1, 3000)));
