Deliver the configuration by difference, in parts that fit a narrow link

Cause: each agent asked three control nodes at once, and each answered with the whole configuration: 1.2 s alone and 3.6 s together on 2 Mbit/s, with 1.6 s for a call. Nothing ever arrived. Change: control nodes tell versions only; agents and ingresses fetch what has changed since the version they hold, items by name, compressed, part by part from one node, sized by how fast parts come, gone on with after a cut. A difference is applied whole or not at all, to its own base, to a digest of all items. Whoever does not fetch gets JSON as before.

--- a/src/cluster/agent/agent.cpp
+++ b/src/cluster/agent/agent.cpp
@@ -40,6 +40,11 @@
     watch_server_.watch(request.configuration_watch(), reply);
     return true;
   }
+  if (request.has_configuration_fetch()) {
+    last_ingress_call_ = runtime_.now();
+    watch_server_.fetch(request.configuration_fetch(), reply);
+    return true;
+  }
   if (request.has_job_request()) {
     last_ingress_call_ = runtime_.now();
     relay_.handle(request.job_request(), reply);
--- a/src/cluster/agent/agent.hpp
+++ b/src/cluster/agent/agent.hpp
@@ -26,7 +26,7 @@
   void set_seeds(const std::vector<Address>& seeds) { directory_.set_seeds(seeds); }
   // Control nodes that peer sampling brought up: a further source beside seeds and members.
   void set_sampled_control(const std::vector<Address>& nodes) { directory_.set_sampled(nodes); }
-  // Takes ConfigurationWatch and JobRequest, of the ingress on this machine.
+  // Takes ConfigurationWatch, ConfigurationFetch and JobRequest, of the ingress on this machine.
   bool handle(const wire::Envelope& request, const Replier& reply);
   // Planned end: serves on for as long as the ingress asks, then calls `done`; shortly before the grace
   // period ends at the latest.
--- a/src/cluster/agent/cluster_view.cpp
+++ b/src/cluster/agent/cluster_view.cpp
@@ -7,15 +7,7 @@
 namespace {
 
 constexpr char kServiceShardPrefix[] = "service/";
-
-std::shared_ptr<const Configuration> parse(const std::string& json) {
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<std::shared_ptr<const Configuration>> {
-        BOOST_LEAF_AUTO(configuration, parse_configuration(json, "control"));
-        return std::make_shared<const Configuration>(std::move(configuration));
-      },
-      []() -> std::shared_ptr<const Configuration> { return nullptr; });
-}
+constexpr char kControlSource[] = "control";
 
 bool same_member(const wire::Member& left, const wire::Member& right) {
   return left.id() == right.id() && left.address() == right.address() && left.zone() == right.zone();
@@ -42,15 +34,15 @@
 bool ClusterView::absorb_configuration(const wire::ConfigurationUpdate& update, TimePoint now,
                                        bool& unusable) {
   if (update.version() <= version() || update.configuration().empty()) return false;
-  auto configuration = parse(update.configuration());
-  unusable = !configuration;
-  if (unusable) return false;
-  configuration_ = std::move(configuration);
-  json_ = update.configuration();
-  history_.observe(*configuration_, now);
+  const TakeOutcome outcome = replica_.take_json(update.configuration(), kControlSource);
+  unusable = outcome == TakeOutcome::unusable;
+  if (outcome != TakeOutcome::taken) return false;
+  on_difference(now);
   return true;
 }
 
+void ClusterView::on_difference(TimePoint now) { history_.observe(replica_.last_route_changes(), now); }
+
 bool ClusterView::absorb_leader(const wire::ShardLeader& leader) {
   wire::ShardLeader& known = leaders_[leader.shard()];
   const bool newer = leader.epoch() > known.epoch();
--- a/src/cluster/agent/cluster_view.hpp
+++ b/src/cluster/agent/cluster_view.hpp
@@ -3,13 +3,12 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "cluster/agent/route_history.hpp"
 #include "cluster/common/runtime.hpp"
-#include "cluster/config/configuration.hpp"
+#include "cluster/delivery/configuration_replica.hpp"
 
 namespace winchhall::cluster {
 
@@ -23,15 +22,19 @@
 
 class ClusterView {
  public:
-  // Takes in what is newer; an older configuration or leader changes nothing.
+  // Takes in what is newer of leaders, members and, where it came whole, the configuration; what is older
+  // changes nothing.
   ViewChanges absorb(const wire::ConfigurationUpdate& update, TimePoint now);
 
+  // The replica has taken a difference.
+  void on_difference(TimePoint now);
+
   // 0: no configuration yet.
-  std::uint64_t version() const { return configuration_ ? configuration_->version : 0; }
-  // As the control group gave it; empty before the first.
-  const std::string& json() const { return json_; }
+  std::uint64_t version() const { return replica_.version(); }
   // Null before the first.
-  const Configuration* configuration() const { return configuration_.get(); }
+  const Configuration* configuration() const { return replica_.configuration(); }
+  ConfigurationReplica& replica() { return replica_; }
+  const ConfigurationReplica& replica() const { return replica_; }
   // Address of the control node that leads a service; empty: none known.
   Address leader_of(const std::string& service) const;
   const std::vector<wire::Member>& members() const { return members_; }
@@ -42,8 +45,7 @@
   bool absorb_leader(const wire::ShardLeader& leader);
   bool absorb_members(const wire::ConfigurationUpdate& update);
 
-  std::shared_ptr<const Configuration> configuration_;
-  std::string json_;
+  ConfigurationReplica replica_;
   std::map<std::string, wire::ShardLeader> leaders_;  // by shard
   std::vector<wire::Member> members_;
   RouteHistory history_;
--- a/src/cluster/agent/control_watcher.cpp
+++ b/src/cluster/agent/control_watcher.cpp
@@ -23,6 +23,7 @@
   watch.set_version(version);
   watch.set_leaders_digest(leaders_digest);
   watch.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+  watch.set_fetches(true);
   return request;
 }
 
@@ -30,7 +31,11 @@
 
 ControlWatcher::ControlWatcher(Runtime& runtime, ClusterView& view, ControlDirectory& directory,
                                OnChange on_change)
-    : runtime_(runtime), view_(view), directory_(directory), on_change_(std::move(on_change)) {}
+    : runtime_(runtime),
+      view_(view),
+      directory_(directory),
+      on_change_(std::move(on_change)),
+      fetcher_(runtime, view.replica(), [this] { on_fetched(); }) {}
 
 void ControlWatcher::start() {
   for (std::size_t number = 0; number < kSlots; ++number) fill(number);
@@ -76,7 +81,9 @@
   Slot& slot = slots_[number];
   slot.timer.reset();
   slot.sent = runtime_.now();
-  runtime_.call(slot.peer, watch_request(view_.version(), slot.leaders_digest, kWait), kCallTimeout,
+  // What the peer has offered is being fetched: only what is newer is news.
+  const std::uint64_t version = std::max(view_.version(), fetcher_.offered_by(slot.peer));
+  runtime_.call(slot.peer, watch_request(version, slot.leaders_digest, kWait), kCallTimeout,
                 [this, number](const CallResult& result) { on_answer(number, result); });
 }
 
@@ -106,6 +113,7 @@
 
 // The node that failed rests for a while, so that another one is chosen if there is any.
 void ControlWatcher::replace(std::size_t number) {
+  fetcher_.withdraw(slots_[number].peer);
   slots_[number].peer.clear();
   fill(number);
 }
@@ -126,7 +134,16 @@
   const ViewChanges changes = view_.absorb(update, runtime_.now());
   if (changes.members) directory_.set_members(view_.members());
   if (changes.configuration || changes.leaders) on_change_(changes);
+  const bool to_fetch = update.version() > view_.version() && update.configuration().empty();
+  if (to_fetch) fetcher_.offer(peer, update.version());
   return changes;
 }
 
+void ControlWatcher::on_fetched() {
+  view_.on_difference(runtime_.now());
+  ViewChanges changes;
+  changes.configuration = true;
+  on_change_(changes);
+}
+
 }  // namespace winchhall::cluster
--- a/src/cluster/agent/control_watcher.hpp
+++ b/src/cluster/agent/control_watcher.hpp
@@ -1,5 +1,5 @@
-// Long-polls several control nodes at once for the configuration and the leaders, and replaces those that
-// fail.
+// Long-polls several control nodes at once for the newest version of the configuration and the leaders,
+// replaces those that fail, and fetches a newer configuration from one of them.
 #pragma once
 
 #include <array>
@@ -11,6 +11,7 @@
 #include "cluster/agent/cluster_view.hpp"
 #include "cluster/agent/control_directory.hpp"
 #include "cluster/common/runtime.hpp"
+#include "cluster/delivery/difference_fetcher.hpp"
 
 namespace winchhall::cluster {
 
@@ -44,6 +45,8 @@
   void replace(std::size_t number);
   std::set<Address> peers() const;
   ViewChanges absorb(const Address& peer, const wire::ConfigurationUpdate& update);
+  // A difference was fetched and taken.
+  void on_fetched();
   void on_refreshed(const Address& peer, const CallResult& result);
 
   static constexpr std::size_t kSlots = 3;
@@ -52,6 +55,7 @@
   ClusterView& view_;
   ControlDirectory& directory_;
   OnChange on_change_;
+  DifferenceFetcher fetcher_;
   std::array<Slot, kSlots> slots_;
   std::optional<TimePoint> last_in_touch_;
   bool refreshing_ = false;
--- a/src/cluster/agent/route_history.cpp
+++ b/src/cluster/agent/route_history.cpp
@@ -4,12 +4,13 @@
 
 namespace winchhall::cluster {
 
-void RouteHistory::observe(const Configuration& configuration, TimePoint now) {
-  close_uses(now);
-  for (const Route& route : configuration.routes) {
-    const Place place(route.hostname, route.path_prefix);
-    open_use(place, route.backend);
-    places_[route.name] = place;
+void RouteHistory::observe(const std::vector<RouteChange>& changes, TimePoint now) {
+  forget(now);
+  for (const RouteChange& change : changes) {
+    if (change.before) close_use(*change.before, now);
+  }
+  for (const RouteChange& change : changes) {
+    if (change.after) open_use(*change.after);
   }
 }
 
@@ -27,29 +28,43 @@
   return others;
 }
 
-// Uses end now unless the new configuration opens them again; those forgotten are dropped.
-void RouteHistory::close_uses(TimePoint now) {
-  for (auto entry = uses_.begin(); entry != uses_.end();) {
-    auto& uses = entry->second;
-    for (Use& use : uses) use.seen = std::min(use.seen, now);
-    const auto forgotten = [&](const Use& use) { return now - use.seen > kMemory; };
-    uses.erase(std::remove_if(uses.begin(), uses.end(), forgotten), uses.end());
-    entry = uses.empty() ? uses_.erase(entry) : std::next(entry);
-  }
-  for (auto entry = places_.begin(); entry != places_.end();) {
-    entry = uses_.count(entry->second) == 0 ? places_.erase(entry) : std::next(entry);
+void RouteHistory::close_use(const Route& route, TimePoint now) {
+  const Place place = place_of(route);
+  for (Use& use : uses_[place]) {
+    if (use.service == route.backend) use.seen = std::min(use.seen, now);
   }
+  ended_.push_back({now, place, route.name});
 }
 
-void RouteHistory::open_use(const Place& place, const std::string& service) {
+void RouteHistory::open_use(const Route& route) {
+  const Place place = place_of(route);
+  places_[route.name] = place;
   auto& uses = uses_[place];
-  const auto same = [&](const Use& use) { return use.service == service; };
+  const auto same = [&](const Use& use) { return use.service == route.backend; };
   const auto found = std::find_if(uses.begin(), uses.end(), same);
   if (found != uses.end()) {
     found->seen = TimePoint::max();
   } else {
-    uses.push_back({service, TimePoint::max()});
+    uses.push_back({route.backend, TimePoint::max()});
   }
 }
 
+void RouteHistory::forget(TimePoint now) {
+  while (!ended_.empty() && now - ended_.front().at > kMemory) {
+    forget(ended_.front());
+    ended_.pop_front();
+  }
+}
+
+// A use that was opened again since is in force, or ended again later and is kept until then.
+void RouteHistory::forget(const Ended& ended) {
+  const auto entry = uses_.find(ended.place);
+  if (entry == uses_.end()) return;
+  std::erase_if(entry->second, [&](const Use& use) { return use.seen <= ended.at; });
+  if (!entry->second.empty()) return;
+  uses_.erase(entry);
+  const auto queue = places_.find(ended.queue);
+  if (queue != places_.end() && queue->second == ended.place) places_.erase(queue);
+}
+
 }  // namespace winchhall::cluster
--- a/src/cluster/agent/watch_server.cpp
+++ b/src/cluster/agent/watch_server.cpp
@@ -4,10 +4,11 @@
 
 namespace winchhall::cluster {
 
-WatchServer::WatchServer(Runtime& runtime, const ClusterView& view) : runtime_(runtime), view_(view) {}
+WatchServer::WatchServer(Runtime& runtime, const ClusterView& view)
+    : runtime_(runtime), view_(view), differences_(view.replica().table()) {}
 
 void WatchServer::watch(const wire::ConfigurationWatch& watch, const Replier& reply) {
-  polls_.push_back({watch.version(), reply, nullptr});
+  polls_.push_back({watch.version(), watch.fetches(), reply, nullptr});
   const auto poll = std::prev(polls_.end());
   const Millis wait = std::min(Millis(watch.wait_ms()), longest_wait_);
   if (view_.version() > watch.version() || wait == Millis::zero()) return answer(poll);
@@ -38,7 +39,8 @@
   auto& update = *envelope.mutable_configuration_update();
   update.set_version(view_.version());
   update.set_in_touch(in_touch_);
-  if (view_.version() > poll->version) update.set_configuration(view_.json());
+  const bool sent_whole = !poll->fetches && view_.version() > poll->version;
+  if (sent_whole) update.set_configuration(configuration_json(*view_.configuration()));
   Polls answered;
   answered.splice(answered.end(), polls_, poll);
   poll->reply(std::move(envelope));
--- a/src/cluster/agent/watch_server.hpp
+++ b/src/cluster/agent/watch_server.hpp
@@ -1,4 +1,4 @@
-// Answers the long polls of the ingress on the same machine with the newest configuration.
+// Answers the long polls of the ingress on the same machine, and hands the newest configuration on to it.
 #pragma once
 
 #include <list>
@@ -6,6 +6,7 @@
 
 #include "cluster/agent/cluster_view.hpp"
 #include "cluster/common/runtime.hpp"
+#include "cluster/delivery/difference_server.hpp"
 
 namespace winchhall::cluster {
 
@@ -14,6 +15,9 @@
   WatchServer(Runtime& runtime, const ClusterView& view);
 
   void watch(const wire::ConfigurationWatch& watch, const Replier& reply);
+  void fetch(const wire::ConfigurationFetch& fetch, const Replier& reply) {
+    differences_.handle(fetch, reply);
+  }
   // The view has a newer configuration: answers all polls that wait for one.
   void on_newer_configuration();
   // What is told of the link to the control group; a change answers all polls.
@@ -24,6 +28,7 @@
  private:
   struct Poll {
     std::uint64_t version = 0;
+    bool fetches = false;
     Replier reply;
     std::unique_ptr<Timer> timer;
   };
@@ -34,6 +39,7 @@
 
   Runtime& runtime_;
   const ClusterView& view_;
+  DifferenceServer differences_;
   Polls polls_;
   bool in_touch_ = false;
   Millis longest_wait_{10000};
--- a/src/cluster/config/configuration.cpp
+++ b/src/cluster/config/configuration.cpp
@@ -125,8 +125,52 @@
   return configuration;
 }
 
+Json::Value json_of(const Route& route) {
+  Json::Value item;
+  item["name"] = route.name;
+  item["hostname"] = route.hostname;
+  item["path_prefix"] = route.path_prefix;
+  item["route_type"] = route.route_type;
+  item["timeout_ms"] = route.timeout_ms;
+  item["target_latency_ms"] = route.target_latency_ms;
+  item["priority"] = route.priority;
+  item["backend"] = route.backend;
+  item["max_retries"] = route.max_retries;
+  item["stretch"] = route.stretch;
+  return item;
+}
+
+Json::Value json_of(const Service& service) {
+  Json::Value item;
+  item["name"] = service.name;
+  item["health_check_path"] = service.health_check_path;
+  item["max_connections"] = service.max_connections;
+  item["preconditions"] = service.preconditions;
+  return item;
+}
+
+Json::Value json_of(const RequestLimits& limits) {
+  Json::Value item;
+  item["max_header_bytes"] = limits.max_header_bytes;
+  item["max_body_bytes"] = limits.max_body_bytes;
+  item["header_timeout_ms"] = limits.header_timeout_ms;
+  item["idle_timeout_ms"] = limits.idle_timeout_ms;
+  return item;
+}
+
 }  // namespace
 
+std::string configuration_json(const Configuration& configuration) {
+  Json::Value root;
+  root["version"] = Json::UInt64{configuration.version};
+  root["limits"] = json_of(configuration.limits);
+  Json::Value& services = root["services"] = Json::Value(Json::arrayValue);
+  for (const Service& service : configuration.services) services.append(json_of(service));
+  Json::Value& routes = root["routes"] = Json::Value(Json::arrayValue);
+  for (const Route& route : configuration.routes) routes.append(json_of(route));
+  return write_json(root);
+}
+
 const Route* Configuration::find_route(std::string_view hostname, std::string_view path) const {
   const std::optional<std::size_t> position = route_index.find(hostname, path);
   return position ? &routes[*position] : nullptr;
--- a/src/cluster/config/configuration.hpp
+++ b/src/cluster/config/configuration.hpp
@@ -48,7 +48,7 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   RequestLimits limits;
-  std::string json;        // the whole configuration as the operator gave it, patches applied
+  std::string json;        // as the operator gave it, patches applied; empty where it came by differences
   RouteIndex route_index;  // of `routes`, made when the configuration is read
 
   // The route with the longest path prefix that fits; null: none. The hostname's case doesn't matter; it
@@ -60,6 +60,9 @@
 // Reads and checks a whole configuration. Errors: InvalidInput.
 leaf::result<Configuration> parse_configuration(std::string_view json, std::string_view source);
 
+// A configuration's fields as JSON that parse_configuration reads; what it has beside them is not in it.
+std::string configuration_json(const Configuration& configuration);
+
 // Applies a patch (`version`, `upsert`, `delete`) to a configuration. Errors: InvalidInput.
 leaf::result<Configuration> apply_patch(const Configuration& base, std::string_view patch_json);
 
--- a/src/cluster/config/route_index.cpp
+++ b/src/cluster/config/route_index.cpp
@@ -1,14 +1,12 @@
 #include "cluster/config/route_index.hpp"
 
 #include <algorithm>
-#include <cstdint>
+
+#include "cluster/common/digest.hpp"
 
 namespace winchhall::cluster {
 namespace {
 
-constexpr std::uint64_t kHashStart = 14695981039346656037ULL;  // FNV-1a, 64 bits
-constexpr std::uint64_t kHashFactor = 1099511628211ULL;
-
 char lower(char letter) {
   if (letter >= 'A' && letter <= 'Z') return static_cast<char>(letter - 'A' + 'a');
   return letter;
@@ -17,12 +15,9 @@
 }  // namespace
 
 std::size_t HostnameHash::operator()(std::string_view hostname) const {
-  std::uint64_t hash = kHashStart;
-  for (const char letter : hostname) {
-    hash ^= static_cast<unsigned char>(lower(letter));
-    hash *= kHashFactor;
-  }
-  return static_cast<std::size_t>(hash);
+  Digest digest;
+  for (const char letter : hostname) digest.add_letter(lower(letter));
+  return static_cast<std::size_t>(digest.value());
 }
 
 bool HostnameEqual::operator()(std::string_view left, std::string_view right) const {
@@ -30,20 +25,54 @@
                     [](char one, char other) { return lower(one) == lower(other); });
 }
 
+// Where a length stands, or belongs.
+std::vector<RouteIndex::PrefixLength>::iterator RouteIndex::place_of(HostRoutes& host, std::size_t length) {
+  return std::lower_bound(host.lengths.begin(), host.lengths.end(), length,
+                          [](const PrefixLength& one, std::size_t other) { return one.length > other; });
+}
+
 bool RouteIndex::add(std::string_view hostname, std::string_view path_prefix, std::size_t position) {
   HostRoutes& host = hosts_[std::string(hostname)];
   if (!host.positions.emplace(path_prefix, position).second) return false;
-  const auto place =
-      std::lower_bound(host.lengths.begin(), host.lengths.end(), path_prefix.size(), std::greater<>{});
-  const bool known = place != host.lengths.end() && *place == path_prefix.size();
-  if (!known) host.lengths.insert(place, path_prefix.size());
+  auto place = place_of(host, path_prefix.size());
+  const bool known = place != host.lengths.end() && place->length == path_prefix.size();
+  if (!known) place = host.lengths.insert(place, {path_prefix.size(), 0});
+  ++place->count;
   return true;
 }
 
+void RouteIndex::remove(std::string_view hostname, std::string_view path_prefix) {
+  const auto host = hosts_.find(hostname);
+  if (host == hosts_.end()) return;
+  auto& positions = host->second.positions;
+  const auto route = positions.find(path_prefix);
+  if (route == positions.end()) return;
+  positions.erase(route);
+  const auto place = place_of(host->second, path_prefix.size());
+  if (--place->count == 0) host->second.lengths.erase(place);
+  if (positions.empty()) hosts_.erase(host);
+}
+
+void RouteIndex::move(std::string_view hostname, std::string_view path_prefix, std::size_t position) {
+  const auto host = hosts_.find(hostname);
+  if (host == hosts_.end()) return;
+  const auto route = host->second.positions.find(path_prefix);
+  if (route != host->second.positions.end()) route->second = position;
+}
+
+std::optional<std::size_t> RouteIndex::position_of(std::string_view hostname,
+                                                   std::string_view path_prefix) const {
+  const auto host = hosts_.find(hostname);
+  if (host == hosts_.end()) return std::nullopt;
+  const auto route = host->second.positions.find(path_prefix);
+  if (route == host->second.positions.end()) return std::nullopt;
+  return route->second;
+}
+
 std::optional<std::size_t> RouteIndex::find(std::string_view hostname, std::string_view path) const {
   const auto host = hosts_.find(hostname);
   if (host == hosts_.end()) return std::nullopt;
-  for (const std::size_t length : host->second.lengths) {
+  for (const auto& [length, count] : host->second.lengths) {
     if (length > path.size()) continue;
     const auto found = host->second.positions.find(path.substr(0, length));
     if (found != host->second.positions.end()) return found->second;
--- a/src/cluster/config/route_index.hpp
+++ b/src/cluster/config/route_index.hpp
@@ -27,6 +27,12 @@
  public:
   // Adds a route; false: hostname and prefix are taken.
   bool add(std::string_view hostname, std::string_view path_prefix, std::size_t position);
+  // Takes a route out, which must be there.
+  void remove(std::string_view hostname, std::string_view path_prefix);
+  // A route that is there has another position now.
+  void move(std::string_view hostname, std::string_view path_prefix, std::size_t position);
+  // Position of the route with exactly this prefix; none: there is none.
+  std::optional<std::size_t> position_of(std::string_view hostname, std::string_view path_prefix) const;
   // Position of the route with the longest prefix with which `path` begins; none: no route fits.
   std::optional<std::size_t> find(std::string_view hostname, std::string_view path) const;
 
@@ -35,11 +41,18 @@
     using is_transparent = void;
     std::size_t operator()(std::string_view prefix) const { return std::hash<std::string_view>{}(prefix); }
   };
+  // How many prefixes of a host have a length.
+  struct PrefixLength {
+    std::size_t length = 0;
+    std::size_t count = 0;
+  };
   struct HostRoutes {
-    std::vector<std::size_t> lengths;  // of the prefixes, each once, longest first
+    std::vector<PrefixLength> lengths;  // longest first
     std::unordered_map<std::string, std::size_t, PrefixHash, std::equal_to<>> positions;
   };
 
+  static std::vector<PrefixLength>::iterator place_of(HostRoutes& host, std::size_t length);
+
   std::unordered_map<std::string, HostRoutes, HostnameHash, HostnameEqual> hosts_;
 };
 
--- a/src/cluster/control/configuration_service.cpp
+++ b/src/cluster/control/configuration_service.cpp
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 
+#include "cluster/common/digest.hpp"
+#include "cluster/delivery/configuration_items.hpp"
+
 namespace winchhall::cluster {
 namespace {
 
 constexpr Millis kQuorumTimeout{3500};
 constexpr Millis kLeadersCheckInterval{50};
 constexpr Millis kLongestWatch{10'000};
-constexpr std::uint64_t kHashStart = 14695981039346656037ULL;  // FNV-1a, 64 bits
-constexpr std::uint64_t kHashFactor = 1099511628211ULL;
 
 // A text that isn't a record counts as one that was never written.
 wire::ConfigurationRecord read_record(const std::string& value) {
@@ -18,23 +19,6 @@
   return record;
 }
 
-class Digest {
- public:
-  void add(std::string_view text) {
-    add(text.size());
-    for (const char letter : text) add_byte(static_cast<unsigned char>(letter));
-  }
-  void add(std::uint64_t number) {
-    for (unsigned shift = 0; shift < 64; shift += 8) add_byte(static_cast<unsigned char>(number >> shift));
-  }
-  std::uint64_t value() const { return value_; }
-
- private:
-  void add_byte(unsigned char byte) { value_ = (value_ ^ byte) * kHashFactor; }
-
-  std::uint64_t value_ = kHashStart;
-};
-
 }  // namespace
 
 ConfigurationService::ConfigurationService(Runtime& runtime, RegisterClient& registers,
@@ -110,6 +94,7 @@
       },
       [] { return false; });  // made by a version of the program that allows more
   if (!taken) return;
+  items_.apply(items_.difference_to(newest_->version, items_of(*newest_)));
   if (listener_) listener_(*newest_);
   answer_watchers();
 }
@@ -143,9 +128,15 @@
 }
 
 bool ConfigurationService::handle(const wire::Envelope& request, const Replier& reply) {
-  if (!request.has_configuration_watch()) return false;
-  watch(request.configuration_watch(), reply);
-  return true;
+  if (request.has_configuration_watch()) {
+    watch(request.configuration_watch(), reply);
+    return true;
+  }
+  if (request.has_configuration_fetch()) {
+    differences_.handle(request.configuration_fetch(), reply);
+    return true;
+  }
+  return false;
 }
 
 void ConfigurationService::stop() {
@@ -165,7 +156,8 @@
   wire::Envelope envelope;
   wire::ConfigurationUpdate& update = *envelope.mutable_configuration_update();
   update.set_version(newest_version());
-  if (newest_version() > watcher.request.version()) update.set_configuration(newest_->json);
+  const bool sent_whole = !watcher.request.fetches() && newest_version() > watcher.request.version();
+  if (sent_whole) update.set_configuration(newest_->json);
   for (const wire::ShardLeader& leader : surroundings_.leaders()) *update.add_leaders() = leader;
   for (const wire::Member& member : surroundings_.members()) *update.add_members() = member;
   update.set_leaders_digest(digest);
--- a/src/cluster/control/configuration_service.hpp
+++ b/src/cluster/control/configuration_service.hpp
@@ -13,6 +13,7 @@
 #include "cluster/config/configuration.hpp"
 #include "cluster/consensus/register_client.hpp"
 #include "cluster/control/configuration_change.hpp"
+#include "cluster/delivery/difference_server.hpp"
 
 namespace winchhall::cluster {
 
@@ -57,7 +58,7 @@
   void on_leaders_changed() { answer_watchers(); }
   // Answers a long poll, by way of `reply`.
   void watch(const wire::ConfigurationWatch& request, Replier reply);
-  // Handles ConfigurationWatch requests.
+  // Handles ConfigurationWatch and ConfigurationFetch requests.
   bool handle(const wire::Envelope& request, const Replier& reply);
   // Answers all watchers, for a planned end of the process.
   void stop();
@@ -89,6 +90,8 @@
   RegisterClient& registers_;
   ConfigurationSurroundings surroundings_;
   std::optional<Configuration> newest_;
+  ItemTable items_;  // of `newest_`
+  DifferenceServer differences_{items_};
   NewestListener listener_;
   std::list<Watcher> watchers_;
   std::unique_ptr<Timer> check_timer_;
--- a/src/cluster/ingress/configuration_feed.cpp
+++ b/src/cluster/ingress/configuration_feed.cpp
@@ -1,5 +1,7 @@
 #include "cluster/ingress/configuration_feed.hpp"
 
+#include <algorithm>
+
 namespace winchhall::cluster {
 
 namespace {
@@ -12,19 +14,15 @@
 constexpr Millis kFastAnswer{20};
 constexpr Millis kAgentSilence{3000};
 
-std::shared_ptr<const Configuration> parse(const std::string& json) {
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<std::shared_ptr<const Configuration>> {
-        BOOST_LEAF_AUTO(configuration, parse_configuration(json, "agent"));
-        return std::make_shared<const Configuration>(std::move(configuration));
-      },
-      []() -> std::shared_ptr<const Configuration> { return nullptr; });
-}
+constexpr char kAgentSource[] = "agent";
 
 }  // namespace
 
 ConfigurationFeed::ConfigurationFeed(Runtime& runtime, Address agent, OnNewer on_newer)
-    : runtime_(runtime), agent_(std::move(agent)), on_newer_(std::move(on_newer)) {}
+    : runtime_(runtime),
+      agent_(std::move(agent)),
+      on_newer_(std::move(on_newer)),
+      fetcher_(runtime, replica_, [this] { on_taken(); }) {}
 
 void ConfigurationFeed::start() { poll(); }
 
@@ -36,7 +34,9 @@
   timer_.reset();
   wire::Envelope request;
   auto& watch = *request.mutable_configuration_watch();
-  watch.set_version(current_ ? current_->version : 0);
+  // What the agent has offered is being fetched: only what is newer is news.
+  watch.set_version(std::max(replica_.version(), fetcher_.offered_by(agent_)));
+  watch.set_fetches(true);
   watch.set_wait_ms(static_cast<std::uint32_t>(kWait.count()));
   const TimePoint sent = runtime_.now();
   runtime_.call(agent_, std::move(request), kCallTimeout,
@@ -56,17 +56,18 @@
 
 Millis ConfigurationFeed::take_update(const wire::ConfigurationUpdate& update, TimePoint sent) {
   agent_in_touch_ = update.in_touch();
-  const bool newer = update.version() > (current_ ? current_->version : 0);
+  const bool newer = update.version() > replica_.version();
   if (newer && !update.configuration().empty()) return adopt(update) ? Millis::zero() : kUnusablePause;
+  if (newer) fetcher_.offer(agent_, update.version());
   return runtime_.now() - sent < kFastAnswer ? kPollPause : Millis::zero();
 }
 
 bool ConfigurationFeed::adopt(const wire::ConfigurationUpdate& update) {
-  auto configuration = parse(update.configuration());
-  if (!configuration) return false;
-  current_ = std::move(configuration);
-  on_newer_(*current_);
+  if (replica_.take_json(update.configuration(), kAgentSource) != TakeOutcome::taken) return false;
+  on_taken();
   return true;
 }
 
+void ConfigurationFeed::on_taken() { on_newer_(*replica_.configuration()); }
+
 }  // namespace winchhall::cluster
--- a/src/cluster/ingress/configuration_feed.hpp
+++ b/src/cluster/ingress/configuration_feed.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "cluster/common/runtime.hpp"
-#include "cluster/config/configuration.hpp"
+#include "cluster/delivery/difference_fetcher.hpp"
 
 namespace winchhall::cluster {
 
@@ -18,8 +18,8 @@
   ConfigurationFeed(Runtime& runtime, Address agent, OnNewer on_newer);
 
   void start();
-  // Null before the first; its version never goes back.
-  std::shared_ptr<const Configuration> current() const { return current_; }
+  // Null before the first; its version never goes back. Valid until the event loop's next turn.
+  const Configuration* current() const { return replica_.configuration(); }
   // The agent has answered lately and said that it hears the control group.
   bool in_touch() const;
 
@@ -30,11 +30,13 @@
   // How long to wait before the next poll.
   Millis take_update(const wire::ConfigurationUpdate& update, TimePoint sent);
   bool adopt(const wire::ConfigurationUpdate& update);
+  void on_taken();
 
   Runtime& runtime_;
   Address agent_;
   OnNewer on_newer_;
-  std::shared_ptr<const Configuration> current_;
+  ConfigurationReplica replica_;
+  DifferenceFetcher fetcher_;
   std::optional<TimePoint> last_answer_;
   bool agent_in_touch_ = false;
   std::unique_ptr<Timer> timer_;
--- a/src/cluster/ingress/ingress.cpp
+++ b/src/cluster/ingress/ingress.cpp
@@ -38,8 +38,7 @@
               {{"field", "commands"}, {"value", "invocation"}, {"allowed", "heartbeat"}});
   }
   front_ = make_http_server(loop_, settings_.front, [this](const HttpRequest& request, HttpReplier reply) {
-    const std::shared_ptr<const Configuration> configuration = takes_jobs() ? feed_.current() : nullptr;
-    gateway_.handle(configuration.get(), request, std::move(reply));
+    gateway_.handle(takes_jobs() ? feed_.current() : nullptr, request, std::move(reply));
   });
   probes_ = make_http_server(
       loop_, settings_.ready,
--- a/tests/cluster/agent_route_history_test.cpp
+++ b/tests/cluster/agent_route_history_test.cpp
@@ -9,17 +9,22 @@
 
 namespace {
 
-Configuration configuration(std::uint64_t version, const std::map<std::string, std::string>& services) {
-  return leaf::try_handle_all(
-      [&] { return parse_configuration(configuration_json(version, services), "test"); },
-      []() -> Configuration { throw std::runtime_error("the test's configuration is invalid"); });
-}
+// The configurations that one process takes, as changes of its routes.
+struct Taker {
+  ConfigurationReplica replica;
+
+  const std::vector<RouteChange>& configuration(std::uint64_t version,
+                                                const std::map<std::string, std::string>& services) {
+    REQUIRE(replica.take_json(configuration_json(version, services), "test") == TakeOutcome::taken);
+    return replica.last_route_changes();
+  }
+};
 
 using Names = std::vector<std::string>;
 
 }  // namespace
 
-TEST_CASE("a queue that never moved has no other service") {
+TEST_CASE_METHOD(Taker, "a queue that never moved has no other service") {
   RouteHistory history;
   const TimePoint now{std::chrono::hours(1)};
   history.observe(configuration(1, {{"/a/", "first"}, {"/b/", "second"}}), now);
@@ -27,7 +32,7 @@
   CHECK(history.other_services("unknown", "first", now).empty());
 }
 
-TEST_CASE("a queue that moved names its earlier service for a while") {
+TEST_CASE_METHOD(Taker, "a queue that moved names its earlier service for a while") {
   RouteHistory history;
   const TimePoint now{std::chrono::hours(1)};
   history.observe(configuration(1, {{"/a/", "first"}}), now);
@@ -38,7 +43,7 @@
   CHECK(history.other_services("queue/a/", "first", now + Millis(62000)) == Names{"second"});
 }
 
-TEST_CASE("a queue removed and added again elsewhere has moved") {
+TEST_CASE_METHOD(Taker, "a queue removed and added again elsewhere has moved") {
   RouteHistory history;
   const TimePoint now{std::chrono::hours(1)};
   history.observe(configuration(1, {{"/a/", "first"}, {"/b/", "second"}}), now);
--- /dev/null
+++ b/tests/cluster/delivery_fixture.hpp
@@ -0,0 +1,75 @@
+// Configurations of many routes, processes that hand them on, and the narrow or broken links between.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/delivery/configuration_items.hpp"
+#include "cluster/delivery/configuration_replica.hpp"
+#include "cluster/delivery/difference_fetcher.hpp"
+#include "cluster/delivery/difference_server.hpp"
+#include "fake_runtime.hpp"
+
+namespace winchhall::cluster::testing {
+
+inline Route route_named(const std::string& name, std::uint32_t timeout_ms, const std::string& prefix = {}) {
+  Route route;
+  route.name = name;
+  route.hostname = "jobs.example";
+  route.path_prefix = "/" + (prefix.empty() ? name : prefix) + "/";
+  route.timeout_ms = timeout_ms;
+  route.backend = "first";
+  return route;
+}
+
+// The operator's configuration: routes by name, changed in place.
+struct OperatorsConfiguration {
+  std::uint64_t version = 0;
+  std::map<std::string, Route> routes;
+
+  void put(const Route& route) { routes[route.name] = route; }
+  void add_routes(std::size_t count) {
+    for (std::size_t number = 0; number < count; ++number)
+      put(route_named("r-" + std::to_string(number), 3000));
+  }
+  Configuration whole() const {
+    Configuration configuration;
+    configuration.version = version;
+    Service service;
+    service.name = "first";
+    configuration.services.push_back(service);
+    for (const auto& [name, route] : routes) configuration.routes.push_back(route);
+    return configuration;
+  }
+};
+
+// A process that holds versions and hands them on.
+struct Holder {
+  ItemTable table;
+  DifferenceServer server{table};
+
+  void hold(const OperatorsConfiguration& configuration) {
+    table.apply(table.difference_to(configuration.version, items_of(configuration.whole())));
+  }
+  wire::ConfigurationPart fetch(const wire::ConfigurationFetch& fetch) {
+    wire::ConfigurationPart part;
+    server.handle(fetch, [&](const wire::Envelope& answer) { part = answer.configuration_part(); });
+    return part;
+  }
+};
+
+// True if the replica holds exactly these routes, found by name and by path.
+inline bool holds(const ConfigurationReplica& replica, const OperatorsConfiguration& expected) {
+  const Configuration* const configuration = replica.configuration();
+  if (configuration == nullptr || configuration->version != expected.version) return false;
+  if (configuration->routes.size() != expected.routes.size()) return false;
+  for (const auto& [name, route] : expected.routes) {
+    const Route* const found = configuration->find_route(route.hostname, route.path_prefix + "x");
+    if (found == nullptr || found->name != name || found->timeout_ms != route.timeout_ms) return false;
+  }
+  return true;
+}
+
+}  // namespace winchhall::cluster::testing
