--- a/src/cluster/config/configuration.cpp
+++ b/src/cluster/config/configuration.cpp
@@ -24,36 +24,6 @@
   return static_cast<std::uint32_t>(number);
 }
 
-leaf::result<Service> read_service(const FieldScope& scope, const Json::Value& item) {
-  if (!item.isObject()) return invalid_field(scope, "", item, "an object");
-  Service service;
-  BOOST_LEAF_ASSIGN(service.name, required_text(scope, item, "name"));
-  BOOST_LEAF_ASSIGN(service.health_check_path, optional_text(scope, item, "health_check_path"));
-  BOOST_LEAF_ASSIGN(service.max_connections, small_number(scope, item, "max_connections", kCountRange));
-  BOOST_LEAF_ASSIGN(service.preconditions, optional_flag(scope, item, "preconditions", false));
-  BOOST_LEAF_CHECK(whole_number(scope, item, "timeout_ms", kOptionalTimeoutRange));
-  return service;
-}
-
-leaf::result<Route> read_route(const FieldScope& scope, const Json::Value& item) {
-  if (!item.isObject()) return invalid_field(scope, "", item, "an object");
-  Route route;
-  BOOST_LEAF_ASSIGN(route.name, required_text(scope, item, "name"));
-  BOOST_LEAF_ASSIGN(route.hostname, required_text(scope, item, "hostname"));
-  BOOST_LEAF_ASSIGN(route.path_prefix, required_text(scope, item, "path_prefix"));
-  if (route.path_prefix.front() != '/') {
-    return invalid_field(scope, "path_prefix", item["path_prefix"], "a path that begins with /");
-  }
-  BOOST_LEAF_ASSIGN(route.route_type, optional_text(scope, item, "route_type"));
-  BOOST_LEAF_ASSIGN(route.timeout_ms, small_number(scope, item, "timeout_ms", kTimeoutRange));
-  BOOST_LEAF_ASSIGN(route.target_latency_ms, small_number(scope, item, "target_latency_ms", kMillisRange));
-  BOOST_LEAF_ASSIGN(route.priority, small_number(scope, item, "priority", kCountRange));
-  BOOST_LEAF_ASSIGN(route.backend, required_text(scope, item, "backend"));
-  BOOST_LEAF_ASSIGN(route.max_retries, small_number(scope, item, "max_retries", kCountRange));
-  BOOST_LEAF_ASSIGN(route.stretch, optional_fraction(scope, item, "stretch", kLargestStretch, 1));
-  return route;
-}
-
 leaf::result<void> read_services(const FieldScope& scope, const Json::Value& items,
                                  Configuration& configuration) {
   std::unordered_set<std::string> names;
@@ -102,29 +72,6 @@
   return {};
 }
 
-leaf::result<RequestLimits> read_limits(const FieldScope& scope, const Json::Value& object) {
-  RequestLimits limits;
-  BOOST_LEAF_CHECK(read_limit(scope, object, "max_header_bytes", kLargestCount, limits.max_header_bytes));
-  BOOST_LEAF_CHECK(read_limit(scope, object, "max_body_bytes", kLargestCount, limits.max_body_bytes));
-  BOOST_LEAF_CHECK(read_limit(scope, object, "header_timeout_ms", kLongestMillis, limits.header_timeout_ms));
-  BOOST_LEAF_CHECK(read_limit(scope, object, "idle_timeout_ms", kLongestMillis, limits.idle_timeout_ms));
-  return limits;
-}
-
-leaf::result<Configuration> read_configuration(const FieldScope& scope, const Json::Value& root) {
-  Configuration configuration;
-  BOOST_LEAF_ASSIGN(configuration.version, whole_number(scope, root, "version", kVersionRange));
-  BOOST_LEAF_AUTO(services, list_field(scope, root, "services", true));
-  BOOST_LEAF_CHECK(read_services(scope.inner("services"), *services, configuration));
-  BOOST_LEAF_AUTO(routes, list_field(scope, root, "routes", true));
-  BOOST_LEAF_CHECK(read_routes(scope.inner("routes"), *routes, configuration));
-  BOOST_LEAF_AUTO(limits, object_field(scope, root, "limits"));
-  if (limits != nullptr) {
-    BOOST_LEAF_ASSIGN(configuration.limits, read_limits(scope.inner("limits"), *limits));
-  }
-  return configuration;
-}
-
 Json::Value json_of(const Route& route) {
   Json::Value item;
   item["name"] = route.name;
@@ -160,6 +107,59 @@
 
 }  // namespace
 
+leaf::result<Service> read_service(const FieldScope& scope, const Json::Value& item) {
+  if (!item.isObject()) return invalid_field(scope, "", item, "an object");
+  Service service;
+  BOOST_LEAF_ASSIGN(service.name, required_text(scope, item, "name"));
+  BOOST_LEAF_ASSIGN(service.health_check_path, optional_text(scope, item, "health_check_path"));
+  BOOST_LEAF_ASSIGN(service.max_connections, small_number(scope, item, "max_connections", kCountRange));
+  BOOST_LEAF_ASSIGN(service.preconditions, optional_flag(scope, item, "preconditions", false));
+  BOOST_LEAF_CHECK(whole_number(scope, item, "timeout_ms", kOptionalTimeoutRange));
+  return service;
+}
+
+leaf::result<Route> read_route(const FieldScope& scope, const Json::Value& item) {
+  if (!item.isObject()) return invalid_field(scope, "", item, "an object");
+  Route route;
+  BOOST_LEAF_ASSIGN(route.name, required_text(scope, item, "name"));
+  BOOST_LEAF_ASSIGN(route.hostname, required_text(scope, item, "hostname"));
+  BOOST_LEAF_ASSIGN(route.path_prefix, required_text(scope, item, "path_prefix"));
+  if (route.path_prefix.front() != '/') {
+    return invalid_field(scope, "path_prefix", item["path_prefix"], "a path that begins with /");
+  }
+  BOOST_LEAF_ASSIGN(route.route_type, optional_text(scope, item, "route_type"));
+  BOOST_LEAF_ASSIGN(route.timeout_ms, small_number(scope, item, "timeout_ms", kTimeoutRange));
+  BOOST_LEAF_ASSIGN(route.target_latency_ms, small_number(scope, item, "target_latency_ms", kMillisRange));
+  BOOST_LEAF_ASSIGN(route.priority, small_number(scope, item, "priority", kCountRange));
+  BOOST_LEAF_ASSIGN(route.backend, required_text(scope, item, "backend"));
+  BOOST_LEAF_ASSIGN(route.max_retries, small_number(scope, item, "max_retries", kCountRange));
+  BOOST_LEAF_ASSIGN(route.stretch, optional_fraction(scope, item, "stretch", kLargestStretch, 1));
+  return route;
+}
+
+leaf::result<RequestLimits> read_limits(const FieldScope& scope, const Json::Value& object) {
+  RequestLimits limits;
+  BOOST_LEAF_CHECK(read_limit(scope, object, "max_header_bytes", kLargestCount, limits.max_header_bytes));
+  BOOST_LEAF_CHECK(read_limit(scope, object, "max_body_bytes", kLargestCount, limits.max_body_bytes));
+  BOOST_LEAF_CHECK(read_limit(scope, object, "header_timeout_ms", kLongestMillis, limits.header_timeout_ms));
+  BOOST_LEAF_CHECK(read_limit(scope, object, "idle_timeout_ms", kLongestMillis, limits.idle_timeout_ms));
+  return limits;
+}
+
+leaf::result<Configuration> read_configuration(const FieldScope& scope, const Json::Value& root) {
+  Configuration configuration;
+  BOOST_LEAF_ASSIGN(configuration.version, whole_number(scope, root, "version", kVersionRange));
+  BOOST_LEAF_AUTO(services, list_field(scope, root, "services", true));
+  BOOST_LEAF_CHECK(read_services(scope.inner("services"), *services, configuration));
+  BOOST_LEAF_AUTO(routes, list_field(scope, root, "routes", true));
+  BOOST_LEAF_CHECK(read_routes(scope.inner("routes"), *routes, configuration));
+  BOOST_LEAF_AUTO(limits, object_field(scope, root, "limits"));
+  if (limits != nullptr) {
+    BOOST_LEAF_ASSIGN(configuration.limits, read_limits(scope.inner("limits"), *limits));
+  }
+  return configuration;
+}
+
 std::string configuration_json(const Configuration& configuration) {
   Json::Value root;
   root["version"] = Json::UInt64{configuration.version};
--- a/src/cluster/config/configuration.hpp
+++ b/src/cluster/config/configuration.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cluster/common/errors.hpp"
+#include "cluster/config/json_fields.hpp"
 #include "cluster/config/route_index.hpp"
 
 namespace winchhall::cluster {
@@ -60,10 +61,14 @@
 // Reads and checks a whole configuration. Errors: InvalidInput.
 leaf::result<Configuration> parse_configuration(std::string_view json, std::string_view source);
 
+// The same of JSON that was read already; `json` stays empty. Errors: InvalidInput.
+leaf::result<Configuration> read_configuration(const FieldScope& scope, const Json::Value& root);
+// Single items, wherever they stand. What they name elsewhere is not looked up. Errors: InvalidInput.
+leaf::result<Route> read_route(const FieldScope& scope, const Json::Value& item);
+leaf::result<Service> read_service(const FieldScope& scope, const Json::Value& item);
+leaf::result<RequestLimits> read_limits(const FieldScope& scope, const Json::Value& object);
+
 // A configuration's fields as JSON that parse_configuration reads; what it has beside them is not in it.
 std::string configuration_json(const Configuration& configuration);
 
-// Applies a patch (`version`, `upsert`, `delete`) to a configuration. Errors: InvalidInput.
-leaf::result<Configuration> apply_patch(const Configuration& base, std::string_view patch_json);
-
 }  // namespace winchhall::cluster
--- a/src/cluster/config/configuration_patch.hpp
+++ b/src/cluster/config/configuration_patch.hpp
@@ -22,9 +22,4 @@
 // Reads a patch. Errors: InvalidInput.
 leaf::result<ConfigurationPatch> parse_patch(std::string_view json, std::string_view source);
 
-// The JSON text of a configuration with the patch applied. Errors: InvalidInput, where a list that the patch
-// names is no list of named items in the configuration.
-leaf::result<std::string> patched_json(const std::string& base_json, const ConfigurationPatch& patch,
-                                       std::string_view source);
-
 }  // namespace winchhall::cluster
--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -202,6 +202,7 @@
   ping.set_member_epoch(record_.epoch());
   ping.set_address(settings_.internal_address());
   ping.set_voting(standing_.voting);
+  ping.set_reads_snapshots(true);
   if (const std::optional<RegisterValue> value = acceptor_.registers().chosen(kConfigurationRegister)) {
     *ping.mutable_configuration_ballot() = value->ballot;
   }
@@ -235,6 +236,7 @@
 void ControlGroup::note_ping(const wire::MemberPing& ping) {
   if (ping.member_epoch() > record_.epoch() && !ping.address().empty()) fetch_record(ping.address());
   peers_.note_leaders(ping);
+  if (ping.reads_snapshots()) peers_.note_reads_snapshots(ping.from());
   if (is_lower(newest_configuration_, ping.configuration_ballot())) {
     newest_configuration_ = ping.configuration_ballot();
   }
@@ -302,6 +304,24 @@
   reply(std::move(answer));
 }
 
+std::optional<std::string> ControlGroup::chosen_here(const std::string& key) const {
+  std::optional<RegisterValue> value = acceptor_.registers().chosen(key);
+  if (!value) return std::nullopt;
+  return std::move(value->value);
+}
+
+void ControlGroup::drop_registers(const std::function<bool(const std::string& key)>& unneeded) {
+  acceptor_.registers().drop(unneeded);
+  client_.drop(unneeded);
+}
+
+bool ControlGroup::members_read_snapshots() const {
+  const auto& members = record_.members();
+  return std::all_of(members.begin(), members.end(), [&](const wire::Member& member) {
+    return member.id() == standing_.id || peers_.reads_snapshots(member.id());
+  });
+}
+
 void ControlGroup::refresh_registers() {
   const bool touch = in_touch();
   if (touch && !was_in_touch_) {
--- a/src/cluster/consensus/control_group.hpp
+++ b/src/cluster/consensus/control_group.hpp
@@ -50,6 +50,13 @@
   // Calls `on_newer` for the value known now, if any, and for every newer one that differs.
   void watch_register(const std::string& key, RegisterWatch on_newer);
 
+  // A register's value as far as it is known to be chosen here; none: never heard of one.
+  std::optional<std::string> chosen_here(const std::string& key) const;
+  // Drops what is kept here of registers that are never needed again.
+  void drop_registers(const std::function<bool(const std::string& key)>& unneeded);
+  // Every member has said that it reads configuration records with snapshots.
+  bool members_read_snapshots() const;
+
   // Newest member record known; epoch 0: none yet.
   const wire::MemberRecord& members() const { return record_; }
   // Leases in force as far as known here.
--- a/src/cluster/consensus/peer_book.cpp
+++ b/src/cluster/consensus/peer_book.cpp
@@ -54,6 +54,16 @@
   return found != peers_.end() && found->second.voting;
 }
 
+void PeerBook::note_reads_snapshots(std::uint64_t member) {
+  const auto found = peers_.find(member);
+  if (found != peers_.end()) found->second.reads_snapshots = true;
+}
+
+bool PeerBook::reads_snapshots(std::uint64_t member) const {
+  const auto found = peers_.find(member);
+  return found != peers_.end() && found->second.reads_snapshots;
+}
+
 bool PeerBook::silent_for(std::uint64_t member, Millis span) const {
   const auto found = peers_.find(member);
   if (found == peers_.end()) return false;
--- a/src/cluster/consensus/peer_book.hpp
+++ b/src/cluster/consensus/peer_book.hpp
@@ -21,9 +21,12 @@
   void answered(std::uint64_t member, TimePoint sent_at, bool voting);
   void failed(std::uint64_t member);
   void note_leaders(const wire::MemberPing& ping);
+  void note_reads_snapshots(std::uint64_t member);
 
   bool heard_within(std::uint64_t member, Millis span) const;
   bool votes(std::uint64_t member) const;
+  // The member has said that it reads configuration records with snapshots.
+  bool reads_snapshots(std::uint64_t member) const;
   // True if a member did not answer for the whole span, nor any of many pings in a row.
   bool silent_for(std::uint64_t member, Millis span) const;
   TimePoint heard_at(std::uint64_t member) const;
@@ -37,6 +40,7 @@
     TimePoint heard_at{};  // sending of the newest answered ping; before that: when it began to be watched
     bool ever_heard = false;
     bool voting = false;
+    bool reads_snapshots = false;
     unsigned failures = 0;
   };
   struct ReportedLease {
--- a/src/cluster/consensus/quorum_register_client.cpp
+++ b/src/cluster/consensus/quorum_register_client.cpp
@@ -38,6 +38,13 @@
   if (is_lower(entry.known.ballot, value.ballot)) entry.known = value;
 }
 
+void QuorumRegisterClient::drop(const std::function<bool(const std::string& key)>& unneeded) {
+  std::erase_if(registers_, [&](const auto& entry) {
+    const Register& idle = entry.second;
+    return idle.updates.empty() && !idle.attempt && !idle.retry && unneeded(entry.first);
+  });
+}
+
 void QuorumRegisterClient::start_attempt(const std::string& key) {
   Register& entry = registers_[key];
   entry.retry.reset();
--- a/src/cluster/consensus/quorum_register_client.hpp
+++ b/src/cluster/consensus/quorum_register_client.hpp
@@ -23,6 +23,8 @@
 
   void update(const std::string& key, RegisterChange change, Millis timeout,
               std::function<void(std::optional<RegisterValue>)> done) override;
+  // Forgets registers that are never needed again, unless a change to them is under way.
+  void drop(const std::function<bool(const std::string& key)>& unneeded);
   // A value that is known to be chosen from elsewhere.
   void note_chosen(const std::string& key, const RegisterValue& value);
 
--- a/src/cluster/consensus/register_acceptor.cpp
+++ b/src/cluster/consensus/register_acceptor.cpp
@@ -89,6 +89,20 @@
   on_chosen_(key, value);
 }
 
+void RegisterAcceptor::drop(const std::function<bool(const std::string& key)>& unneeded) {
+  StoreBatch batch;
+  for (auto state = states_.begin(); state != states_.end();) {
+    if (!unneeded(state->first)) {
+      ++state;
+      continue;
+    }
+    batch.push_back({register_store_key(state->first), std::nullopt});
+    chosen_.erase(state->first);
+    state = states_.erase(state);
+  }
+  if (!batch.empty()) journal_.commit(std::move(batch));
+}
+
 std::optional<RegisterValue> RegisterAcceptor::chosen(const std::string& key) const {
   const auto known = chosen_.find(key);
   if (known == chosen_.end()) return std::nullopt;
--- a/src/cluster/consensus/register_acceptor.hpp
+++ b/src/cluster/consensus/register_acceptor.hpp
@@ -27,6 +27,9 @@
   // A value is known to be chosen. Keeps it, also as accepted where no higher ballot was promised.
   void learn(const std::string& key, const RegisterValue& value);
 
+  // Drops registers that are never needed again.
+  void drop(const std::function<bool(const std::string& key)>& unneeded);
+
   // The newest value known to be chosen; none: never heard of one.
   std::optional<RegisterValue> chosen(const std::string& key) const;
 
--- a/src/cluster/control/configuration_change.hpp
+++ b/src/cluster/control/configuration_change.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "cluster/common/errors.hpp"
-#include "cluster/config/configuration_patch.hpp"
+#include "cluster/config/configuration_document.hpp"
 #include "cluster/wire/cluster.pb.h"
 
 namespace winchhall::cluster {
@@ -44,11 +44,20 @@
 leaf::result<ConfigurationChange> read_change(ConfigurationChangeKind kind,
                                               const std::optional<std::string>& base, std::string body);
 
-// What a change makes of a record: a new record, or none where the record stays as it is.
+// What a change makes of a record.
 struct ChangeResult {
   ConfigurationOutcome outcome;
-  std::optional<wire::ConfigurationRecord> record;
+  std::optional<wire::ConfigurationRecord> record;  // none: the record stays as it is
+  std::optional<std::string>
+      snapshot;  // text of the record's snapshot, to be chosen before the record; none: it is
 };
-ChangeResult apply_change(const ConfigurationChange& change, const wire::ConfigurationRecord& current);
+
+// What is certain of a change without the configuration that it builds on; none: it builds on `current`.
+std::optional<ConfigurationOutcome> outcome_without_base(const ConfigurationChange& change,
+                                                         const wire::ConfigurationRecord& current);
+// `base`: the configuration of `current`, on which the change builds; null where there was never one.
+// `snapshots`: all members read records with snapshots.
+ChangeResult apply_change(const ConfigurationChange& change, const wire::ConfigurationRecord& current,
+                          const ConfigurationDocument* base, bool snapshots);
 
 }  // namespace winchhall::cluster
--- a/src/cluster/control/configuration_service.cpp
+++ b/src/cluster/control/configuration_service.cpp
@@ -1,16 +1,13 @@
 #include "cluster/control/configuration_service.hpp"
 
 #include <algorithm>
-
-#include "cluster/common/digest.hpp"
-#include "cluster/delivery/configuration_items.hpp"
+#include <utility>
 
 namespace winchhall::cluster {
 namespace {
 
 constexpr Millis kQuorumTimeout{3500};
-constexpr Millis kLeadersCheckInterval{50};
-constexpr Millis kLongestWatch{10'000};
+constexpr Millis kSnapshotRetry{100};
 
 // A text that isn't a record counts as one that was never written.
 wire::ConfigurationRecord read_record(const std::string& value) {
@@ -19,11 +16,21 @@
   return record;
 }
 
+WatchedGroup watched(const ConfigurationSurroundings& surroundings) {
+  return {surroundings.leaders, surroundings.members, surroundings.in_touch};
+}
+
 }  // namespace
 
 ConfigurationService::ConfigurationService(Runtime& runtime, RegisterClient& registers,
                                            ConfigurationSurroundings surroundings)
-    : runtime_(runtime), registers_(registers), surroundings_(std::move(surroundings)) {}
+    : runtime_(runtime),
+      registers_(registers),
+      members_read_snapshots_(surroundings.members_read_snapshots),
+      snapshots_(registers, surroundings.local_registers),
+      watchers_(runtime, state_, watched(surroundings)) {}
+
+// ---------------------------------------------------------------- changes
 
 void ConfigurationService::put(const std::optional<std::string>& base, std::string body, ChangeDone done) {
   change(ConfigurationChangeKind::put, base, std::move(body), std::move(done));
@@ -41,7 +48,11 @@
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(read, read_change(kind, base, std::move(body)));
-        propose(std::move(read), std::move(done));
+        const auto proposal = std::make_shared<Proposal>();
+        proposal->change = std::move(read);
+        proposal->done = std::move(done);
+        proposal->end = runtime_.now() + kQuorumTimeout;
+        propose(proposal);
         return {};
       },
       [&](const InvalidInput& error) { refuse(error); },
@@ -50,86 +61,93 @@
       });
 }
 
-void ConfigurationService::propose(ConfigurationChange change, ChangeDone done) {
-  const auto proposed = std::make_shared<const ConfigurationChange>(std::move(change));
-  const auto outcome = std::make_shared<ConfigurationOutcome>();
-  const RegisterChange compute = [proposed,
-                                  outcome](const std::string& current) -> std::optional<std::string> {
-    ChangeResult result = apply_change(*proposed, read_record(current));
-    *outcome = std::move(result.outcome);
-    if (!result.record) return std::nullopt;
-    return result.record->SerializeAsString();
-  };
-  const auto finish = [this, outcome, done = std::move(done)](const std::optional<RegisterValue>& chosen) {
-    if (!chosen) return done(ConfigurationOutcome{});
-    on_register_value(*chosen);
-    done(*outcome);
-  };
-  registers_.update(kConfigurationRegister, compute, kQuorumTimeout, finish);
-}
-
-void ConfigurationService::get(ReadDone done) {
-  const RegisterChange keep = [](const std::string&) { return std::nullopt; };
-  const auto finish = [this, done = std::move(done)](const std::optional<RegisterValue>& chosen) {
-    if (!chosen) return done(ConfigurationRead{});
-    on_register_value(*chosen);
-    wire::ConfigurationRecord record = read_record(chosen->value);
-    if (record.version() == 0) return done(ConfigurationRead{ConfigurationReadKind::missing, 0, {}});
-    done(ConfigurationRead{ConfigurationReadKind::found, record.version(), record.json()});
-  };
-  registers_.update(kConfigurationRegister, keep, kQuorumTimeout, finish);
+Millis ConfigurationService::left(const Proposal& proposal) const {
+  const auto left = std::chrono::duration_cast<Millis>(proposal.end - runtime_.now());
+  return std::max(left, Millis(0));
 }
 
-void ConfigurationService::on_register_value(const RegisterValue& value) {
-  const wire::ConfigurationRecord record = read_record(value.value);
-  if (record.version() > newest_version()) take_newest(record);
+void ConfigurationService::propose(const ProposalPtr& proposal) {
+  if (left(*proposal) == Millis(0)) return proposal->done(ConfigurationOutcome{});
+  registers_.update(
+      kConfigurationRegister,
+      [this, proposal](const std::string& current) { return compute(*proposal, current); }, left(*proposal),
+      [this, proposal](const std::optional<RegisterValue>& chosen) { proposed(proposal, chosen); });
 }
 
-void ConfigurationService::take_newest(const wire::ConfigurationRecord& record) {
-  const bool taken = leaf::try_handle_all(
-      [&]() -> leaf::result<bool> {
-        BOOST_LEAF_AUTO(configuration, parse_configuration(record.json(), kConfigurationRegister));
-        newest_ = std::move(configuration);
-        return true;
-      },
-      [] { return false; });  // made by a version of the program that allows more
-  if (!taken) return;
-  items_.apply(items_.difference_to(newest_->version, items_of(*newest_)));
-  if (listener_) listener_(*newest_);
-  answer_watchers();
-}
-
-std::uint64_t ConfigurationService::leaders_digest() const {
-  std::vector<wire::ShardLeader> leaders = surroundings_.leaders();
-  std::sort(leaders.begin(), leaders.end(),
-            [](const wire::ShardLeader& left, const wire::ShardLeader& right) {
-              return left.shard() < right.shard();
-            });
-  Digest digest;
-  for (const wire::ShardLeader& leader : leaders) {
-    digest.add(leader.shard());
-    digest.add(leader.epoch());
-    digest.add(leader.address());
+// The next value of the register; none: the outcome is certain, or something is lacking.
+std::optional<std::string> ConfigurationService::compute(Proposal& proposal,
+                                                         const std::string& current) const {
+  proposal.lack = Lack::nothing;
+  proposal.found = read_record(current);
+  const std::optional<ConfigurationOutcome> certain = outcome_without_base(proposal.change, proposal.found);
+  if (certain) {
+    proposal.outcome = *certain;
+    return std::nullopt;
   }
-  for (const wire::Member& member : surroundings_.members()) {
-    digest.add(member.id());
-    digest.add(member.address());
+  const bool first = proposal.found.version() == 0;
+  if (!first && !state_.is_at(proposal.found)) {
+    proposal.lack = Lack::base;
+    return std::nullopt;
+  }
+  ChangeResult result = apply_change(proposal.change, proposal.found, first ? nullptr : &state_.document(),
+                                     members_read_snapshots_());
+  proposal.outcome = result.outcome;
+  if (!result.record) return std::nullopt;
+  if (result.snapshot && !proposal.written.contains(result.record->snapshot().digest())) {
+    proposal.lack = Lack::snapshot;
+    proposal.snapshot = std::move(*result.snapshot);
+    return std::nullopt;
+  }
+  return result.record->SerializeAsString();
+}
+
+void ConfigurationService::proposed(const ProposalPtr& proposal, const std::optional<RegisterValue>& chosen) {
+  if (!chosen) return proposal->done(ConfigurationOutcome{});
+  on_register_value(*chosen);
+  switch (proposal->lack) {
+    case Lack::nothing:
+      return proposal->done(proposal->outcome);
+    case Lack::base:
+      return when_at(proposal->found.version(), left(*proposal), [this, proposal](bool reached) {
+        reached ? propose(proposal) : proposal->done(ConfigurationOutcome{});
+      });
+    case Lack::snapshot:
+      return write_snapshot(proposal);
   }
-  return digest.value();
 }
 
-void ConfigurationService::watch(const wire::ConfigurationWatch& request, Replier reply) {
-  const Millis wait = std::min(Millis(request.wait_ms()), kLongestWatch);
-  Watcher watcher{request, std::move(reply), runtime_.now() + wait};
-  const std::uint64_t digest = leaders_digest();
-  if (due(watcher, digest)) return answer(watcher, digest);
-  watchers_.push_back(std::move(watcher));
-  if (!check_timer_) schedule_check();
+void ConfigurationService::write_snapshot(const ProposalPtr& proposal) {
+  const wire::ConfigurationSnapshotId id =
+      ConfigurationSnapshots::id_of(proposal->change.version, proposal->snapshot);
+  snapshots_.write(id, std::exchange(proposal->snapshot, {}), left(*proposal),
+                   [this, proposal, id](bool written) {
+                     if (!written) return proposal->done(ConfigurationOutcome{});
+                     proposal->written.insert(id.digest());
+                     propose(proposal);
+                   });
+}
+
+// ---------------------------------------------------------------- reads
+
+void ConfigurationService::get(ReadDone done) {
+  const RegisterChange keep = [](const std::string&) { return std::nullopt; };
+  const TimePoint end = runtime_.now() + kQuorumTimeout;
+  const auto finish = [this, end, done = std::move(done)](const std::optional<RegisterValue>& chosen) {
+    if (!chosen) return done(ConfigurationRead{});
+    on_register_value(*chosen);
+    const std::uint64_t version = read_record(chosen->value).version();
+    if (version == 0) return done(ConfigurationRead{ConfigurationReadKind::missing, 0, {}});
+    when_at(version, std::chrono::duration_cast<Millis>(end - runtime_.now()), [this, done](bool reached) {
+      if (!reached) return done(ConfigurationRead{});
+      done(ConfigurationRead{ConfigurationReadKind::found, state_.version(), state_.json()});
+    });
+  };
+  registers_.update(kConfigurationRegister, keep, kQuorumTimeout, finish);
 }
 
 bool ConfigurationService::handle(const wire::Envelope& request, const Replier& reply) {
   if (request.has_configuration_watch()) {
-    watch(request.configuration_watch(), reply);
+    watchers_.watch(request.configuration_watch(), reply);
     return true;
   }
   if (request.has_configuration_fetch()) {
@@ -139,54 +157,70 @@
   return false;
 }
 
-void ConfigurationService::stop() {
-  check_timer_.reset();
-  const std::uint64_t digest = leaders_digest();
-  std::list<Watcher> open;
-  open.swap(watchers_);
-  for (const Watcher& watcher : open) answer(watcher, digest);
-}
-
-bool ConfigurationService::due(const Watcher& watcher, std::uint64_t digest) const {
-  return newest_version() > watcher.request.version() || digest != watcher.request.leaders_digest() ||
-         runtime_.now() >= watcher.end;
-}
-
-void ConfigurationService::answer(const Watcher& watcher, std::uint64_t digest) const {
-  wire::Envelope envelope;
-  wire::ConfigurationUpdate& update = *envelope.mutable_configuration_update();
-  update.set_version(newest_version());
-  const bool sent_whole = !watcher.request.fetches() && newest_version() > watcher.request.version();
-  if (sent_whole) update.set_configuration(newest_->json);
-  for (const wire::ShardLeader& leader : surroundings_.leaders()) *update.add_leaders() = leader;
-  for (const wire::Member& member : surroundings_.members()) *update.add_members() = member;
-  update.set_leaders_digest(digest);
-  update.set_in_touch(surroundings_.in_touch());
-  watcher.reply(std::move(envelope));
-}
-
-void ConfigurationService::answer_watchers() {
-  if (watchers_.empty()) return;
-  const std::uint64_t digest = leaders_digest();
-  for (auto watcher = watchers_.begin(); watcher != watchers_.end();) {
-    if (!due(*watcher, digest)) {
-      ++watcher;
-      continue;
-    }
-    const Watcher answered = std::move(*watcher);
-    watcher = watchers_.erase(watcher);
-    answer(answered, digest);
+// ---------------------------------------------------------------- chosen records
+
+void ConfigurationService::on_register_value(const RegisterValue& value) { take(read_record(value.value)); }
+
+void ConfigurationService::take(const wire::ConfigurationRecord& record) {
+  switch (state_.take(record)) {
+    case RecordOutcome::taken:
+      snapshots_.drop_unneeded(record);
+      return on_newer();
+    case RecordOutcome::snapshot_needed:
+      if (!wanted_ || wanted_->version() < record.version()) wanted_ = record;
+      if (!fetching_ && !fetch_timer_) fetch_snapshot(*wanted_);
+      return;
+    case RecordOutcome::not_newer:
+    case RecordOutcome::unreadable:
+      return;
   }
 }
 
-void ConfigurationService::schedule_check() {
-  check_timer_ = runtime_.after(kLeadersCheckInterval, [this] {
-    answer_watchers();
-    if (watchers_.empty()) {
-      check_timer_.reset();
-    } else {
-      schedule_check();
-    }
+void ConfigurationService::fetch_snapshot(const wire::ConfigurationRecord& record) {
+  fetch_timer_.reset();
+  fetching_ = true;
+  const wire::ConfigurationSnapshotId id = record.snapshot();
+  snapshots_.read(id, kQuorumTimeout, [this, id](const std::optional<std::string>& json) {
+    const bool still_wanted = wanted_ && wanted_->snapshot().digest() == id.digest();
+    fetched(still_wanted ? json : std::nullopt);
+  });
+}
+
+// A snapshot that was not found has been replaced, or no majority answered: the newest record known is tried
+// again.
+void ConfigurationService::fetched(const std::optional<std::string>& json) {
+  fetching_ = false;
+  if (!wanted_) return;
+  const wire::ConfigurationRecord record = *std::exchange(wanted_, std::nullopt);
+  if (json && state_.take(record, *json) == RecordOutcome::taken) {
+    snapshots_.drop_unneeded(record);
+    return on_newer();
+  }
+  if (record.version() <= state_.version()) return;
+  wanted_ = record;
+  fetch_timer_ = runtime_.after(kSnapshotRetry, [this] { fetch_snapshot(*wanted_); });
+}
+
+void ConfigurationService::on_newer() {
+  if (listener_) listener_(*state_.configuration());
+  watchers_.check();
+  std::list<Waiting> reached;
+  for (auto next = waiting_.begin(); next != waiting_.end();) {
+    const auto waiting = next++;
+    if (waiting->version <= state_.version()) reached.splice(reached.end(), waiting_, waiting);
+  }
+  for (const Waiting& waiting : reached) waiting.done(true);
+}
+
+void ConfigurationService::when_at(std::uint64_t version, Millis limit,
+                                   std::function<void(bool reached)> done) {
+  if (state_.version() >= version) return done(true);
+  waiting_.push_back({version, std::move(done), nullptr});
+  const auto waiting = std::prev(waiting_.end());
+  waiting->timer = runtime_.after(std::max(limit, Millis(1)), [this, waiting] {
+    const auto given_up = std::move(waiting->done);
+    waiting_.erase(waiting);
+    given_up(false);
   });
 }
 
--- /dev/null
+++ b/src/cluster/control/configuration_state.cpp
@@ -0,0 +1,100 @@
+#include "cluster/control/configuration_state.hpp"
+
+#include <algorithm>
+
+#include "cluster/delivery/configuration_items.hpp"
+
+namespace winchhall::cluster {
+
+namespace {
+
+constexpr const char* kSource = "configuration";
+
+bool same_snapshot(const wire::ConfigurationSnapshotId& left, const wire::ConfigurationSnapshotId& right) {
+  return left.version() == right.version() && left.digest() == right.digest();
+}
+
+std::string last_change_of(const wire::ConfigurationRecord& record) {
+  return record.applied_size() == 0 ? std::string() : record.applied(record.applied_size() - 1).digest();
+}
+
+}  // namespace
+
+const Configuration* ConfigurationState::configuration() const {
+  return document_ ? &document_->configuration() : nullptr;
+}
+
+bool ConfigurationState::is_at(const wire::ConfigurationRecord& record) const {
+  return record.version() == version_ && last_change_of(record) == last_change_;
+}
+
+RecordOutcome ConfigurationState::take(const wire::ConfigurationRecord& record) {
+  if (record.version() <= version_) return RecordOutcome::not_newer;
+  if (!record.has_snapshot()) return read_whole(record, record.json());
+  if (!builds_on_this(record)) return RecordOutcome::snapshot_needed;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<RecordOutcome> {
+        for (const wire::ConfigurationPatchEntry& patch : record.patches()) {
+          if (patch.version() > version_) BOOST_LEAF_CHECK(apply_patch(patch));
+        }
+        note_taken(record);
+        return RecordOutcome::taken;
+      },
+      [&] {
+        give_up_document();
+        return RecordOutcome::snapshot_needed;
+      });
+}
+
+RecordOutcome ConfigurationState::take(const wire::ConfigurationRecord& record, const std::string& json) {
+  if (record.version() <= version_) return RecordOutcome::not_newer;
+  return read_whole(record, json);
+}
+
+RecordOutcome ConfigurationState::read_whole(const wire::ConfigurationRecord& record,
+                                             const std::string& json) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<RecordOutcome> {
+        BOOST_LEAF_AUTO(document, ConfigurationDocument::read(json, kSource));
+        for (const wire::ConfigurationPatchEntry& entry : record.patches()) {
+          BOOST_LEAF_AUTO(patch, parse_patch(entry.body(), kSource));
+          BOOST_LEAF_AUTO(edit, document.check(patch, kSource));
+          document.apply(patch, std::move(edit));
+        }
+        document_ = std::move(document);
+        items_.apply(items_.difference_to(record.version(), items_of(document_->configuration())));
+        note_taken(record);
+        return RecordOutcome::taken;
+      },
+      [] { return RecordOutcome::unreadable; });
+}
+
+// True if the record has what is here, and patches to it.
+bool ConfigurationState::builds_on_this(const wire::ConfigurationRecord& record) const {
+  if (!document_ || !same_snapshot(record.snapshot(), snapshot_)) return false;
+  return version_ == snapshot_.version() ||
+         std::any_of(record.patches().begin(), record.patches().end(),
+                     [&](const auto& patch) { return patch.version() == version_; });
+}
+
+leaf::result<void> ConfigurationState::apply_patch(const wire::ConfigurationPatchEntry& entry) {
+  BOOST_LEAF_AUTO(patch, parse_patch(entry.body(), kSource));
+  BOOST_LEAF_AUTO(edit, document_->check(patch, kSource));
+  items_.apply(items_.difference_by(entry.version(), items_of(edit)));
+  document_->apply(patch, std::move(edit));
+  version_ = entry.version();
+  return {};
+}
+
+void ConfigurationState::note_taken(const wire::ConfigurationRecord& record) {
+  version_ = record.version();
+  last_change_ = last_change_of(record);
+  snapshot_ = record.snapshot();
+}
+
+void ConfigurationState::give_up_document() {
+  last_change_.clear();
+  snapshot_.Clear();
+}
+
+}  // namespace winchhall::cluster
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -9,7 +9,9 @@
 constexpr Millis kReleaseTime{150};  // for the last answers and the release of the leases to leave
 constexpr Millis kSummaryInterval{5000};
 
-ConfigurationSurroundings surroundings_of(const ControlGroup& group) {
+}  // namespace
+
+ConfigurationSurroundings surroundings_of(ControlGroup& group) {
   ConfigurationSurroundings surroundings;
   surroundings.leaders = [&group] { return group.leaders(); };
   surroundings.members = [&group] {
@@ -17,11 +19,14 @@
     return std::vector<wire::Member>(members.begin(), members.end());
   };
   surroundings.in_touch = [&group] { return group.in_touch(); };
+  surroundings.members_read_snapshots = [&group] { return group.members_read_snapshots(); };
+  surroundings.local_registers.chosen = [&group](const std::string& key) { return group.chosen_here(key); };
+  surroundings.local_registers.drop = [&group](const std::function<bool(const std::string&)>& unneeded) {
+    group.drop_registers(unneeded);
+  };
   return surroundings;
 }
 
-}  // namespace
-
 ControlNode::ControlNode(Runtime& runtime, DurableStore& store, const NodeSettings& settings)
     : runtime_(runtime),
       settings_(settings),
--- a/src/cluster/control/control_node.hpp
+++ b/src/cluster/control/control_node.hpp
@@ -13,6 +13,9 @@
 
 namespace winchhall::cluster {
 
+// What the configuration service needs of the group on its node.
+ConfigurationSurroundings surroundings_of(ControlGroup& group);
+
 class ControlNode {
  public:
   // All references outlive the node.
--- a/src/cluster/delivery/configuration_items.cpp
+++ b/src/cluster/delivery/configuration_items.cpp
@@ -46,6 +46,14 @@
   return item_of(wire::CONFIGURATION_LIMITS, "", content);
 }
 
+wire::ConfigurationItem removed_item(wire::ConfigurationItemKind kind, const std::string& name) {
+  wire::ConfigurationItem item;
+  item.set_kind(kind);
+  item.set_name(name);
+  item.set_removed(true);
+  return item;
+}
+
 template <typename Content>
 leaf::result<Content> read_content(const wire::ConfigurationItem& item) {
   Content content;
@@ -64,6 +72,20 @@
   return items;
 }
 
+std::vector<wire::ConfigurationItem> items_of(const ConfigurationEdit& edit) {
+  std::vector<wire::ConfigurationItem> items;
+  for (const Service& service : edit.services) items.push_back(item_of(service));
+  for (const Route& route : edit.routes) items.push_back(item_of(route));
+  for (const std::string& name : edit.removed_services) {
+    items.push_back(removed_item(wire::CONFIGURATION_SERVICE, name));
+  }
+  for (const std::string& name : edit.removed_routes) {
+    items.push_back(removed_item(wire::CONFIGURATION_ROUTE, name));
+  }
+  if (edit.limits) items.push_back(item_of(*edit.limits));
+  return items;
+}
+
 leaf::result<Route> read_route_item(const wire::ConfigurationItem& item) {
   BOOST_LEAF_AUTO(content, read_content<wire::RouteItem>(item));
   Route route;
--- a/src/cluster/delivery/configuration_items.hpp
+++ b/src/cluster/delivery/configuration_items.hpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "cluster/common/errors.hpp"
-#include "cluster/config/configuration.hpp"
+#include "cluster/config/editable_configuration.hpp"
 #include "cluster/wire/cluster.pb.h"
 
 namespace winchhall::cluster {
@@ -12,6 +12,9 @@
 // All items of a configuration, in its order.
 std::vector<wire::ConfigurationItem> items_of(const Configuration& configuration);
 
+// The items that an edit puts in or takes out.
+std::vector<wire::ConfigurationItem> items_of(const ConfigurationEdit& edit);
+
 // What an item that is not removed holds. Errors: InvalidInput, where it can't be read.
 leaf::result<Route> read_route_item(const wire::ConfigurationItem& item);
 leaf::result<Service> read_service_item(const wire::ConfigurationItem& item);
--- a/src/cluster/delivery/configuration_replica.hpp
+++ b/src/cluster/delivery/configuration_replica.hpp
@@ -2,23 +2,15 @@
 // Brought from version to version by differences; never to an older one.
 #pragma once
 
-#include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "cluster/common/errors.hpp"
-#include "cluster/config/configuration.hpp"
+#include "cluster/config/editable_configuration.hpp"
 #include "cluster/delivery/item_table.hpp"
 
 namespace winchhall::cluster {
 
-// A route that a difference has added (no `before`), changed, or removed (no `after`).
-struct RouteChange {
-  std::optional<Route> before;
-  std::optional<Route> after;
-};
-
 // How taking up a difference has ended.
 enum class TakeOutcome {
   taken,
@@ -36,33 +28,19 @@
   std::uint64_t version() const { return table_.id().version; }
   const ItemTable& table() const { return table_; }
   // Null before the first version. Valid until the next one is taken.
-  const Configuration* configuration() const { return version() == 0 ? nullptr : &configuration_; }
+  const Configuration* configuration() const {
+    return version() == 0 ? nullptr : &configuration_.configuration();
+  }
   // What the last difference taken has changed.
   const std::vector<RouteChange>& last_route_changes() const { return last_route_changes_; }
 
  private:
-  // The items of a difference, read.
-  struct Edit {
-    std::vector<Route> routes;
-    std::vector<std::string> removed_routes;
-    std::vector<Service> services;
-    std::vector<std::string> removed_services;
-    std::optional<RequestLimits> limits;
-  };
-
   TakeOutcome take_fitting(const wire::ConfigurationDifference& difference);
-  static leaf::result<Edit> read(const wire::ConfigurationDifference& difference);
-  static leaf::result<void> read_item(const wire::ConfigurationItem& item, Edit& edit);
-  bool collides(const Edit& edit) const;
-  void carry_out(Edit edit);
-  void remove_route(const std::string& name);
-  void add_route(Route route);
-  void remove_service(const std::string& name);
-  void put_service(Service service);
+  static leaf::result<ConfigurationEdit> read(const wire::ConfigurationDifference& difference);
+  static leaf::result<void> read_item(const wire::ConfigurationItem& item, ConfigurationEdit& edit);
 
   ItemTable table_;
-  Configuration configuration_;
-  std::unordered_map<std::string, std::size_t> positions_;  // of the routes, by name
+  EditableConfiguration configuration_;
   std::vector<RouteChange> last_route_changes_;
 };
 
--- a/src/cluster/delivery/item_table.cpp
+++ b/src/cluster/delivery/item_table.cpp
@@ -102,6 +102,17 @@
   return difference;
 }
 
+wire::ConfigurationDifference ItemTable::difference_by(std::uint64_t version,
+                                                       std::vector<wire::ConfigurationItem> changes) const {
+  wire::ConfigurationDifference difference;
+  difference.set_base_version(id_.version);
+  difference.set_base_digest(id_.digest);
+  difference.set_version(version);
+  for (wire::ConfigurationItem& item : changes) *difference.add_items() = std::move(item);
+  difference.set_digest(digest_after(difference));
+  return difference;
+}
+
 bool ItemTable::held_before(const ConfigurationId& base) const {
   if (base.version == 0) return false;
   const auto older = [](const ConfigurationId& one, std::uint64_t version) { return one.version < version; };
--- a/src/cluster/delivery/item_table.hpp
+++ b/src/cluster/delivery/item_table.hpp
@@ -48,6 +48,9 @@
   // What makes `version`, given whole, of what is held.
   wire::ConfigurationDifference difference_to(std::uint64_t version,
                                               std::vector<wire::ConfigurationItem> items) const;
+  // What makes `version` of what is held by putting these items in or taking them out.
+  wire::ConfigurationDifference difference_by(std::uint64_t version,
+                                              std::vector<wire::ConfigurationItem> changes) const;
   // What makes the version held of an earlier one; the whole configuration if `base` was never held here or
   // is too long ago.
   wire::ConfigurationDifference difference_from(const ConfigurationId& base) const;
