Drop the specs of ended jobs from their records once the end is durable

Change: once a job's end is durable its record keeps id, queue and times only; not before, as a leader that found neither spec nor end would take the job for one with nothing to do.

--- a/src/cluster/scheduler/job_lifecycle.cpp
+++ b/src/cluster/scheduler/job_lifecycle.cpp
@@ -91,7 +91,8 @@
     state_.awaiting.pop_front();
     if (job == nullptr) continue;
     if (job->final()) {
-      job->shown = job->shown || state_.records.is_durable(std::max(number, job->last_change));
+      const bool end_durable = state_.records.is_durable(std::max(number, job->last_change));
+      if (end_durable && !job->shown) note_shown(*job);
     } else if (!job->durable) {
       job->durable = true;
       open_due(*job);
@@ -99,6 +100,13 @@
   }
 }
 
+// The job's spec is dropped from its record only now: a leader that found the record without a spec and
+// without the end would take the job for one that had nothing to do.
+void JobLifecycle::note_shown(Job& job) {
+  job.shown = true;
+  state_.records.put(RecordLog::job_key(job.id), encode_ended_job(job));
+}
+
 std::int64_t JobLifecycle::due_wall_ms(const Job& job, std::uint32_t repeat) const {
   if (job.spec.repeat_count() == 0) return job.accepted_wall_ms;
   return static_cast<std::int64_t>(job.spec.start_at_ms() + repeat * job.spec.interval_ms());
--- a/src/cluster/scheduler/job_lifecycle.hpp
+++ b/src/cluster/scheduler/job_lifecycle.hpp
@@ -26,6 +26,7 @@
   void count_failure(StageInstance& stage, Task& task, RunNumber run);
   // The job's progress must become durable.
   void note_progress(Job& job);
+  void note_shown(Job& job);
 
  private:
   std::int64_t due_wall_ms(const Job& job, std::uint32_t repeat) const;
--- a/src/cluster/scheduler/records.cpp
+++ b/src/cluster/scheduler/records.cpp
@@ -83,6 +83,14 @@
   return record.SerializeAsString();
 }
 
+std::string encode_ended_job(const Job& job) {
+  wire::JobRecord record;
+  record.set_id(job.id);
+  *record.mutable_terms() = job.terms;
+  record.set_accepted_wall_ms(job.accepted_wall_ms);
+  return record.SerializeAsString();
+}
+
 std::string encode_progress(const Job& job) {
   wire::ProgressRecord record;
   record.set_id(job.id);
--- a/src/cluster/scheduler/records.hpp
+++ b/src/cluster/scheduler/records.hpp
@@ -16,6 +16,8 @@
 inline constexpr std::uint32_t kEvery = 0xffffffff;
 
 std::string encode_job(const Job& job);
+// The record of a job that has ended, once that is durable: without its spec, which nothing needs any more.
+std::string encode_ended_job(const Job& job);
 std::string encode_progress(const Job& job);
 std::string encode_worker(const std::string& leaf_id, const std::string& node);
 
--- a/tests/cluster/configuration_service_test.cpp
+++ b/tests/cluster/configuration_service_test.cpp
@@ -300,6 +300,25 @@
   CHECK(get().version == 9);
 }
 
+TEST_CASE_METHOD(ServiceFixture, "a node that lags judges a change by the version that it builds on") {
+  ConfigurationService other(
+      runtime, registers,
+      ConfigurationSurroundings{[] { return std::vector<wire::ShardLeader>(); },
+                                [] { return std::vector<wire::Member>(); }, [] { return true; }});
+  put("0", small_configuration(5));
+  other.get([](const ConfigurationRead&) {});
+  registers.carry_out_all();
+  REQUIRE(other.newest() != nullptr);
+  patch("5", route_patch(7, "r-30"));
+  const std::string same_prefix = R"({"version":9,"upsert":{"routes":[)" + route_json("r-31", "r-30") + "]}}";
+  ConfigurationOutcome outcome;
+  other.patch("7", same_prefix, [&](const ConfigurationOutcome& result) { outcome = result; });
+  registers.carry_out_all();
+  CHECK(outcome.kind == Outcome::invalid);
+  CHECK(outcome.error.field == "upsert.routes[0].path_prefix");
+  CHECK(get().version == 7);
+}
+
 TEST_CASE_METHOD(ServiceFixture, "no record names a snapshot that no majority has") {
   ConfigurationOutcome outcome;
   service.put("0", small_configuration(5), [&](const ConfigurationOutcome& result) { outcome = result; });
