Hold elections before the configuration is read after a start; read undecided values anew

Cause: with 3,000 routes a control node reads its configuration for 0.35 s after a start, and services were opened only then: the lease came 0.7 s after a loss of power. And a version that was acknowledged by a node that lost its disk right then (31.24 s) was known to the others only at 32.9 s: they had accepted it and never heard that it was chosen. Change: services that have a shard on disk are opened at the start, the configuration is read 0.4 s later. A value that was accepted and stays undecided for a whole tick is read through a majority. Both have tests that fail without them.

--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -304,6 +304,12 @@
   reply(std::move(answer));
 }
 
+std::vector<std::string> ControlGroup::stored_shards() const {
+  std::vector<std::string> shards;
+  for (const auto& [shard, replica] : acceptor_.shards().replicas()) shards.push_back(shard);
+  return shards;
+}
+
 std::optional<std::string> ControlGroup::chosen_here(const std::string& key) const {
   std::optional<RegisterValue> value = acceptor_.registers().chosen(key);
   if (!value) return std::nullopt;
@@ -331,10 +337,22 @@
   const std::optional<RegisterValue> known = acceptor_.registers().chosen(kConfigurationRegister);
   const wire::Ballot known_ballot = known ? known->ballot : wire::Ballot();
   if (is_lower(known_ballot, newest_configuration_)) to_refresh_.insert(kConfigurationRegister);
+  refresh_undecided();
   if (!touch) return;
   for (const std::string& key : std::exchange(to_refresh_, {})) refresh(key);
 }
 
+// A value that stays undecided for a whole tick may have been acknowledged by a proposer that is gone before
+// it told anybody that the value was chosen.
+void ControlGroup::refresh_undecided() {
+  for (const std::shared_ptr<Watch>& watch : watches_) {
+    const wire::Ballot undecided = acceptor_.registers().undecided(watch->key);
+    const bool stays = is_set(undecided) && same_ballot(undecided, watch->undecided);
+    if (stays) to_refresh_.insert(watch->key);
+    watch->undecided = undecided;
+  }
+}
+
 void ControlGroup::refresh(const std::string& key) {
   if (!refreshing_.insert(key).second) return;
   const auto leave_as_it_is = [](const std::string&) { return std::nullopt; };
--- a/src/cluster/consensus/control_group.hpp
+++ b/src/cluster/consensus/control_group.hpp
@@ -57,6 +57,9 @@
   // Every member has said that it reads configuration records with snapshots.
   bool members_read_snapshots() const;
 
+  // Names of the shards that this node keeps a replica of.
+  std::vector<std::string> stored_shards() const;
+
   // Newest member record known; epoch 0: none yet.
   const wire::MemberRecord& members() const { return record_; }
   // Leases in force as far as known here.
@@ -72,6 +75,7 @@
     std::string key;
     RegisterWatch on_newer;
     std::optional<std::string> told;
+    wire::Ballot undecided;  // at the last tick
   };
   class OpenShard;
 
@@ -121,6 +125,7 @@
   void handle_state_pull(const wire::StatePull& pull, const Replier& reply);
   void tell(Watch& watch, const RegisterValue& value);
   void refresh_registers();
+  void refresh_undecided();
   void refresh(const std::string& key);
 
   Runtime& runtime_;
--- a/src/cluster/consensus/register_acceptor.cpp
+++ b/src/cluster/consensus/register_acceptor.cpp
@@ -109,6 +109,12 @@
   return known->second;
 }
 
+wire::Ballot RegisterAcceptor::undecided(const std::string& key) const {
+  const auto state = states_.find(key);
+  const bool open = state != states_.end() && is_lower(state->second.chosen(), state->second.accepted());
+  return open ? state->second.accepted() : wire::Ballot();
+}
+
 void RegisterAcceptor::merge(const std::string& key, const wire::RegisterState& other, StoreBatch& batch) {
   wire::RegisterState& state = states_[key];
   if (is_lower(state.promised(), other.promised())) *state.mutable_promised() = other.promised();
--- a/src/cluster/consensus/register_acceptor.hpp
+++ b/src/cluster/consensus/register_acceptor.hpp
@@ -33,6 +33,9 @@
   // The newest value known to be chosen; none: never heard of one.
   std::optional<RegisterValue> chosen(const std::string& key) const;
 
+  // Ballot of a value that was accepted here and isn't known to be chosen; counter 0: there is none.
+  wire::Ballot undecided(const std::string& key) const;
+
   const std::map<std::string, wire::RegisterState>& states() const { return states_; }
   // Adds what another acceptor holds, for a newcomer; the changes are appended to `batch`.
   void merge(const std::string& key, const wire::RegisterState& other, StoreBatch& batch);
--- a/src/cluster/control/configuration_service.cpp
+++ b/src/cluster/control/configuration_service.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 ConfigurationService::ConfigurationService(Runtime& runtime, RegisterClient& registers,
-                                           ConfigurationSurroundings surroundings)
+                                           const ConfigurationSurroundings& surroundings)
     : runtime_(runtime),
       registers_(registers),
       members_read_snapshots_(surroundings.members_read_snapshots),
@@ -179,11 +179,11 @@
 void ConfigurationService::fetch_snapshot(const wire::ConfigurationRecord& record) {
   fetch_timer_.reset();
   fetching_ = true;
-  const wire::ConfigurationSnapshotId id = record.snapshot();
-  snapshots_.read(id, kQuorumTimeout, [this, id](const std::optional<std::string>& json) {
-    const bool still_wanted = wanted_ && wanted_->snapshot().digest() == id.digest();
+  const auto take_copy = [this, digest = record.snapshot().digest()](const std::optional<std::string>& json) {
+    const bool still_wanted = wanted_ && wanted_->snapshot().digest() == digest;
     fetched(still_wanted ? json : std::nullopt);
-  });
+  };
+  snapshots_.read(record.snapshot(), kQuorumTimeout, take_copy);
 }
 
 // A snapshot that was not found has been replaced, or no majority answered: the newest record known is tried
--- a/src/cluster/control/configuration_service.hpp
+++ b/src/cluster/control/configuration_service.hpp
@@ -50,7 +50,8 @@
   using NewestListener = std::function<void(const Configuration&)>;
 
   // All references outlive the service.
-  ConfigurationService(Runtime& runtime, RegisterClient& registers, ConfigurationSurroundings surroundings);
+  ConfigurationService(Runtime& runtime, RegisterClient& registers,
+                       const ConfigurationSurroundings& surroundings);
 
   // Changes the configuration. `base`: text of the header X-Winchhall-Base-Version; none: not sent. `done` is
   // called once, perhaps from within this call; `unavailable` after at most 3.5 s.
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -8,6 +8,9 @@
 
 constexpr Millis kReleaseTime{150};  // for the last answers and the release of the leases to leave
 constexpr Millis kSummaryInterval{5000};
+// After a start, services that were led here or elsewhere find a leader before the configuration is read:
+// reading thousands of routes keeps a small machine busy for as long as an election takes.
+constexpr Millis kElectionsFirst{400};
 
 }  // namespace
 
@@ -37,18 +40,30 @@
 
 void ControlNode::start() {
   configuration_.set_listener([this](const Configuration& configuration) { open_services(configuration); });
-  group_.watch_register(kConfigurationRegister,
-                        [this](const RegisterValue& value) { configuration_.on_register_value(value); });
   group_.start();
+  const std::vector<std::string> services = services_of(group_.stored_shards());
+  for (const std::string& service : services) open_service(service);
+  if (services.empty()) {
+    watch_configuration();
+  } else {
+    watch_timer_ = runtime_.after(kElectionsFirst, [this] { watch_configuration(); });
+  }
   schedule_summary();
 }
 
+void ControlNode::watch_configuration() {
+  group_.watch_register(kConfigurationRegister,
+                        [this](const RegisterValue& value) { configuration_.on_register_value(value); });
+}
+
+void ControlNode::open_service(const std::string& service) {
+  std::unique_ptr<ServiceLeader>& leader = services_[service];
+  if (!leader) leader = std::make_unique<ServiceLeader>(runtime_, group_, settings_, service);
+}
+
 void ControlNode::open_services(const Configuration& configuration) {
   log_event(LogLevel::info, "configuration", {{"version", static_cast<std::int64_t>(configuration.version)}});
-  for (const Service& service : configuration.services) {
-    std::unique_ptr<ServiceLeader>& leader = services_[service.name];
-    if (!leader) leader = std::make_unique<ServiceLeader>(runtime_, group_, settings_, service.name);
-  }
+  for (const Service& service : configuration.services) open_service(service.name);
 }
 
 bool ControlNode::handle(const wire::Envelope& request, const Replier& reply) {
--- a/src/cluster/control/control_node.hpp
+++ b/src/cluster/control/control_node.hpp
@@ -36,7 +36,9 @@
   void shut_down(std::function<void()> done);
 
  private:
+  void open_service(const std::string& service);
   void open_services(const Configuration& configuration);
+  void watch_configuration();
   ServiceLeader* find_service(const std::string& service);
   void handle_job(const wire::JobRequest& request, const Replier& reply);
   void handle_report(const wire::WorkerReport& report, const Replier& reply);
@@ -51,6 +53,7 @@
   OperatorApi api_;
   std::unique_ptr<Timer> shut_down_timer_;
   std::unique_ptr<Timer> summary_timer_;
+  std::unique_ptr<Timer> watch_timer_;
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/control/service_leader.cpp
+++ b/src/cluster/control/service_leader.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+const std::string kShardPrefix = "service/";
 constexpr Millis kReportWait{300};  // a report without orders is answered after so long
 constexpr Millis kStepDelay{1};     // requests that come together are planned together
 constexpr Millis kTick{50};         // planning goes on without requests: due times, holds that end
@@ -32,7 +33,15 @@
 
 }  // namespace
 
-std::string shard_of_service(const std::string& service) { return "service/" + service; }
+std::string shard_of_service(const std::string& service) { return kShardPrefix + service; }
+
+std::vector<std::string> services_of(const std::vector<std::string>& shards) {
+  std::vector<std::string> services;
+  for (const std::string& shard : shards) {
+    if (shard.starts_with(kShardPrefix)) services.push_back(shard.substr(kShardPrefix.size()));
+  }
+  return services;
+}
 
 ServiceLeader::ServiceLeader(Runtime& runtime, ControlGroup& group, const NodeSettings& settings,
                              std::string service)
--- a/src/cluster/control/service_leader.hpp
+++ b/src/cluster/control/service_leader.hpp
@@ -16,6 +16,8 @@
 
 // Name of the shard that keeps a service's records.
 std::string shard_of_service(const std::string& service);
+// The services among shards.
+std::vector<std::string> services_of(const std::vector<std::string>& shards);
 
 class ServiceLeader {
  public:
--- a/src/cluster/delivery/difference_server.cpp
+++ b/src/cluster/delivery/difference_server.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint32_t kLeastPartBytes = 512;
+constexpr std::uint32_t kLeastPartAskedFor = 512;
 
 std::uint64_t digest_of_bytes(const std::string& bytes) {
   Digest digest;
@@ -24,7 +24,7 @@
   wire::ConfigurationPart& part = *envelope.mutable_configuration_part();
   part.set_version(table_.id().version);
   const Transfer* const known = find(fetch.transfer());
-  const std::uint32_t most_bytes = std::clamp(fetch.most_bytes(), kLeastPartBytes, kMostPartBytes);
+  const std::uint32_t most_bytes = std::clamp(fetch.most_bytes(), kLeastPartAskedFor, kMostPartBytes);
   if (known != nullptr) {
     part = part_of(*known, fetch.offset(), most_bytes);
   } else if (table_.id().version > fetch.version()) {
--- /dev/null
+++ b/tests/cluster/control_restart_test.cpp
@@ -0,0 +1,113 @@
+// Whole control nodes in a simulated world: what comes first after a start, and what a node that is gone
+// leaves behind.
+#include <catch2/catch.hpp>
+
+#include "cluster/control/control_node.hpp"
+#include "configuration_fixture.hpp"
+#include "consensus_fixture.hpp"
+
+using namespace winchhall::cluster;
+using namespace winchhall::cluster::sim;
+
+namespace {
+
+constexpr std::size_t kNodes = 3;
+
+struct ControlNodes {
+  SimWorld world;
+  std::vector<ControlNode*> nodes = std::vector<ControlNode*>(kNodes);
+  bool first_start = true;
+  bool words_of_choices_lost = false;  // of values that were chosen
+
+  explicit ControlNodes(std::uint64_t seed) : world(seed, SimTerms{}) {
+    for (std::size_t index = 0; index < kNodes; ++index) {
+      world.add_node(machine_ip(index) + ":7000", [this, index](SimNode& node) {
+        auto control =
+            std::make_shared<ControlNode>(node, node.store(), control_settings(index, first_start));
+        nodes[index] = control.get();
+        control->start();
+        return SimNode::Program{control,
+                                [this, control](const wire::Envelope& request, const Replier& reply) {
+                                  if (words_of_choices_lost && request.has_register_chosen()) return true;
+                                  return control->handle(request, reply);
+                                }};
+      });
+    }
+    start_all();
+    first_start = false;
+    world.run_for(Millis(3000));
+  }
+  ~ControlNodes() { crash_all(); }
+
+  void start_all() {
+    for (std::size_t index = 0; index < kNodes; ++index) world.node(index).start();
+  }
+  void crash_all() {
+    for (std::size_t index = 0; index < kNodes; ++index) {
+      if (world.node(index).running()) world.node(index).crash();
+    }
+  }
+  // Sends a configuration to one node; true once it was acknowledged.
+  std::shared_ptr<bool> put(std::size_t index, std::uint64_t version, std::uint64_t base) {
+    HttpRequest request{boost::beast::http::verb::post, "/v1/Config.Put", 11};
+    request.set("X-Winchhall-Base-Version", std::to_string(base));
+    request.body() = configuration_test::small_configuration(version);
+    auto acknowledged = std::make_shared<bool>(false);
+    nodes[index]->handle_http(request, [acknowledged](const HttpResponse& response) {
+      *acknowledged = response.result_int() == 200;
+    });
+    return acknowledged;
+  }
+  std::uint64_t version_at(std::size_t index) const {
+    return nodes[index]->inspection().status().configuration_version;
+  }
+  bool led(const std::string& service) const {
+    for (std::size_t index = 0; index < kNodes; ++index) {
+      if (nodes[index]->inspection().leadership(service).kind == LeadershipKind::here) return true;
+    }
+    return false;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("after a loss of power services are led again before the configuration is read") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    ControlNodes control(seed);
+    const auto acknowledged = control.put(0, 5, 0);
+    control.world.run_for(Millis(3000));
+    REQUIRE(*acknowledged);
+    REQUIRE(control.led("core"));
+    control.crash_all();
+    control.world.run_for(Millis(1500));
+    control.start_all();
+    Millis passed{0};
+    while (!control.led("core") && passed < Millis(3000)) {
+      control.world.run_for(Millis(5));
+      passed += Millis(5);
+    }
+    CAPTURE(seed, passed.count());
+    CHECK(passed < Millis(400));
+    for (std::size_t index = 0; index < kNodes; ++index) CHECK(control.version_at(index) == 0);
+    control.world.run_for(Millis(600));
+    for (std::size_t index = 0; index < kNodes; ++index) CHECK(control.version_at(index) == 5);
+  }
+}
+
+TEST_CASE("a version that was acknowledged by a node that is gone is known to the others within a second") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    ControlNodes control(seed);
+    control.put(0, 5, 0);
+    control.world.run_for(Millis(3000));
+    control.words_of_choices_lost = true;
+    const auto acknowledged = control.put(1, 7, 5);
+    while (!*acknowledged) control.world.run_for(Millis(1));
+    control.world.node(1).crash();
+    REQUIRE(control.version_at(0) == 5);
+    REQUIRE(control.version_at(2) == 5);
+    control.world.run_for(Millis(1000));
+    CAPTURE(seed);
+    CHECK(control.version_at(0) == 7);
+    CHECK(control.version_at(2) == 7);
+  }
+}
