--- a/tests/cluster/delivery_fetch_test.cpp
+++ b/tests/cluster/delivery_fetch_test.cpp
@@ -134,6 +134,28 @@
   CHECK(bytes_sent < size + 140'000);  // a part that was on its way comes twice
 }
 
+TEST_CASE_METHOD(FetchFixture, "a peer that restarts within a transfer begins its own one at once") {
+  bytes_a_second = 100'000;
+  add_holder("one");
+  operators.add_routes(20'000);
+  next({"one"});
+  offer({"one"});
+  runtime.run_for(Millis(400));
+  REQUIRE(replica.version() == 0);
+  holders["one"] = std::make_unique<Holder>();
+  operators.put(route_named("r-7", 7));
+  next({"one"});
+  offer({"one"});
+  const Millis changed = time_to_newest();
+  FetchFixture undisturbed;
+  undisturbed.bytes_a_second = bytes_a_second;
+  undisturbed.add_holder("one");
+  undisturbed.operators = operators;
+  undisturbed.next({"one"});
+  undisturbed.offer({"one"});
+  CHECK(changed <= undisturbed.time_to_newest() + Millis(300));
+}
+
 TEST_CASE_METHOD(FetchFixture, "another peer takes over where one falls silent") {
   add_holder("one");
   add_holder("two");
