Leave a state's revision and members of one moment to whoever takes over

Discovery::told raises the revision at once, the exchange takes the members up in its next run; a state that was left in between names the new revision with the old members, and the process that takes over asks for changes after it: it never hears of a drain that came with it. Change: the exchange keeps the revision with the members (list_revision), and the state takes both from it.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -266,7 +266,9 @@
   fill = [&](takeover::State& s) {
     s.phase = life.name();
     s.listens = front.listens();
-    s.revision = discovery ? discovery->revision() : 0;
+    // Of one moment: under a revision with the members of the one before, whoever takes over would never hear
+    // of what changed between.
+    s.revision = std::max(exchange.list_revision(), discovery ? config.known_revision : 0);
     s.members = exchange.members();
   };
   met = [&] {
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -128,8 +128,10 @@
   inbox_.push_back([this] { handle(ListMoved{}); });
 }
 
-void Exchange::list(ServerList::Kind kind, const std::vector<Member>& members, CallEnd end) {
-  inbox_.push_back([this, kind, members, end] {
+void Exchange::list(ServerList::Kind kind, const std::vector<Member>& members, CallEnd end,
+                    long long revision) {
+  inbox_.push_back([this, kind, members, end, revision] {
+    if (revision != 0) list_revision_ = revision;
     ServerList e{kind, {}, end};
     for (const Member& m : members) {
       auto [it, fresh] = servers_.try_emplace(m.entry.server);
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -182,9 +182,9 @@
   // Server side.
   void attempt_ended(AttemptNumber attempt, Result result);
   void probe_ended(const std::string& server, Outcome outcome, Millis elapsed, const Load& load);
-  // `end`, of a call that failed: how.
+  // `end`, of a call that failed: how. `revision` of the list that these members make; 0: it has none.
   void list(pewterrill::ServerList::Kind kind, const std::vector<Member>& members,
-            pewterrill::CallEnd end = pewterrill::CallEnd::failed);
+            pewterrill::CallEnd end = pewterrill::CallEnd::failed, long long revision = 0);
   void list_heard();  // the watch wrote something, if only its empty line
   void list_moved();  // the service is asked elsewhere from now on; the watch of before is void
   // The map from now on. Queries that are open are planned again where it touches them.
@@ -205,8 +205,9 @@
   std::size_t open_queries() const { return open_; }
   std::size_t attempts_out() const { return attempts_.size(); }
   std::size_t known_servers() const { return servers_.size(); }
-  std::vector<Member> members() const;                    // the list as it is held
-  std::size_t lists_told() const { return lists_told_; }  // to the module, failed calls included
+  std::vector<Member> members() const;                        // the list as it is held
+  long long list_revision() const { return list_revision_; }  // of that list; 0: none was told with one
+  std::size_t lists_told() const { return lists_told_; }      // to the module, failed calls included
   const ranges::RangeMap& map() const { return map_; }
 
   struct Moves {  // what moving ranges did to open queries since the start
@@ -287,6 +288,7 @@
   pewterrill::Coordinator coordinator_;
   Carrier* carrier_ = nullptr;
   MembershipSource* members_ = nullptr;
+  long long list_revision_ = 0;
   std::vector<std::function<void()>> inbox_;
   bool running_ = false;
   QueryNumber next_query_ = 1;
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -174,7 +174,8 @@
                  list.complete ? "servers, whole list" : "changes");
   }
   call.answered_ = true;
-  exchange_.list(list.complete ? Kind::complete : Kind::changes, list.members);
+  exchange_.list(list.complete ? Kind::complete : Kind::changes, list.members, CallEnd::failed,
+                 list.revision);
 }
 
 }  // namespace winchhall::platform
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -20,7 +20,6 @@
   void fetch() override;
   // From now on the service is asked there. What is held stays; a call that is open begins anew at once.
   void move(const std::string& address);
-  long long revision() const { return revision_; }  // of the list that is held
 
  private:
   class Call;
--- a/tests/core_stories.cpp
+++ b/tests/core_stories.cpp
@@ -88,6 +88,20 @@
   }
 }
 
+// A state left between the arrival of a list and its taking up would name a revision that its members don't
+// have.
+TEST_CASE("the list's revision rises when its members are taken up, not before") {
+  Desk d;
+  const std::size_t before = d.exchange.members().size();
+  d.exchange.list(pewterrill::ServerList::Kind::changes, {testing::member("c", 1, 0)},
+                  pewterrill::CallEnd::failed, 9);
+  CHECK(d.exchange.list_revision() == 0);
+  CHECK(d.exchange.members().size() == before);
+  d.exchange.run();
+  CHECK(d.exchange.list_revision() == 9);
+  CHECK(d.exchange.members().size() == before + 1);
+}
+
 TEST_CASE("what is over the limit is refused at once, with a time to come back") {
   pewterrill::Settings settings = testing::two_classes();
   settings.max_open = 5;
