Kill the store test's child at points of its work instead of after a time

Cause: the child was killed after 2 to 11 ms, so under sanitizers beside load it kept fewer sets than the last check wants. Change: the child ends itself at a system call of SQLite on the log, the database or the log's removal (before, halfway, after), or is killed by its parent once a drawn number of sets was acknowledged; each round checks the number of acknowledged sets, which sets they are, and that no more than one unacknowledged set is there.

--- a/tests/aggregator/dynamic_config/store_integration_test.cpp
+++ b/tests/aggregator/dynamic_config/store_integration_test.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <random>
 
 #include "aggregator/dynamic_config/digest.hpp"
@@ -189,31 +190,129 @@
   CHECK(o.store->newest_taken()->digest == kept(3).digest);
 }
 
+namespace {
+
+// How the writing child ends: by itself at a system call of SQLite on one of the store's files, or by a
+// signal of its parent at whatever it is doing then.
+enum class KillPoint { log_write, database_write, log_removal, by_parent };
+// Relative to the system call: not begun, half of its bytes written, completed.
+enum class KillStage { before, halfway, after };
+
+struct KillPlan {
+  KillPoint point;
+  KillStage stage;
+  int acknowledged_before;  // sets that are kept before the process may end
+};
+
+// State of the child alone: system calls of SQLite have no argument for it.
+std::optional<KillPlan> armed;
+
+[[noreturn]] void die() {
+  kill(getpid(), SIGKILL);
+  for (;;) pause();
+}
+
+bool is_file_of(int fd, KillPoint point) {
+  std::error_code error;
+  const std::string path = fs::read_symlink("/proc/self/fd/" + std::to_string(fd), error).string();
+  return path.ends_with(point == KillPoint::log_write ? "store.db-wal" : "store.db");
+}
+
+bool is_armed_write(int fd) {
+  return armed && (armed->point == KillPoint::log_write || armed->point == KillPoint::database_write) &&
+         is_file_of(fd, armed->point);
+}
+
+template <class Offset>
+ssize_t pwrite_or_die(int fd, const void* bytes, std::size_t size, Offset offset) {
+  if (!is_armed_write(fd)) return pwrite(fd, bytes, size, offset);
+  if (armed->stage == KillStage::halfway) static_cast<void>(!pwrite(fd, bytes, size / 2, offset));
+  if (armed->stage == KillStage::after) static_cast<void>(!pwrite(fd, bytes, size, offset));
+  die();
+}
+
+ssize_t write_or_die(int fd, const void* bytes, std::size_t size) {
+  if (!is_armed_write(fd)) return write(fd, bytes, size);
+  if (armed->stage == KillStage::halfway) static_cast<void>(!write(fd, bytes, size / 2));
+  if (armed->stage == KillStage::after) static_cast<void>(!write(fd, bytes, size));
+  die();
+}
+
+int unlink_or_die(const char* path) {
+  if (!armed || armed->point != KillPoint::log_removal || !std::string(path).ends_with("-wal"))
+    return unlink(path);
+  if (armed->stage != KillStage::before) static_cast<void>(unlink(path));
+  die();
+}
+
+void intercept_system_calls() {
+  sqlite3_vfs* vfs = sqlite3_vfs_find(nullptr);
+  const auto replace = [vfs](const char* name, auto* function) {
+    return vfs->xSetSystemCall(vfs, name, reinterpret_cast<sqlite3_syscall_ptr>(function)) == SQLITE_OK;
+  };
+  // Which of the three SQLite uses to write depends on how it was built.
+  if (!replace("pwrite", &pwrite_or_die<off_t>) || !replace("pwrite64", &pwrite_or_die<off64_t>) ||
+      !replace("write", &write_or_die) || !replace("unlink", &unlink_or_die))
+    _exit(6);
+}
+
+// Keeps sets from `number` on, says each kept one on `acknowledgements`, and does not return. Opening and
+// closing again moves the log's content into the database and removes the log.
+[[noreturn]] void keep_sets_until_killed(const Place& p, int number, const KillPlan& plan,
+                                         int acknowledgements) {
+  constexpr int kSetsPerOpening = 3;
+  constexpr int kMaxSets = 1000;  // far more than any plan needs
+  intercept_system_calls();
+  for (int i = number; i < number + kMaxSets;) {
+    auto o = dynamic_config::open(p.path);
+    if (!o.store) _exit(3);
+    for (const int end = i + kSetsPerOpening; i < end; ++i) {
+      if (i - number >= plan.acknowledged_before) armed = plan;
+      if (!o.store->put(kept(i, 1000 + static_cast<std::size_t>(i % 50) * 400))) _exit(4);
+      if (write(acknowledgements, &i, sizeof i) != sizeof i) _exit(5);
+    }
+  }
+  _exit(7);  // the system call that was to end it never came
+}
+
+}  // namespace
+
 TEST_CASE(
     "killed 200 times at any step of keeping: what is there is whole, and no less than what was said kept") {
+  constexpr KillPoint kPoints[] = {KillPoint::log_write, KillPoint::database_write, KillPoint::log_removal,
+                                   KillPoint::by_parent};
+  constexpr KillStage kStages[] = {KillStage::before, KillStage::halfway, KillStage::after};
   Place p;
   std::mt19937 dice(20261201);
-  int acknowledged = -1, number = 0;
-  for (int round = 0; round < 200; ++round) {
+  int acknowledged = -1, number = 0, least = 0;
+  for (unsigned round = 0; round < 200; ++round) {
+    const KillPlan plan{kPoints[round % 4], kStages[round / 4 % 3], static_cast<int>(dice() % 12)};
+    CAPTURE(round);
     int ends[2];
     REQUIRE(pipe(ends) == 0);
     pid_t child = fork();
-    if (child == 0) {
-      auto o = dynamic_config::open(p.path);
-      if (!o.store) _exit(3);
-      for (int i = number;; ++i) {
-        if (!o.store->put(kept(i, 1000 + static_cast<std::size_t>(i % 50) * 400))) _exit(4);
-        if (write(ends[1], &i, sizeof i) != sizeof i) _exit(5);
-      }
-    }
+    if (child == 0) keep_sets_until_killed(p, number, plan, ends[1]);
     close(ends[1]);
-    usleep(2000 + dice() % 9000);
-    kill(child, SIGKILL);
+    int counted = 0;
+    const auto read_one = [&] {
+      int i = 0;
+      if (read(ends[0], &i, sizeof i) != sizeof i) return false;
+      CHECK(i == number + counted++);
+      acknowledged = i;
+      return true;
+    };
+    if (plan.point == KillPoint::by_parent) {
+      while (counted < plan.acknowledged_before && read_one()) continue;
+      kill(child, SIGKILL);
+    }
+    while (read_one()) continue;  // ends with the child
     int status = 0;
     waitpid(child, &status, 0);
-    CHECK(WIFSIGNALED(status));
-    for (int i = 0; read(ends[0], &i, sizeof i) == sizeof i;) acknowledged = std::max(acknowledged, i);
+    REQUIRE(WIFSIGNALED(status));
+    CHECK(WTERMSIG(status) == SIGKILL);
+    CHECK(counted >= plan.acknowledged_before);
     close(ends[0]);
+    least += plan.acknowledged_before;
     auto o = opened(p);
     CHECK(o.set_aside.empty());
     auto found = o.store->newest_taken();
@@ -221,7 +320,9 @@
     if (!found) continue;
     CHECK(dynamic_config::digest_of(found->bytes) == found->digest);
     CHECK(found->at >= acknowledged);
+    CHECK(found->at <= number + counted);  // one more than was said at most
     number = static_cast<int>(found->at) + 1;
   }
+  CHECK(number >= least);
   CHECK(number > 200);
 }
