Turn no newcomer away for connections that only linger

Cause: while about 100 ended connections waited for their clients' ends, a newly accepted one counted as the one to shed before its request had arrived: it was reset 0.02 ms after accept with one connection in use and 99 lingering. Change: a connection that has not asked yet is shed only where connections in use crowd.

--- a/src/aggregator/http/http_server.cpp
+++ b/src/aggregator/http/http_server.cpp
@@ -80,10 +80,11 @@
 
   // Between requests. One that has not asked yet is about to, or goes when its time for that is over.
   bool used_and_idle() const { return asked_ && query_ == 0 && !parser_.begun() && stream_->unsent() == 0; }
-  // Which goes first where another one needs the place; 0: none of it.
-  int is_worth_shedding(event_loop::Millis now, bool full) const {
+  // Which goes first where another one needs the place; 0: none of it. `full`: no descriptor is left.
+  // `crowded`: because of connections that are in use, not of those that linger after their end.
+  int is_worth_shedding(event_loop::Millis now, bool full, bool crowded) const {
     if (query_ != 0 || stream_->unsent() > 0) return 0;
-    if (!asked_) return now - since_ > kNewConnectionTime ? 3 : full ? 1 : 0;
+    if (!asked_) return now - since_ > kNewConnectionTime ? 3 : full && crowded ? 1 : 0;
     return parser_.begun() || (!full && now - since_ < kReservedDescriptors) ? 0 : 2;
   }
   void check(event_loop::Millis now) {
@@ -229,10 +230,13 @@
   event_loop::Millis now = loop_.now();
   // Guards against clients that rest on after our end: what lingers for them gives no newcomer a place.
   half_closed_.close_oldest();
+  // Guards against a newcomer reset before its request arrived while hardly a connection is in use: what
+  // lingers is over within kLinger.
+  const bool crowded = connections_.size() > roomy();
   std::shared_ptr<Connection> best;
   int most = 0;
   for (const auto& c : connections_) {
-    int value = c->is_worth_shedding(now, full);
+    int value = c->is_worth_shedding(now, full, crowded);
     if (value > most || (value > 0 && value == most && c->since() < best->since())) {
       best = c;
       most = value;
--- a/tests/aggregator/http/client_integration_test.cpp
+++ b/tests/aggregator/http/client_integration_test.cpp
@@ -120,6 +120,28 @@
   CHECK(has(s.ask(*late, Stage::query("p", kTwoParts)), "\"exact\":true"));
 }
 
+TEST_CASE("connections that linger after their end turn no newcomer away before its request arrives") {
+  Stage s;  // holds 100 connections of clients
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  // Each is answered 400 and ended, and holds its own end open: none of them reads.
+  std::vector<event_loop::UniqueFd> ended;
+  const std::string nonsense = "nonsense\r\n\r\n";
+  const sockaddr_in to = loopback(s.front.port());
+  for (std::size_t i = 0; i < 100; ++i) {
+    ended.emplace_back(::socket(AF_INET, SOCK_STREAM, 0));
+    REQUIRE(::connect(ended.back().get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+    REQUIRE(::send(ended.back().get(), nonsense.data(), nonsense.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(nonsense.size()));
+    s.loop.turn(1);
+  }
+  auto newcomer = s.dial();
+  const event_loop::Millis dialled = s.loop.now();
+  s.until([&] { return s.loop.now() > dialled + 50; });  // accepted by then, with no request
+  CHECK_FALSE(newcomer->over);
+  CHECK(has(s.ask(*newcomer, Stage::query("q", kTwoParts)), "\"exact\":true"));
+}
+
 TEST_CASE("clients that ask once and hold their connection leave room for others") {
   Stage s;  // holds 100 connections of clients
   ScriptedLeaf leaf(s.loop);
