Close NNG sockets in the background once their connections have ended

Cause: nng_close() of NNG 1.5 aborts (pthread_mutex_lock: Invalid argument) or never returns when it meets connections that come up or end, in RequestSocket::close as in ~RpcServer. The test's ports differ by process, so that several can run at once.

--- a/src/cluster/rpc/request_socket.cpp
+++ b/src/cluster/rpc/request_socket.cpp
@@ -23,13 +23,15 @@
                                                    ReplyHandler on_reply) {
   std::shared_ptr<RequestSocket> self(new RequestSocket(loop, std::move(on_reply)));
   if (nng_req0_open_raw(&self->socket_) != 0) return nullptr;
+  self->pipes_ = std::make_unique<SocketPipes>();
+  self->pipes_->watch(self->socket_);
   nng_socket_set_ms(self->socket_, NNG_OPT_RECONNMINT, kMinReconnectMs);
   nng_socket_set_ms(self->socket_, NNG_OPT_RECONNMAXT, kMaxReconnectMs);
   nng_socket_set_int(self->socket_, NNG_OPT_SENDBUF, kSendBufferMessages);
   nng_socket_set_size(self->socket_, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
   nng_socket_set_bool(self->socket_, NNG_OPT_TCP_NODELAY, true);
   if (nng_aio_alloc(&self->receive_aio_, &RequestSocket::on_received, self.get()) != 0) return nullptr;
-  nng_dial(self->socket_, ("tcp://" + peer).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+  nng_dial(self->socket_, ("tcp://" + peer).c_str(), &self->dialer_, NNG_FLAG_NONBLOCK);
   self->start_receive();
   return self;
 }
@@ -69,12 +71,16 @@
 void RequestSocket::close() {
   if (closed_) return;
   closed_ = true;
-  nng_close(socket_);
+  if (!pipes_) return;
+  // No new connection from here on, so that the closer sees the last one end.
+  nng_dialer_close(dialer_);
   if (receive_aio_) {
-    nng_aio_stop(receive_aio_);
+    nng_aio_stop(receive_aio_);  // waits for the callback, which uses this object
     nng_aio_free(receive_aio_);
     receive_aio_ = nullptr;
   }
+  pipes_->close_all();
+  close_socket_when_quiet(socket_, std::move(pipes_));
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/rpc/request_socket.hpp
+++ b/src/cluster/rpc/request_socket.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "cluster/common/runtime.hpp"
+#include "cluster/rpc/socket_closer.hpp"
 
 namespace winchhall::cluster {
 
@@ -26,7 +27,7 @@
 
   // Queues a message, which is dropped if the connection doesn't accept it within the send time-out.
   void send(const std::string& body, std::uint32_t call_id);
-  // Closes the socket. No reply is delivered afterwards.
+  // Ends the connection and closes the socket in the background. No reply is delivered afterwards.
   void close();
 
  private:
@@ -39,6 +40,8 @@
   boost::asio::io_context& loop_;
   ReplyHandler on_reply_;
   nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+  nng_dialer dialer_ = NNG_DIALER_INITIALIZER;
+  std::unique_ptr<SocketPipes> pipes_;  // null: the socket was not opened
   nng_aio* receive_aio_ = nullptr;
   bool closed_ = false;
 };
--- a/src/cluster/rpc/rpc_server.cpp
+++ b/src/cluster/rpc/rpc_server.cpp
@@ -18,6 +18,8 @@
                                                          const Address& address, RequestHandler handler) {
   std::shared_ptr<RpcServer> self(new RpcServer(loop, std::move(handler)));
   if (const int code = nng_rep0_open_raw(&self->socket_)) return leaf::new_error(NngFailure{"open", code});
+  self->pipes_ = std::make_unique<SocketPipes>();
+  self->pipes_->watch(self->socket_);
   nng_socket_set_int(self->socket_, NNG_OPT_RECVBUF, kBufferMessages);
   nng_socket_set_int(self->socket_, NNG_OPT_SENDBUF, kBufferMessages);
   nng_socket_set_size(self->socket_, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
@@ -25,7 +27,7 @@
   if (const int code = nng_aio_alloc(&self->receive_aio_, &RpcServer::on_received, self.get())) {
     return leaf::new_error(NngFailure{"allocate", code});
   }
-  if (const int code = nng_listen(self->socket_, ("tcp://" + address).c_str(), nullptr, 0)) {
+  if (const int code = nng_listen(self->socket_, ("tcp://" + address).c_str(), &self->listener_, 0)) {
     return leaf::new_error(NngFailure{"listen on " + address, code});
   }
   self->start_receive();
@@ -33,10 +35,15 @@
 }
 
 RpcServer::~RpcServer() {
-  nng_close(socket_);
-  if (!receive_aio_) return;
-  nng_aio_stop(receive_aio_);
-  nng_aio_free(receive_aio_);
+  if (!pipes_) return;
+  // No new connection from here on, so that the closer sees the last one end.
+  nng_listener_close(listener_);
+  if (receive_aio_) {
+    nng_aio_stop(receive_aio_);  // waits for the callback, which uses this object
+    nng_aio_free(receive_aio_);
+  }
+  pipes_->close_all();
+  close_socket_when_quiet(socket_, std::move(pipes_));
 }
 
 void RpcServer::start_receive() { nng_recv_aio(socket_, receive_aio_); }
--- a/src/cluster/rpc/rpc_server.hpp
+++ b/src/cluster/rpc/rpc_server.hpp
@@ -10,6 +10,7 @@
 #include "cluster/common/errors.hpp"
 #include "cluster/common/runtime.hpp"
 #include "cluster/rpc/nng_message.hpp"
+#include "cluster/rpc/socket_closer.hpp"
 
 namespace winchhall::cluster {
 
@@ -35,6 +36,8 @@
   boost::asio::io_context& loop_;
   RequestHandler handler_;
   nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+  nng_listener listener_ = NNG_LISTENER_INITIALIZER;
+  std::unique_ptr<SocketPipes> pipes_;  // null: the socket was not opened
   nng_aio* receive_aio_ = nullptr;
 };
 
--- a/tests/cluster/rpc/sockets_test.cpp
+++ b/tests/cluster/rpc/sockets_test.cpp
@@ -4,6 +4,7 @@
 //
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +19,16 @@
 
 constexpr Millis kTimeout{5000};
 
+constexpr int kPortsPerProcess = 16;
+
+// Below the ports that the kernel gives to clients, and others for each process: several of these tests may
+// run at the same time.
+int first_port() {
+  constexpr int kFirst = 10240;
+  constexpr int kProcesses = 1200;
+  return kFirst + static_cast<int>(getpid()) % kProcesses * kPortsPerProcess;
+}
+
 // A client on its own event loop, which `run_until` drives.
 struct ClientFixture {
   boost::asio::io_context loop{1};
@@ -48,7 +59,8 @@
 // A server on the first free port of a range.
 std::shared_ptr<RpcServer> listen_on_free_port(ClientFixture& client, Address& address,
                                                const RequestHandler& handler) {
-  for (int port = 23100; port < 23400; ++port) {
+  const int first = first_port();
+  for (int port = first; port < first + kPortsPerProcess / 2; ++port) {
     address = "127.0.0.1:" + std::to_string(port);
     if (auto server = listen(client, address, handler)) return server;
   }
@@ -233,6 +245,34 @@
   CHECK(counted == 1);
 }
 
+// nng_close() beside connections that come up or end aborts, or never returns; see socket_closer.hpp.
+TEST_CASE("servers and clients that close while connections come up neither abort nor block") {
+  constexpr int kRounds = 400;
+  ClientFixture client;
+  Millis longest{0};
+  for (int round = 0; round < kRounds; ++round) {
+    const Address address = "127.0.0.1:" + std::to_string(first_port() + round % (kPortsPerProcess / 2));
+    auto rpc_client = std::make_unique<RpcClient>(client.loop, client.runtime);
+    int ended = 0;
+    const int calls = 1 + round % 7;
+    const auto call_all = [&] {
+      for (int call = 0; call < calls; ++call)
+        rpc_client->call(address, count_request("abc"), Millis(50), [&ended](const CallResult&) { ++ended; });
+    };
+    if (round % 3 == 0) call_all();  // these dial before there is a server
+    std::shared_ptr<RpcServer> server = listen(client, address, answer_with_length);
+    if (round % 3 != 0) call_all();
+    const TimePoint wait_until = client.runtime.now() + Millis(round % 5 == 0 ? 0 : 60);
+    while (ended < calls && client.runtime.now() < wait_until) client.loop.run_one_for(Millis(5));
+    const TimePoint closed_at = client.runtime.now();
+    if (round % 2 == 0) rpc_client.reset();
+    server.reset();
+    rpc_client.reset();
+    longest = std::max(longest, std::chrono::duration_cast<Millis>(client.runtime.now() - closed_at));
+  }
+  CHECK(longest < kTimeout);
+}
+
 namespace {
 
 // A faulty peer that replies to each request with the call id before the request's.
@@ -240,7 +280,8 @@
  public:
   explicit WrongCallIdPeer(Address& address) {
     REQUIRE(nng_rep0_open_raw(&socket_) == 0);
-    for (int port = 23500; port < 23600; ++port) {
+    const int first = first_port() + kPortsPerProcess / 2;
+    for (int port = first; port < first + kPortsPerProcess / 2; ++port) {
       address = "127.0.0.1:" + std::to_string(port);
       if (nng_listen(socket_, ("tcp://" + address).c_str(), nullptr, 0) == 0) return;
     }
