Let a rejection of a submission stand against duplicates of its message

Cause: a submission that a leader rejected for want of capacity was accepted when a duplicate of the same message came after there was capacity again. The limit of live jobs is a term of the scheduler, 20,000 as before.

--- a/src/cluster/agent/job_relay.cpp
+++ b/src/cluster/agent/job_relay.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr Millis kDefaultDeadline{3000};
+constexpr std::uint32_t kRepeatedRejectionRetryAfterMs = 500;
 // A waiter that has at least this much time left when its relay runs out of time gets a relay of its own.
 constexpr Millis kMinTimeToRelayAgain{200};
 
@@ -13,16 +14,31 @@
          request.id();
 }
 
+wire::JobRequest identity_of(const wire::JobRequest& request) {
+  wire::JobRequest identity;
+  identity.set_origin(request.origin());
+  identity.set_number(request.number());
+  return identity;
+}
+
+wire::Envelope to_envelope(wire::JobReply reply, Millis relayed) {
+  wire::Envelope envelope;
+  reply.set_relayed_ms(static_cast<std::uint32_t>(relayed.count()));
+  *envelope.mutable_job_reply() = std::move(reply);
+  return envelope;
+}
+
 }  // namespace
 
 JobRelay::JobRelay(const LeaderCallContext& context) : context_(context), router_(context) {}
 
 void JobRelay::handle(const wire::JobRequest& request, const ReplyCallback& reply) {
+  if (request.verb() == wire::JOB_SUBMIT && repeat_rejection(request, reply)) return;
   const Millis timeout = request.deadline_ms() == 0 ? kDefaultDeadline : Millis(request.deadline_ms());
   const TimePoint deadline = context_.runtime.now() + timeout;
   const std::string key = request_key(request);
   const auto [entry, is_new] = open_requests_.try_emplace(key);
-  entry->second.waiters.push_back({deadline, reply});
+  entry->second.waiters.push_back({deadline, reply, identity_of(request)});
   if (!is_new) return;
   entry->second.request = request;
   entry->second.started = context_.runtime.now();
@@ -39,6 +55,8 @@
     const auto left = std::chrono::duration_cast<Millis>(waiter.deadline - now);
     if (out_of_time && left >= kMinTimeToRelayAgain) {
       wire::JobRequest again = finished.request;
+      again.set_origin(waiter.identity.origin());
+      again.set_number(waiter.identity.number());
       again.set_deadline_ms(static_cast<std::uint32_t>(left.count()));
       handle(again, waiter.reply);
     } else {
@@ -48,10 +66,15 @@
 }
 
 void JobRelay::reply_to(const Waiter& waiter, const wire::JobReply& result, Millis relayed) {
-  wire::Envelope envelope;
-  *envelope.mutable_job_reply() = result;
-  envelope.mutable_job_reply()->set_relayed_ms(static_cast<std::uint32_t>(relayed.count()));
-  waiter.reply(std::move(envelope));
+  if (result.outcome() == wire::JOB_REJECTED) rejected_.record(waiter.identity);
+  waiter.reply(to_envelope(result, relayed));
+}
+
+bool JobRelay::repeat_rejection(const wire::JobRequest& request, const ReplyCallback& reply) {
+  const EarlierRejection earlier = rejected_.find(request);
+  if (earlier == EarlierRejection::none) return false;
+  reply(to_envelope(repeated_rejection_reply(earlier, kRepeatedRejectionRetryAfterMs), Millis(0)));
+  return true;
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/agent/job_relay.hpp
+++ b/src/cluster/agent/job_relay.hpp
@@ -6,11 +6,13 @@
 #include <vector>
 
 #include "cluster/agent/job_router.hpp"
+#include "cluster/common/rejected_submissions.hpp"
 
 namespace winchhall::cluster {
 
 // Coalesces equal requests: an ingress may send a request again while the first one is still relayed; one
-// relay then serves all of them. Not thread-safe.
+// relay then serves all of them. A submission that was rejected stays rejected, however late a duplicate of
+// its message comes: the leader by then may be one that never saw it. Not thread-safe.
 class JobRelay {
  public:
   // What `context` refers to outlives the relay.
@@ -27,6 +29,7 @@
   struct Waiter {
     TimePoint deadline;
     ReplyCallback reply;
+    wire::JobRequest identity;  // origin and number alone
   };
   struct OpenRequest {
     wire::JobRequest request;
@@ -36,10 +39,13 @@
   };
 
   void finish(const std::string& key, const wire::JobReply& result);
-  static void reply_to(const Waiter& waiter, const wire::JobReply& result, Millis relayed);
+  void reply_to(const Waiter& waiter, const wire::JobReply& result, Millis relayed);
+  // True if this very request was rejected before and has been replied to accordingly.
+  bool repeat_rejection(const wire::JobRequest& request, const ReplyCallback& reply);
 
   const LeaderCallContext context_;
   JobRouter router_;
+  RejectedSubmissions rejected_;
   std::map<std::string, OpenRequest> open_requests_;  // by verb, service, queue and job id
 };
 
--- a/src/cluster/control/job_request_endpoint.cpp
+++ b/src/cluster/control/job_request_endpoint.cpp
@@ -57,12 +57,19 @@
 
 void JobRequestEndpoint::submit(Scheduler& scheduler, const wire::JobRequest& request,
                                 const ReplyCallback& reply) {
+  const EarlierRejection earlier = rejected_.find(request);
+  const bool is_known_job = scheduler.state(request.id()) != wire::JOB_UNKNOWN;
+  if (earlier == EarlierRejection::rejected || (earlier == EarlierRejection::unknown && !is_known_job))
+    return reply(job_reply_envelope(repeated_rejection_reply(earlier, kRetryAfterMs)));
   const SubmitResult result = scheduler.submit(request.id(), request.spec(), request.terms(), runtime_.now(),
                                                runtime_.wall_clock_ms());
   wire::JobReply message;
   message.set_outcome(result.outcome);
   message.set_reason(result.reason);
-  if (result.outcome == wire::JOB_REJECTED) message.set_retry_after_ms(kRetryAfterMs);
+  if (result.outcome == wire::JOB_REJECTED) {
+    message.set_retry_after_ms(kRetryAfterMs);
+    rejected_.record(request);
+  }
   if (log_enabled(LogLevel::debug)) {
     log_event(LogLevel::debug, "job_submitted",
               {{"service", service_},
--- a/src/cluster/control/job_request_endpoint.hpp
+++ b/src/cluster/control/job_request_endpoint.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/common/rejected_submissions.hpp"
 #include "cluster/common/runtime.hpp"
 #include "cluster/scheduler/scheduler.hpp"
 
@@ -16,7 +17,8 @@
 // scheduler belongs to the caller, which passes it in only while it holds the lease. Single-threaded.
 //
 // Invariant: a reply of JOB_OK to a submission or cancellation leaves only after its changes are durable on a
-// majority. Where that can't be known any more, the reply is JOB_IN_DOUBT.
+// majority. Where that can't be known any more, the reply is JOB_IN_DOUBT. A submission that was rejected
+// stays rejected, however late a duplicate of its message comes, also under a later lease.
 class JobRequestEndpoint {
  public:
   // `runtime` outlives the endpoint.
@@ -48,6 +50,7 @@
   Runtime& runtime_;
   const std::string service_;
   std::vector<PendingJobReply> pending_;
+  RejectedSubmissions rejected_;
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/ingress/job_gateway.cpp
+++ b/src/cluster/ingress/job_gateway.cpp
@@ -78,7 +78,8 @@
 
 }  // namespace
 
-JobGateway::JobGateway(Runtime& runtime, Address agent) : runtime_(runtime), agent_(std::move(agent)) {}
+JobGateway::JobGateway(Runtime& runtime, Address agent)
+    : runtime_(runtime), agent_(std::move(agent)), origin_(std::max<std::uint64_t>(runtime.random(), 1)) {}
 
 void JobGateway::handle(const Configuration* configuration, const HttpRequest& request,
                         HttpReplyCallback reply) {
@@ -101,6 +102,8 @@
   call.deadline = runtime_.now() + request_timeout(target, request);
   call.reply = std::move(reply);
   call.request.set_verb(target.verb);
+  call.request.set_origin(origin_);
+  call.request.set_number(call_number);
   call.request.set_service(target.route->backend);
   call.request.set_id(target.id);
   *call.request.mutable_terms() = queue_terms(*target.route);
--- a/src/cluster/ingress/job_gateway.hpp
+++ b/src/cluster/ingress/job_gateway.hpp
@@ -51,6 +51,7 @@
 
   Runtime& runtime_;
   Address agent_;
+  const std::uint64_t origin_;  // names this process in its requests, see wire::JobRequest; not 0
   std::uint64_t last_call_number_ = 0;
   std::map<std::uint64_t, PendingCall> calls_;  // by call number, in order of arrival
   QueueCountCache counts_;
--- a/src/cluster/scheduler/job_lifecycle.cpp
+++ b/src/cluster/scheduler/job_lifecycle.cpp
@@ -9,7 +9,6 @@
 namespace winchhall::cluster::scheduling {
 namespace {
 
-constexpr std::uint32_t kMaxLiveJobs = 20000;
 constexpr std::uint64_t kMaxUnfinishedTasks = 20000;  // of one job, unless one repeat alone has more
 constexpr Millis kMinRepeatTimer{20};           // the wall clock may have been set back since a timer was set
 constexpr Millis kUnfinishedTasksBackoff{500};  // of a repeat, while its job has too many unfinished tasks
@@ -32,7 +31,7 @@
   if (Job* known = state_.jobs.find(id))
     return {wire::JOB_OK, known->durable ? 0 : known->last_change_batch, {}};
   if (const auto violation = find_violation(id, spec)) return {wire::JOB_INVALID, 0, *violation};
-  if (state_.jobs.live() >= kMaxLiveJobs) return {wire::JOB_REJECTED, 0, "too many jobs"};
+  if (state_.jobs.live() >= state_.terms.max_live_jobs) return {wire::JOB_REJECTED, 0, "too many jobs"};
   ++state_.counters.jobs_accepted;
   Job& job = state_.jobs.add(id, spec, terms);
   job.accepted_at = state_.now;
--- a/src/cluster/scheduler/scheduler.hpp
+++ b/src/cluster/scheduler/scheduler.hpp
@@ -28,6 +28,8 @@
   // Longest time between the worker-agent's sending of a report and the handling of its answer that still
   // extends the lease.
   Millis answer_slack{1000};
+  // Jobs that have not ended; a submission beyond them is rejected.
+  std::uint32_t max_live_jobs = 20000;
 };
 
 // Outcome of a submission.
--- a/tests/cluster/agent/job_relay_test.cpp
+++ b/tests/cluster/agent/job_relay_test.cpp
@@ -106,6 +106,36 @@
   CHECK(outcome_of(answer) == wire::JOB_IN_DOUBT);
 }
 
+TEST_CASE_METHOD(RelayFixture, "a duplicate of a rejected submission reaches no leader, a new attempt does") {
+  wire::Envelope request;
+  auto& submission = *request.mutable_job_request();
+  submission.set_verb(wire::JOB_SUBMIT);
+  submission.set_service("first");
+  submission.set_id("5c0e7a21d94b36f8");
+  submission.mutable_terms()->set_queue("queue/a/");
+  submission.set_deadline_ms(2800);
+  submission.set_origin(7);
+  submission.set_number(1);
+  controls[0]->on_job = answer_with(wire::JOB_REJECTED);
+  const auto first = send(request);
+  runtime.run_for(Millis(10));
+  REQUIRE(outcome_of(first) == wire::JOB_REJECTED);
+  set_leader("first", 2, address_of(3));  // this one has capacity
+  controls[3]->on_job = answer_with(wire::JOB_OK);
+  runtime.run_for(Millis(300));
+  const auto duplicate = send(request);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(duplicate) == wire::JOB_REJECTED);
+  CHECK(controls[3]->jobs.empty());
+  submission.set_number(2);
+  const auto new_attempt = send(request);
+  runtime.run_for(Millis(10));
+  CHECK(outcome_of(new_attempt) == wire::JOB_OK);
+  REQUIRE(controls[3]->jobs.size() == 1);
+  CHECK(controls[3]->jobs[0].origin() == 7);
+  CHECK(controls[3]->jobs[0].number() == 2);
+}
+
 TEST_CASE_METHOD(RelayFixture, "a rejection of the first attempt is passed on") {
   controls[0]->on_job = answer_with(wire::JOB_REJECTED);
   const auto answer = job(wire::JOB_SUBMIT);
--- a/tests/cluster/ingress/job_gateway_test.cpp
+++ b/tests/cluster/ingress/job_gateway_test.cpp
@@ -166,6 +166,22 @@
   CHECK(answer->body == R"({"state":")" + std::string(name) + "\"}");
 }
 
+TEST_CASE_METHOD(JobGatewayFixture,
+                 "all attempts of a request carry its number, another request has another") {
+  agent_never_replies();
+  send(http::verb::post, kJobPath, kJobBody);
+  runtime.run_for(Millis(1500));
+  REQUIRE(requests.size() == 2);
+  CHECK(requests[0].origin() != 0);
+  CHECK(requests[0].number() == requests[1].number());
+  CHECK(requests[0].origin() == requests[1].origin());
+  send(http::verb::post, kJobPath, kJobBody);
+  runtime.run_for(Millis(10));
+  REQUIRE(requests.size() == 3);
+  CHECK(requests[2].origin() == requests[0].origin());
+  CHECK(requests[2].number() > requests[0].number());
+}
+
 TEST_CASE_METHOD(JobGatewayFixture, "a rejection has Retry-After in whole seconds") {
   wire::JobReply reply;
   reply.set_outcome(wire::JOB_REJECTED);
