--- a/src/cluster/agent/control_watcher.cpp
+++ b/src/cluster/agent/control_watcher.cpp
@@ -8,6 +8,11 @@
 
 constexpr Millis kLongPollWait{1000};
 constexpr Millis kLongPollTimeout{1600};
+// Time-out of a poll while no node with quorum contact is known: the call is answered at once, and a node
+// that starts later than this agent is found by a further poll, not by TCP's retransmission after a second.
+// It doubles with each failure in a row up to the time-out of a long poll, for nodes that are slow.
+constexpr Millis kSearchPollTimeout{300};
+constexpr unsigned kMaxSearchTimeoutDoublings = 2;
 // Before a slot polls a node that is backing off, or looks again for a node.
 constexpr Millis kNoReadyPeerDelay{100};
 // Between the starts of two polls of a slot, unless the first one brought a newer configuration.
@@ -83,10 +88,17 @@
   slot.sent_at = runtime_.now();
   // The version that the peer has announced is being fetched: only a newer one should end the poll.
   const std::uint64_t version = std::max(view_.version(), fetcher_.announced_version(slot.peer));
-  runtime_.call(slot.peer, watch_request(version, slot.leaders_digest, kLongPollWait), kLongPollTimeout,
+  const bool searching = !has_quorum_contact();
+  const Millis wait = searching ? Millis(0) : kLongPollWait;
+  const Millis timeout = searching ? search_poll_timeout(slot) : kLongPollTimeout;
+  runtime_.call(slot.peer, watch_request(version, slot.leaders_digest, wait), timeout,
                 [this, index](const CallResult& result) { on_answer(index, result); });
 }
 
+Millis ControlWatcher::search_poll_timeout(const Slot& slot) {
+  return kSearchPollTimeout * (1 << std::min(slot.failures, kMaxSearchTimeoutDoublings));
+}
+
 void ControlWatcher::poll_after(std::size_t index, Millis delay) {
   slots_[index].timer = runtime_.after(delay, [this, index] { poll(index); });
 }
@@ -95,6 +107,7 @@
   Slot& slot = slots_[index];
   const bool answered = result.answer && result.answer->has_configuration_update();
   if (!answered) return replace_failed_peer(index);
+  slot.failures = 0;
   const auto& update = result.answer->configuration_update();
   slot.leaders_digest = update.leaders_digest();
   const ViewChanges changes = apply_update(slot.peer, update);
@@ -108,6 +121,7 @@
 
 void ControlWatcher::replace_failed_peer(std::size_t index) {
   Slot& slot = slots_[index];
+  ++slot.failures;
   directory_.record_failure(slot.peer);
   fetcher_.remove_peer(slot.peer);
   slot.peer.clear();
--- a/src/cluster/agent/control_watcher.hpp
+++ b/src/cluster/agent/control_watcher.hpp
@@ -38,11 +38,14 @@
     Address peer;                      // empty: none chosen
     std::uint64_t leaders_digest = 0;  // of the leaders that the peer has named
     TimePoint sent_at;
+    unsigned failures = 0;  // polls in a row that brought no answer, of any peers
     std::unique_ptr<Timer> timer;
   };
 
   void assign_peer(std::size_t index);
   void poll(std::size_t index);
+  // Time-out of a slot's next poll while no node with quorum contact is known.
+  static Millis search_poll_timeout(const Slot& slot);
   void poll_after(std::size_t index, Millis delay);
   void on_answer(std::size_t index, const CallResult& result);
   // Starts the backoff of the slot's node and chooses another one.
--- a/src/cluster/rpc/peer_connections.cpp
+++ b/src/cluster/rpc/peer_connections.cpp
@@ -1,5 +1,7 @@
 #include "cluster/rpc/peer_connections.hpp"
 
+#include <algorithm>
+
 #include "cluster/rpc/request_socket.hpp"
 
 namespace winchhall::cluster {
@@ -33,6 +35,12 @@
   if (last_received_ < sent_at) suspect_ = true;
 }
 
+bool PeerConnections::needs_additional() const {
+  if (suspect_) return true;
+  return std::none_of(sockets_.begin(), sockets_.end(),
+                      [](const std::shared_ptr<RequestSocket>& socket) { return socket->is_connected(); });
+}
+
 // When the limit is reached, the oldest additional connection is replaced: the intervals between its SYNs
 // have grown longest. The first connection stays, because it may still be established and is then the fastest
 // after a partition.
@@ -49,7 +57,7 @@
 
 void PeerConnections::send(const std::string& body, std::uint32_t call_id) {
   last_used_ = runtime_.now();
-  if (suspect_ && last_used_ - last_dialled_ >= kMinDialInterval) dial_additional();
+  if (last_used_ - last_dialled_ >= kMinDialInterval && needs_additional()) dial_additional();
   for (const auto& socket : sockets_) socket->send(body, call_id);
 }
 
--- a/src/cluster/rpc/peer_connections.hpp
+++ b/src/cluster/rpc/peer_connections.hpp
@@ -16,9 +16,10 @@
 // Sends requests to one peer and recovers quickly when the path to it is restored.
 //
 // A TCP connection attempt to a machine that is off or partitioned away loses its SYN, and TCP retransmits it
-// only after a second or more. So while nothing is received, additional connections are opened in parallel,
-// every request is sent on all of them, and the first one that delivers a reply becomes the only one.
-// Handlers are idempotent, so a request that arrives on several connections is harmless.
+// only after a second or more. So while nothing is received, or no connection comes up, additional
+// connections are opened in parallel, every request is sent on all of them, and the first one that delivers a
+// reply becomes the only one. Handlers are idempotent, so a request that arrives on several connections is
+// harmless.
 class PeerConnections {
  public:
   using ReplyHandler = std::function<void(wire::Envelope)>;
@@ -34,6 +35,9 @@
   TimePoint last_used() const { return last_used_; }
 
  private:
+  // True where the next message needs an additional connection: the peer doesn't reply, or none is
+  // established.
+  bool needs_additional() const;
   std::shared_ptr<RequestSocket> open_socket();
   void dial_additional();
   void receive_reply(const std::shared_ptr<RequestSocket>& socket, wire::Envelope reply);
--- a/src/cluster/rpc/request_socket.hpp
+++ b/src/cluster/rpc/request_socket.hpp
@@ -25,6 +25,8 @@
                                              ReplyHandler on_reply);
   ~RequestSocket();
 
+  // True while the connection to the peer is established.
+  bool is_connected() const { return pipes_ && !pipes_->empty(); }
   // Queues a message, which is dropped if the connection doesn't accept it within the send time-out.
   void send(const std::string& body, std::uint32_t call_id);
   // Ends the connection and closes the socket in the background. No reply is delivered afterwards.
--- a/tests/cluster/agent/agent_fixture.hpp
+++ b/tests/cluster/agent/agent_fixture.hpp
@@ -39,6 +39,15 @@
     runtime_.peers[address_] = [](const wire::Envelope&, const ReplyCallback&) {};
   }
 
+  // The node is slow: every answer comes this much later.
+  void delay_answers(Millis delay) {
+    runtime_.peers[address_] = [this, delay](const wire::Envelope& request, const ReplyCallback& reply) {
+      handle(request, [this, delay, reply](const wire::Envelope& answer) {
+        delayed_.push_back(runtime_.after(delay, [reply, answer] { reply(answer); }));
+      });
+    };
+  }
+
   void set_configuration(std::uint64_t version, std::string json) {
     update_.set_version(version);
     update_.set_configuration(std::move(json));
@@ -118,6 +127,7 @@
   FakeRuntime& runtime_;
   wire::ConfigurationUpdate update_;
   std::list<Poll> polls_;
+  std::vector<std::unique_ptr<Timer>> delayed_;  // answers
 };
 
 inline ScriptedControl::JobHandler answer_with(wire::JobOutcome outcome, const Address& leader = {}) {
--- a/tests/cluster/agent/configuration_test.cpp
+++ b/tests/cluster/agent/configuration_test.cpp
@@ -65,6 +65,23 @@
   CHECK(agent->view().version() == 9);
 }
 
+TEST_CASE_METHOD(AgentFixture, "control nodes that start after the agent are found soon") {
+  for (auto& control : controls) control->hang();
+  start_agent();
+  runtime.run_for(Millis(400));
+  CHECK_FALSE(agent->view().configuration());
+  for (auto& control : controls) control->start();
+  runtime.run_for(Millis(700));
+  CHECK(agent->view().configuration());
+}
+
+TEST_CASE_METHOD(AgentFixture, "control nodes that take a second to answer are found") {
+  for (auto& control : controls) control->delay_answers(Millis(1000));
+  start_agent();
+  runtime.run_for(Millis(6000));
+  CHECK(agent->view().configuration());
+}
+
 TEST_CASE("a delayed answer does not bring back an older configuration or leader") {
   ClusterView view;
   const auto update = [](std::uint64_t version, std::uint64_t epoch, const std::string& leader) {
--- a/tests/cluster/rpc/sockets_test.cpp
+++ b/tests/cluster/rpc/sockets_test.cpp
@@ -204,6 +204,27 @@
   CHECK(calls <= 4);
 }
 
+// As after a lost opening packet: the connection doesn't come up though the peer would accept another one.
+TEST_CASE("a connection that is not established gets another one beside it before any call has timed out") {
+  ClientFixture client;
+  Address address;
+  SilentServer silent(client.loop, address);
+  bool first_ended = false;
+  client.runtime.call(address, count_request("abc"), kTimeout,
+                      [&](const CallResult&) { first_ended = true; });
+  bool waited = false;
+  const auto timer = client.runtime.after(Millis(300), [&] { waited = true; });
+  REQUIRE(client.run_until([&] { return waited; }));
+  silent.stop_listening();
+  const auto server = listen(client, address, answer_with_length);
+  REQUIRE(server);
+  bool answered = false;
+  client.runtime.call(address, count_request("abc"), kTimeout, [&](const CallResult& result) {
+    answered = result.answer.has_value() && !first_ended;
+  });
+  CHECK(client.run_until([&] { return answered; }));
+}
+
 TEST_CASE("a message that is no envelope is dropped and the server continues") {
   ClientFixture client;
   Address address;
