State the contracts of dynamic_config in the field's terms

The module's comments were still in the older style. Each header, class and public function now has its contract: effect, errors, units, threads, ownership. Comments alone are changed; the programs that use the module were built.

--- a/src/aggregator/dynamic_config/config_generation.hpp
+++ b/src/aggregator/dynamic_config/config_generation.hpp
@@ -1,4 +1,5 @@
-// A generation: one set of files, checked each by itself and against one another, and used whole.
+// One version of the dynamic configuration: the content of all its files, validated together and applied
+// atomically.
 #pragma once
 
 #include <memory>
@@ -11,40 +12,50 @@
 
 namespace winchhall::dynamic_config {
 
+// Limits of a valid configuration.
 struct Bounds {
-  std::size_t nodes = 100'000, ranges = 2'000'000, tenants = 10'000;
-  double weight_span = 100;  // x the median: a weight further off is taken for a mistake
-  // What an installation knows; empty: any zone. Cells from 0 up to and without `cells`; 0: any.
+  std::size_t nodes = 100'000, ranges = 2'000'000, tenants = 10'000;  // maximum number of rows
+  // A weight that differs from the median by more than this factor is rejected as a mistake.
+  double weight_span = 100;
+  // Zones of the installation; empty: any zone is valid.
   std::set<std::string> zones{};
+  // Valid cells are 0 to `cells` - 1; 0: any cell is valid.
   long long cells = 0;
 };
 
+// A tenant and its quota in requests per second.
 struct Tenant {
   std::string name{};
   double quota_per_s = 0;
   bool operator==(const Tenant&) const = default;
 };
 
+// A validated configuration. Immutable once `check` has returned it, and shared between threads.
 struct ConfigGeneration {
-  std::uint64_t digest = 0;  // of the bytes of all files: xxHash (XXH3, 64 bits)
-  std::map<Kind, std::uint64_t> revisions{};
-  std::vector<coordination::Member> members{};  // in order of their ids; weights are their `size`
-  bool weighted = false;                        // weights were stated
-  std::optional<ranges::RangeMap> map{};
+  std::uint64_t digest = 0;                     // of the bytes of all files, see digest.hpp
+  std::map<Kind, std::uint64_t> revisions{};    // as stated in the files
+  std::vector<coordination::Member> members{};  // sorted by id; a weight is the member's `size`
+  bool weighted = false;                        // the configuration has weights
+  std::optional<ranges::RangeMap> map{};        // none: the configuration has no ranges
   std::vector<Tenant> tenants{};
 
+  // The member of this id; null: none. The pointer is valid as long as this object.
   const coordination::Member* member(const std::string& id) const;
 };
 using ConfigGenerationPtr = std::shared_ptr<const ConfigGeneration>;
 
-// The generation that these rows make, or every fault that was found (at most kFaultsMost).
+// Faults that `check` reports at most.
 inline constexpr std::size_t kFaultsMost = 50;
+// Validates the rows of all files, each by itself and against the others. Null if they are invalid: `faults`
+// then has every fault that was found, up to kFaultsMost. Thread-safe.
 ConfigGenerationPtr check(const Rows& rows, std::uint64_t digest, const Bounds& bounds,
                           std::vector<Fault>& faults);
 
+// The digest as 16 hexadecimal digits.
 std::string digest_text(std::uint64_t digest);
 
-// What changes from one to the other, a line each, in words; nothing where they are the same.
+// The changes from `a` to `b` for people, one line each: "+" added, "-" removed, "~" changed. Empty if they
+// are equal; truncated after 200 lines.
 std::vector<std::string> differences(const ConfigGeneration& a, const ConfigGeneration& b);
 
 }  // namespace winchhall::dynamic_config
--- a/src/aggregator/dynamic_config/config_generation_manager.cpp
+++ b/src/aggregator/dynamic_config/config_generation_manager.cpp
@@ -29,7 +29,7 @@
     refused_digest_ = 0;
     return f;
   }
-  // Told once: a set that stays as it is, is neither checked nor logged again with every look.
+  // Reported once: an unchanged candidate is not logged again at every scan.
   if (digest == refused_digest_ || (held_ && held_->digest == digest)) return f;
   if (checked && current_)
     for (const auto& [kind, revision] : checked->revisions) {
@@ -62,8 +62,8 @@
   return f;
 }
 
-// What a set takes away that an operator should have meant: many nodes at once, or every holder that a range
-// had. A tool that wrote half a list writes a sound one sometimes.
+// A partly written list can be valid by itself. So a generation that removes many nodes at once, or every
+// previous holder of a range, is applied only with an operator's approval.
 std::string ConfigGenerationManager::too_much(const ConfigGeneration& next) const {
   std::size_t stored = 0;
   for (const coordination::Member& m : current_->members) stored += next.member(m.entry.server) != nullptr;
@@ -75,7 +75,7 @@
   if (!current_->map || !next.map) return "";
   std::string why;
   next.map->visit({0, ranges::kKeyEnd}, [&](const ranges::Place& p) {
-    // Every holder that served any of these keys is gone from them: nobody could have handed them over.
+    // Without a holder in common nobody could have transferred these keys to the new holders.
     bool shared = false;
     current_->map->visit(p.span, [&](const ranges::Place& old) {
       for (const ranges::Holder& h : **old.holders)
@@ -93,8 +93,8 @@
 
 void ConfigGenerationManager::take(ConfigGenerationPtr next, Millis now) {
   std::vector<Dropped> still;
-  // One that is named again is no dropped one any more, also where it stands at another address now: then its
-  // old connections end by themselves.
+  // A draining member that is listed again is no longer draining, also at another address: connections to its
+  // old address are closed by the pool.
   for (Dropped& d : dropped_)
     if (!next->member(d.member.entry.server)) still.push_back(std::move(d));
   if (current_)
@@ -126,7 +126,7 @@
   std::uint64_t removed_from = current_ ? current_->digest : 0;
   ValidationResult f{ValidationOutcome::taken, to->digest, {}, "rolled back by an operator", false};
   take(std::move(to), now);
-  refused_digest_ = removed_from;  // the files still say so; it is not taken again until they change
+  refused_digest_ = removed_from;  // still in the files: not applied again until they change
   remember(now, f);
   return true;
 }
--- a/src/aggregator/dynamic_config/config_generation_manager.hpp
+++ b/src/aggregator/dynamic_config/config_generation_manager.hpp
@@ -1,6 +1,4 @@
-// Which generation is in use, and what becomes of a set of files that was found: taken, refused with every
-// reason, or held for an operator's word. And of the nodes that a generation drops: they are drained first.
-// No I/O; the time is told.
+// Decides which configuration generation is active, and which members are drained because it removed them.
 #pragma once
 
 #include <deque>
@@ -14,62 +12,76 @@
 using Millis = double;
 
 struct ConfigGenerationLimits {
-  double drop_share = 0.25;   // of the nodes: a set that drops more of them waits for an operator's word
-  Millis drain_time = 10000;  // ms that a dropped node goes on with what it has, before it is gone
-  std::size_t history = 32;   // verdicts remembered
+  double drop_share =
+      0.25;  // a generation that removes a larger share of the nodes needs an operator's approval
+  Millis drain_time =
+      10000;  // ms for which a removed node is draining before it is removed from the member list
+  std::size_t history = 32;  // results that are kept
 };
 
 enum class ValidationOutcome {
-  taken,    // in use from now on
-  same,     // the bytes that are in use
-  refused,  // what was in use stays; `faults` say why
-  held,     // sound, but it takes away too much: what was in use stays until an operator accepts it
+  taken,    // applied: the active generation from now on
+  same,     // nothing to do: it is active, or was already rejected or held
+  refused,  // rejected: the active generation stays; `faults` has the reasons
+  held,     // valid, but removes too much: the active generation stays until an operator approves this one
 };
+// The outcome's name in logs and in the store.
 const char* name_of(ValidationOutcome verdict);
 
 struct ValidationResult {
   ValidationOutcome verdict = ValidationOutcome::same;
   std::uint64_t digest = 0;
-  std::vector<Fault> faults{};  // refused
-  std::string why{};            // held
-  bool doubtful = false;        // refused for what half a set would show as well: look again soon
+  std::vector<Fault> faults{};  // of a rejected generation
+  std::string why{};            // it is held, or was applied at an operator's command
+  bool doubtful = false;  // the faults may be those of a partly written set: it should be read again soon
 };
 
+// Validates candidates and holds the active generation.
+//
+// Invariant: the active generation changes only as a whole, to a valid one, and never to one with a lower
+// stated revision unless an operator rolls back. A candidate is reported once: while its digest stays the
+// same, `evaluate` answers `same`. No I/O; the caller passes the time, in milliseconds. Not thread-safe.
 class ConfigGenerationManager {
  public:
   explicit ConfigGenerationManager(Bounds bounds = {}, ConfigGenerationLimits limits = {})
       : bounds_(std::move(bounds)), limits_(limits) {}
 
-  // A set as it was read; `readable` faults are those of reading (XML, schema), with which nothing is
-  // checked.
+  // Validates the rows of a candidate and applies it if it is valid. `readable`: faults found while the files
+  // were parsed (XML, schema); if there are any, the candidate is rejected with them.
   ValidationResult evaluate(const Rows& rows, std::uint64_t digest, std::vector<Fault> readable, Millis now);
-  // The same for a set whose checks were done elsewhere (on a thread of its own, where it is large).
+  // The same for a candidate that was validated on another thread. `checked`: null if there are faults.
   ValidationResult evaluate(ConfigGenerationPtr checked, std::uint64_t digest, std::vector<Fault> faults,
                             Millis now);
-  // Takes what the store had, at the start. It was checked when it was taken.
+  // Applies the generation that the store had as the newest one, at the start. Null: nothing happens.
   void restore(ConfigGenerationPtr stored, Millis now);
-  // An operator's words. False where there is no such set to accept, or nothing to go back to.
+  // Applies the held generation at an operator's command. False: none of this digest is held.
   bool accept(std::uint64_t digest, Millis now);
-  bool rollback(ConfigGenerationPtr to, Millis now);  // and refuses what the files say until they change
+  // Applies an earlier generation at an operator's command; the one that was active is rejected until the
+  // files change. False: `to` is null or active.
+  bool rollback(ConfigGenerationPtr to, Millis now);
 
+  // The active generation; null: none yet.
   const ConfigGenerationPtr& current() const { return current_; }
+  // The generation that waits for an operator's approval; null: none.
   const ConfigGenerationPtr& held() const { return held_; }
   const Bounds& bounds() const { return bounds_; }
-  std::uint64_t number() const { return number_; }  // rises with each generation that is taken
-  // The map of the generation in use, numbered so that a later one is a later revision.
+  // Incremented whenever a generation is applied.
+  std::uint64_t number() const { return number_; }
+  // The active generation's range map, with a revision that rises with `number()`.
   std::optional<ranges::RangeMap> map() const;
 
-  // All members as the module is to know them: those of the generation, and dropped ones that drain. What
-  // drained for its time is not named any more: that is, gone.
+  // The members of the active generation, and the removed ones that are still draining at `now`.
   std::vector<coordination::Member> members(Millis now);
-  Millis next_removal() const;  // when members() changes by time alone
+  // When the next draining member drops out of `members`; infinity: none is draining.
+  Millis next_removal() const;
 
   struct Entry {
     Millis at = 0;
     ValidationOutcome verdict = ValidationOutcome::taken;
     std::uint64_t digest = 0;
-    std::string why{};  // the first reason
+    std::string why{};  // the first fault, or why it is held
   };
+  // The newest results, oldest first.
   const std::deque<Entry>& history() const { return history_; }
 
  private:
@@ -79,6 +91,7 @@
   };
   void take(ConfigGenerationPtr next, Millis now);
   void remember(Millis now, const ValidationResult& found);
+  // Why an operator has to approve `next`; empty: it is applied without.
   std::string too_much(const ConfigGeneration& next) const;
 
   Bounds bounds_;
--- a/src/aggregator/dynamic_config/debouncer.hpp
+++ b/src/aggregator/dynamic_config/debouncer.hpp
@@ -1,6 +1,4 @@
-// When to look at a folder that somebody writes to: once it has been quiet for a moment, but not later than a
-// bound from the first word of a change, or a busy writer could put it off for ever. Decides by what it is
-// told; the time only has to go forward (a clock that steps back must not reach it).
+// Schedules scans of a directory that another process writes to.
 #pragma once
 
 #include <limits>
@@ -9,28 +7,33 @@
 
 using Millis = double;
 
+// A scan is due once there was no event for `kQuiet`, at the latest `kLongest` after the first event, so that
+// a busy writer can't defer it for ever, and every `kAnyway` without any event. All times are in milliseconds
+// of a steady clock, which the caller passes in.
 class Debouncer {
  public:
-  static constexpr Millis kQuiet = 40;     // ms without an event: writers of a set are done in less
-  static constexpr Millis kLongest = 400;  // ms from the first event: then it is looked at all the same
-  static constexpr Millis kAnyway =
-      10000;                             // ms between looks without any event: some file systems tell nothing
-  static constexpr Millis kAgain = 100;  // ms to the next look after one that found half a set
+  static constexpr Millis kQuiet = 40;     // the writer of a set pauses for less than this between two files
+  static constexpr Millis kLongest = 400;  // from the first event to the scan at the latest
+  // Between scans without events: some file systems report none.
+  static constexpr Millis kAnyway = 10000;
+  static constexpr Millis kAgain = 100;  // from a scan that may have found a partly written set to the next
 
+  // A change of the directory was reported.
   void event(Millis now) {
     if (first_ < 0) first_ = now;
     last_ = now;
   }
-  // What the look found was changed under it, or could not be read as a whole: it counts as an event.
+  // The files changed while they were read: counts as an event.
   void disturbed(Millis now) { event(now); }
-  // A look begins: whatever is told from now on is a new change.
+  // A scan begins: events from now on belong to a later change.
   void on_scan_started(Millis now) {
     first_ = -1;
     last_scan_at_ = now;
   }
-  // A set that contradicts itself may be half of one: it is looked at once more, soon, without an event.
+  // The files contradict one another and may be partly written: they are read again soon, without an event.
   void doubtful(Millis now) { again_ = now + kAgain; }
 
+  // When the next scan is due.
   Millis due() const {
     Millis at = last_scan_at_ + kAnyway;
     if (again_ > last_scan_at_ && again_ < at) at = again_;
@@ -40,6 +43,7 @@
     }
     return at;
   }
+  // Time of the first event since the last scan began; negative: there was none.
   Millis first_event() const { return first_; }
 
  private:
--- a/src/aggregator/dynamic_config/digest.hpp
+++ b/src/aggregator/dynamic_config/digest.hpp
@@ -1,5 +1,5 @@
-// The digest of a set's bytes: xxHash (XXH3, 64 bits), chained over the files in order of their kinds. It
-// tells sets apart and finds spoilt ones; it is no guard against anybody who means to deceive.
+// Digest of the configuration files: xxHash (XXH3, 64 bits), chained over the files in the order of `Kind`.
+// Identifies a generation and detects corruption; it is no protection against deliberate collisions.
 #pragma once
 
 #include <cstdint>
--- a/src/aggregator/dynamic_config/file_config_source.cpp
+++ b/src/aggregator/dynamic_config/file_config_source.cpp
@@ -12,15 +12,15 @@
 using dynamic_config::Fault;
 using dynamic_config::ValidationOutcome;
 using ListKind = winchhall::ServerList::Kind;
-constexpr event_loop::Millis kOrdersEvery = 500;  // ms between looks for an operator's words in the store
-constexpr std::size_t kLoggedMost = 10;           // faults of one set; `winchhall files check` tells all
+constexpr event_loop::Millis kOrdersEvery = 500;  // ms between reads of operators' commands from the store
+constexpr std::size_t kLoggedMost = 10;  // faults logged of one candidate; `winchhall files check` shows all
 }  // namespace
 
-// What the thread found. Nothing of it is shared with the loop before it is done.
+// Result of one scan. Owned by the worker's thread until its completion is posted to the event loop.
 struct FileConfigSource::Read {
   FolderContents scan{};
   std::uint64_t digest = 0;
-  bool known = false;  // the bytes of the look before: not read again
+  bool known = false;  // equal to the previous scan: not parsed again
   dynamic_config::ConfigGenerationPtr checked{};
   std::vector<Fault> faults{};
 };
@@ -59,7 +59,7 @@
   return faults.empty() ? dynamic_config::check(rows, digest, options.bounds, faults) : nullptr;
 }
 
-// What was in use before the process ended is in use again before any file is looked at: jobs run in order.
+// The worker runs its jobs in order, so the stored generation is active again before any file is read.
 void FileConfigSource::restore() {
   store_ = std::make_shared<dynamic_config::OpenedStore>();
   auto found = std::make_shared<dynamic_config::ConfigGenerationPtr>();
@@ -107,7 +107,7 @@
       });
 }
 
-// An operator's words come through the store: `winchhall files accept` leaves them there.
+// Operators' commands come through the store, where `winchhall files accept` and `rollback` leave them.
 void FileConfigSource::fetch_operator_commands() {
   auto orders = std::make_shared<std::vector<dynamic_config::OperatorCommand>>();
   auto wanted = std::make_shared<std::vector<dynamic_config::ConfigGenerationPtr>>();
@@ -146,7 +146,7 @@
     if (!done) continue;
     ++figures_.taken;
     publish_members();
-    // What it was kept as before stays in the history; now it is what a return would begin with.
+    // Stored once more as applied: a restart begins with it, and the earlier entry stays in the history.
     worker_.run(
         [opened = store_, digest_number = o.digest, at = now, word = o.word] {
           if (auto stored = opened->store->find(digest_number)) {
@@ -247,7 +247,8 @@
   }
 }
 
-// Members and map go in one after the other within one turn: no query is planned between them.
+// Members and range map are passed on within one turn of the event loop, so that no query is planned between
+// them.
 void FileConfigSource::publish_members() {
   event_loop::Millis now = loop_.now();
   router_.list(ListKind::complete, generation_manager_.members(now));
@@ -262,7 +263,7 @@
 }
 
 void FileConfigSource::watch(bool on) {
-  // Each call is answered by one list at least; before any set was taken there is none to tell.
+  // Each call is answered by at least one list; before the first generation that is an empty change.
   if (on && generation_manager_.current()) publish_members();
   if (on && !generation_manager_.current()) router_.list(ListKind::changes, {});
 }
--- a/src/aggregator/dynamic_config/file_config_source.hpp
+++ b/src/aggregator/dynamic_config/file_config_source.hpp
@@ -1,5 +1,4 @@
-// Members and ranges from a watched folder. What is taken, refused or held is decided by
-// generations::ConfigGenerationManager; here are the folder, the thread that reads it, and the log.
+// Source of members and ranges that reads them from files in a watched directory.
 #pragma once
 
 #include <memory>
@@ -16,31 +15,39 @@
 
 struct FileConfigOptions {
   std::string folder{};
-  std::string store{};  // a file for what must outlive the process; empty: none
-  std::size_t most_bytes = 32 << 20;
+  std::string store{};                // database file, see store.hpp; empty: nothing outlives the process
+  std::size_t most_bytes = 32 << 20;  // maximum size of a file
   dynamic_config::Bounds bounds{};
   dynamic_config::ConfigGenerationLimits limits{};
-  // Rows of a set's bytes, with the faults of reading; called on the worker's thread, one at a time.
+  // Parses the bytes of all files into rows and faults. Called on the worker's thread, one call at a time.
   std::function<void(const dynamic_config::Bytes&, dynamic_config::Rows&,
                      std::vector<dynamic_config::Fault>&)>
       read{};
 };
 
+// Reads, parses and validates the files on a worker thread, lets ConfigGenerationManager decide what is
+// applied, passes members and range map to the router, persists the results in the store, and carries out
+// operators' commands that are left there. All members are called on the event loop; `loop` and `router` must
+// outlive the source.
 class FileConfigSource final : public coordination::MembershipSource, public coordination::RangeSource {
  public:
   FileConfigSource(event_loop::Loop& loop, coordination::RequestRouter& router, FileConfigOptions options);
   ~FileConfigSource();
 
+  // Restores the stored generation, if there is a store, and scans the directory from now on.
   void start();
   void watch(bool on) override;
   void fetch() override;
-  void refresh() override;  // a node knows of a later map: look at once
+  // A node knows a newer range map: the directory is scanned soon.
+  void refresh() override;
 
   dynamic_config::ConfigGenerationManager& generation_manager() { return generation_manager_; }
   struct Figures {
-    std::uint64_t scans = 0, taken = 0, refused = 0, held = 0, disturbed = 0;
-    std::uint64_t stored = 0, not_stored = 0;  // by the store
-    event_loop::Millis slowest_take = 0;       // ms from the first event of a change to its use
+    std::uint64_t scans = 0, taken = 0, refused = 0, held = 0;
+    std::uint64_t disturbed = 0;               // scans during which the files changed
+    std::uint64_t stored = 0, not_stored = 0;  // writes to the store that succeeded, and failed
+    event_loop::Millis slowest_take =
+        0;  // longest time in ms from the first event of a change to its application
   };
   const Figures& figures() const { return figures_; }
 
@@ -65,13 +72,14 @@
   dynamic_config::Debouncer debouncer_;
   std::unique_ptr<FolderWatch> folder_;
   event_loop::TimerId timer_{}, removal_timer_{};
-  bool scanning_ = false, there_ = true;
+  bool scanning_ = false;
+  bool there_ = true;  // the directory existed at the last scan
   std::uint64_t last_digest_ = 0, last_number_ = 0;
   Figures figures_;
-  // Used on the worker's thread only, but for its begin and end.
+  // Used on the worker's thread only, except for opening and destruction.
   std::shared_ptr<dynamic_config::OpenedStore> store_;
   event_loop::TimerId orders_timer_{};
-  event_loop::Worker worker_;  // last: its thread ends before all else goes
+  event_loop::Worker worker_;  // last: its thread ends before the members that it uses are destroyed
 };
 
 }  // namespace winchhall::dynamic_config
--- a/src/aggregator/dynamic_config/folder_watch.cpp
+++ b/src/aggregator/dynamic_config/folder_watch.cpp
@@ -16,12 +16,12 @@
 
 constexpr std::uint32_t kInside = IN_CLOSE_WRITE | IN_MODIFY | IN_MOVED_TO | IN_MOVED_FROM | IN_CREATE |
                                   IN_DELETE | IN_ATTRIB | IN_DELETE_SELF | IN_MOVE_SELF | IN_ONLYDIR;
-// Of a folder on the way: only that names come and go matters.
+// Of a directory on the path: only names that appear and disappear matter.
 constexpr std::uint32_t kAbove = IN_MOVED_TO | IN_MOVED_FROM | IN_CREATE | IN_DELETE | IN_ONLYDIR;
-constexpr int kLinksMost = 16;  // symbolic links on the way; a loop of them ends there
+constexpr int kLinksMost = 16;  // symbolic links followed on the path, which may contain a loop
 
-// What tells one state of a file from another. The time of change is in it: a rewrite of the same size within
-// one tick of the clock still moves it or the inode, and where it doesn't, the event of the write does.
+// Identifies a state of a file. A rewrite of the same size within one tick of the clock changes ctime or
+// inode; where it doesn't, the event of the write leads to another scan.
 struct Stamp {
   bool there = false;
   ino_t inode = 0;
@@ -69,8 +69,8 @@
   std::map<int, std::string> now;
   std::error_code ignored;
   watch(folder_, kInside, now);
-  // Each folder that holds a link on the way, and the nearest one above that is there: where the folder
-  // itself is gone, its return shows there.
+  // Each directory that contains a link of the path, and the nearest existing parent: the creation of a
+  // missing directory is reported there.
   fs::path path = fs::path(folder_).lexically_normal();
   if (!path.has_filename()) path = path.parent_path();
   for (int links = 0; links < kLinksMost; ++links) {
@@ -94,7 +94,7 @@
 void FolderWatch::heard() {
   alignas(inotify_event) char buffer[16384];
   bool any = false;
-  // All that is there, or a flood of writes would wake us once for each.
+  // Reads all pending events, so that a burst of writes causes one notification.
   while (::read(fd_.get(), buffer, sizeof buffer) > 0) any = true;
   if (any) changed_();
 }
@@ -109,7 +109,7 @@
   for (Kind kind : dynamic_config::kKinds) {
     if (!before[kind].there) continue;
     auto fault = [&](const std::string& what) { look.faults.push_back({kind, 0, what}); };
-    // Guards against a name that leads out of the folder, or to what never ends: a pipe is not waited for.
+    // O_NOFOLLOW: no link out of the directory. O_NONBLOCK: opening a pipe doesn't wait for its writer.
     event_loop::UniqueFd file(
         ::openat(dir.get(), file_of(kind), O_RDONLY | O_NOFOLLOW | O_NONBLOCK | O_CLOEXEC));
     struct stat info {};
@@ -140,7 +140,7 @@
   }
   for (Kind kind : dynamic_config::kKinds)
     if (!(stamp(dir.get(), file_of(kind)) == before[kind])) look.disturbed = true;
-  // The folder that the path leads to may be another one by now: then this was the old one's set.
+  // The directory may have been replaced while its files were read.
   struct stat opened {
   }, named{};
   if (fstat(dir.get(), &opened) != 0 || ::stat(folder.c_str(), &named) != 0 ||
--- a/src/aggregator/dynamic_config/folder_watch.hpp
+++ b/src/aggregator/dynamic_config/folder_watch.hpp
@@ -1,4 +1,5 @@
-// A folder that somebody else writes to: when to look (inotify), and what is there, read whole or not at all.
+// Change notification for a directory that other processes write to (inotify), and consistent reads of its
+// files.
 #pragma once
 
 #include <cstdint>
@@ -13,16 +14,20 @@
 
 namespace winchhall::dynamic_config {
 
-// Tells that something may have changed, and never what: a file written, renamed over, removed; the folder,
-// or a symbolic link on the way to it, replaced, gone or back; words lost because there were too many.
+// Reports that something may have changed, not what: a file was written, replaced or removed; the directory
+// or a symbolic link on its path was replaced, removed or created; the event queue overflowed. On the event
+// loop only.
 class FolderWatch {
  public:
+  // `changed` is called on the event loop, once for any number of events that are pending.
   FolderWatch(event_loop::Loop& loop, std::string folder, std::function<void()> changed);
   ~FolderWatch();
 
-  // Watches what the path leads to by now. To be called before each look: the folder may be another one.
+  // Watches what the path refers to now. To be called before each scan, as the directory may have been
+  // replaced.
   void rearm();
-  bool working() const { return static_cast<bool>(fd_); }  // else: only looking now and then helps
+  // False if the system gave no inotify instance: changes are then found by periodic scans only.
+  bool working() const { return static_cast<bool>(fd_); }
 
  private:
   void heard();
@@ -37,12 +42,13 @@
 
 struct FolderContents {
   dynamic_config::Bytes bytes{};
-  std::vector<dynamic_config::Fault> faults{};  // a file over its bound, or that is none, or can't be read
-  bool disturbed = false;                       // something was written while it was read: look again
-  bool there = false;                           // the folder is
+  std::vector<dynamic_config::Fault> faults{};  // files that are too large, not regular, or unreadable
+  bool disturbed = false;                       // a file changed while it was read: to be read again
+  bool there = false;                           // the directory exists
 };
 
-// Reads the set. Only its own names are opened, inside the folder: no link out of it is followed.
+// Reads the files named by `file_of` in this directory; symbolic links out of it are not followed. Blocks;
+// thread-safe.
 FolderContents read_config_folder(const std::string& folder, std::size_t most_bytes);
 
 }  // namespace winchhall::dynamic_config
--- a/src/aggregator/dynamic_config/rows.hpp
+++ b/src/aggregator/dynamic_config/rows.hpp
@@ -1,4 +1,4 @@
-// What stands in a set of files, as read and not yet believed: rows with the line that each came from.
+// The parsed but not yet validated content of the configuration files: rows with their line numbers.
 #pragma once
 
 #include <cstdint>
@@ -11,10 +11,11 @@
 
 namespace winchhall::dynamic_config {
 
-// The files of a set. Only these names are ever opened; nodes must be there, the others may be.
+// The configuration files. `nodes` is required, the others are optional.
 enum class Kind { nodes, weights, ranges, tenants };
 inline constexpr Kind kKinds[] = {Kind::nodes, Kind::weights, Kind::ranges, Kind::tenants};
-const char* file_of(Kind kind);  // "nodes.xml"
+// The file's name, such as "nodes.xml".
+const char* file_of(Kind kind);
 
 struct NodeRow {
   std::string id{}, address{}, zone{};
@@ -41,20 +42,22 @@
 };
 
 struct Rows {
-  std::map<Kind, std::uint64_t> revisions{};  // as each file states its own; 0: not stated
+  std::map<Kind, std::uint64_t> revisions{};  // as stated in each file; 0: not stated
   std::vector<NodeRow> nodes{};
   std::vector<WeightRow> weights{};
   std::vector<RangeRow> ranges{};
   std::vector<TenantRow> tenants{};
 };
 
-// The bytes of a set, by kind; what is not there is no entry.
+// Content of the files that exist.
 using Bytes = std::map<Kind, std::string>;
 
+// Why a configuration is invalid.
 struct Fault {
-  Kind kind = Kind::nodes;
-  long line = 0;  // 0: of the file as a whole
+  Kind kind = Kind::nodes;  // the file
+  long line = 0;            // 0: the file as a whole
   std::string what{};
+  // "FILE:LINE: what"
   std::string text() const {
     return std::string(file_of(kind)) + (line > 0 ? ":" + std::to_string(line) : "") + ": " + what;
   }
--- a/src/aggregator/dynamic_config/sqlite_store.cpp
+++ b/src/aggregator/dynamic_config/sqlite_store.cpp
@@ -1,4 +1,4 @@
-// The store on SQLite: its transactions are what makes a set whole or not there.
+// The store on SQLite, whose transactions make `put` atomic.
 #include <sqlite3.h>
 #include <sys/stat.h>
 
@@ -14,9 +14,9 @@
 using dynamic_config::Kind;
 namespace fs = std::filesystem;
 
-constexpr int kSchema = 1;               // of our tables; another one is another version's
-constexpr int kBusy = 500;               // ms to wait for another process that writes
-constexpr int kMaxStoredCommands = 200;  // of those that were carried out
+constexpr int kSchema = 1;               // version of the tables, SQLite's user_version
+constexpr int kBusy = 500;               // ms to wait for another process' write lock
+constexpr int kMaxStoredCommands = 200;  // newest commands that are kept
 
 struct CloseDb {
   void operator()(sqlite3* db) const { sqlite3_close_v2(db); }
@@ -169,7 +169,7 @@
     return {s.number(0), unhex(s.bytes(1)), s.real(2), s.bytes(3), s.bytes(4), {}};
   }
 
-  // Nothing where the bytes are not those that were kept: a store that is spoilt in places is used in others.
+  // None if the bytes don't match their digest: the other rows of a partly corrupt database stay usable.
   static std::optional<StoredSet> whole(Statement& s) {
     StoredSet k = head(s);
     for (int i = 0; i < 4; ++i)
@@ -178,8 +178,7 @@
     return k;
   }
 
-  // By count and by size; the newest two sets stay in any case, or a large one would leave nothing to go back
-  // to.
+  // The newest two entries always stay, or one large entry would leave nothing to roll back to.
   bool prune() {
     Statement select(db_.get(),
                      "SELECT number, coalesce(length(nodes), 0) + coalesce(length(weights), 0) + "
--- a/src/aggregator/dynamic_config/store.hpp
+++ b/src/aggregator/dynamic_config/store.hpp
@@ -1,7 +1,4 @@
-// What must outlive the process: the last good sets of files, and an operator's words for a running program.
-// Only plain values here; the library that keeps them is behind it (sqlite_store.cpp), in a module that is
-// loaded only where a store is named. A store may be slow: it is used on a thread of its own, never on the
-// loop.
+// Durable store of configuration generations and of operators' commands to the running aggregator.
 #pragma once
 
 #include <cstdint>
@@ -14,52 +11,66 @@
 
 namespace winchhall::dynamic_config {
 
+// The result of one candidate configuration.
 struct StoredSet {
-  std::int64_t number = 0;  // in order of keeping
+  std::int64_t number = 0;  // rises with each `put`; the order of entries
   std::uint64_t digest = 0;
-  double at = 0;          // Unix time, ms, for people; order is by number, as clocks step back
-  std::string verdict{};  // "taken", "refused", "held"
-  std::string why{};
-  dynamic_config::Bytes bytes{};  // of what was taken or held
+  double at = 0;                  // Unix time in ms, for people: clocks step back
+  std::string verdict{};          // "taken", "refused", "held", see `name_of(ValidationOutcome)`
+  std::string why{};              // the first fault, or why it is held
+  dynamic_config::Bytes bytes{};  // empty for a rejected one
 };
 
-struct OperatorCommand {  // an operator's word, left for the running program
+// A command that an operator left for the running aggregator.
+struct OperatorCommand {
   std::int64_t id = 0;
-  std::string word{};  // "accept", "rollback"
-  std::uint64_t digest = 0;
-  std::string answer{};  // empty: not carried out yet
+  std::string word{};        // "accept" or "rollback"
+  std::uint64_t digest = 0;  // of the generation that is meant
+  std::string answer{};      // empty: not carried out yet
 };
 
+// Interface of the store, with plain values only: its implementation on SQLite (sqlite_store.cpp) lies in a
+// module that is loaded only if a store is configured. Several processes may use one store. Calls block, so
+// they are made on a worker thread, never on the event loop. Not thread-safe.
 class Store {
  public:
   virtual ~Store() = default;
-  // Whole or not at all, also where the process dies in the middle of it. False, and fault() says why, where
-  // it could not be kept: a full or read-only disk costs durability and nothing else.
+  // Adds an entry atomically, also if the process dies during the call, and drops the oldest ones beyond the
+  // limits below. False: it was not stored, `fault` has the reason; the store stays usable (a full disk,
+  // another writer).
   virtual bool put(const StoredSet& stored) = 0;
-  virtual std::optional<StoredSet> newest_taken() = 0;  // whose bytes still have their digest
+  // The newest entry with verdict "taken" whose bytes match their digest; none: there is no such entry.
+  virtual std::optional<StoredSet> newest_taken() = 0;
+  // The newest entry of this digest whose bytes match it.
   virtual std::optional<StoredSet> find(std::uint64_t digest) = 0;
-  virtual std::vector<StoredSet> history(int most) = 0;  // newest first, without bytes
+  // At most `most` entries without their bytes, newest first.
+  virtual std::vector<StoredSet> history(int most) = 0;
+  // Leaves a command for the running aggregator and returns its id; none: it was not stored.
   virtual std::optional<std::int64_t> leave(const std::string& word, std::uint64_t digest) = 0;
+  // Commands that have not been answered, oldest first.
   virtual std::vector<OperatorCommand> open_orders() = 0;
+  // Answers a command. False: the answer was not stored.
   virtual bool answer(std::int64_t id, const std::string& words) = 0;
+  // A command by its id; none: there is none, or it was answered long ago.
   virtual std::optional<OperatorCommand> order(std::int64_t id) = 0;
+  // Why the last call failed.
   virtual const std::string& fault() const = 0;
 
-  static constexpr int kMaxStoredSets = 32;              // sets with their bytes
-  static constexpr std::int64_t kBytesMost = 256 << 20;  // and of them all; the newest two stay in any case
+  static constexpr int kMaxStoredSets = 32;              // entries
+  static constexpr std::int64_t kBytesMost = 256 << 20;  // of all entries together, except for the newest two
 };
 
 struct OpenedStore {
-  std::unique_ptr<Store> store{};  // null: none to be had, and why
+  std::unique_ptr<Store> store{};  // null: it could not be opened, for the reason in `why`
   std::string why{};
-  std::string set_aside{};  // where a spoilt one was put
+  std::string set_aside{};  // new name of a corrupt database that was replaced; empty: none was
 };
 
-// Opens or makes the store. One that is spoilt is set aside under a name of its own and a new one begun,
-// unless `read_only`, with which nothing is made or moved.
+// Opens the store, or creates it. A corrupt database is renamed and replaced by an empty one, and one of a
+// later version is left alone; with `read_only` nothing is created or renamed.
 OpenedStore open(const std::string& path, bool read_only = false);
 
-// What the module offers; called through open() only.
+// Entry point of the module; called by `open` only.
 using Opener = void (*)(const std::string& path, bool read_only, OpenedStore& opened);
 
 }  // namespace winchhall::dynamic_config
