--- a/tests/cluster/rpc/sockets_test.cpp
+++ b/tests/cluster/rpc/sockets_test.cpp
@@ -75,15 +75,33 @@
   return true;
 }
 
+// A socket of the test's own. It is closed as those of the program are: see socket_closer.hpp.
+struct TestSocket {
+  explicit TestSocket(int (*open)(nng_socket*)) {
+    REQUIRE(open(&socket) == 0);
+    pipes->watch(socket);
+  }
+  ~TestSocket() {
+    nng_dialer_close(dialer);
+    nng_listener_close(listener);
+    pipes->close_all();
+    close_socket_when_quiet(socket, std::move(pipes));
+  }
+  TestSocket(const TestSocket&) = delete;
+  TestSocket& operator=(const TestSocket&) = delete;
+
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  nng_dialer dialer = NNG_DIALER_INITIALIZER;
+  nng_listener listener = NNG_LISTENER_INITIALIZER;
+  std::unique_ptr<SocketPipes> pipes = std::make_unique<SocketPipes>();
+};
+
 // Sends bytes that are no envelope over a socket of the same protocol.
 bool send_garbage(const Address& address) {
-  nng_socket socket = NNG_SOCKET_INITIALIZER;
-  if (nng_req0_open(&socket) != 0) return false;
+  TestSocket test(&nng_req0_open);
   std::string garbage = "\xff\xff\xff not a message";
-  const bool dialled = nng_dial(socket, ("tcp://" + address).c_str(), nullptr, 0) == 0;
-  const bool sent = dialled && nng_send(socket, garbage.data(), garbage.size(), 0) == 0;
-  nng_close(socket);
-  return sent;
+  const bool dialled = nng_dial(test.socket, ("tcp://" + address).c_str(), &test.dialer, 0) == 0;
+  return dialled && nng_send(test.socket, garbage.data(), garbage.size(), 0) == 0;
 }
 
 }  // namespace
@@ -300,20 +318,18 @@
 class WrongCallIdPeer {
  public:
   explicit WrongCallIdPeer(Address& address) {
-    REQUIRE(nng_rep0_open_raw(&socket_) == 0);
     const int first = first_port() + kPortsPerProcess / 2;
     for (int port = first; port < first + kPortsPerProcess / 2; ++port) {
       address = "127.0.0.1:" + std::to_string(port);
-      if (nng_listen(socket_, ("tcp://" + address).c_str(), nullptr, 0) == 0) return;
+      if (nng_listen(test_.socket, ("tcp://" + address).c_str(), &test_.listener, 0) == 0) return;
     }
     FAIL("no free port");
   }
-  ~WrongCallIdPeer() { nng_close(socket_); }
 
   // Replies to one request; false if none has arrived.
   bool answer_one() {
     nng_msg* message = nullptr;
-    if (nng_recvmsg(socket_, &message, NNG_FLAG_NONBLOCK) != 0) return false;
+    if (nng_recvmsg(test_.socket, &message, NNG_FLAG_NONBLOCK) != 0) return false;
     wire::Envelope request;
     request.ParseFromArray(nng_msg_body(message), static_cast<int>(nng_msg_len(message)));
     wire::Envelope answer;
@@ -322,12 +338,12 @@
     const std::string body = answer.SerializeAsString();
     nng_msg_clear(message);
     nng_msg_append(message, body.data(), body.size());
-    nng_sendmsg(socket_, message, 0);
+    nng_sendmsg(test_.socket, message, 0);
     return true;
   }
 
  private:
-  nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+  TestSocket test_{&nng_rep0_open_raw};
 };
 
 }  // namespace
