--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -69,7 +69,7 @@
   callbacks.on_record_adopted = [this] { on_record_adopted(); };
   callbacks.on_synchronized = [this] {
     notify_shards_of_membership();
-    record_exchange_.request_to_join();  // a learner is promoted, an unsettled member is declared settled
+    record_exchange_.request_to_join();  // a learner is promoted, an unconfirmed member is confirmed
   };
   return callbacks;
 }
--- a/src/cluster/consensus/excess_member_remover.cpp
+++ b/src/cluster/consensus/excess_member_remover.cpp
@@ -63,7 +63,7 @@
 void ExcessMemberRemover::try_to_leave() {
   const bool member = find_member(group_.record(), leaving_id_) != nullptr;
   const wire::MemberRecord& record = group_.record();
-  const bool may_leave_soon = has_excess_member(record, leaving_id_) || record.unsettled() != 0;
+  const bool may_leave_soon = has_excess_member(record, leaving_id_) || record.unconfirmed() != 0;
   if (!member || !may_leave_soon || group_.runtime().now() >= leave_by_) return finish_leaving();
   if (!busy_ && has_excess_member(record, leaving_id_) && group_.voting() && group_.has_quorum_contact() &&
       all_others_vote())
--- a/src/cluster/consensus/local_membership.cpp
+++ b/src/cluster/consensus/local_membership.cpp
@@ -122,8 +122,8 @@
 bool LocalMembership::needs_state_transfer() const {
   const std::uint64_t id = identity_.id();
   if (const wire::Member* self = find_member(record_, id)) {
-    const bool must_settle = is_unsettled(record_, id) && copied_epoch() <= self->copied_epoch();
-    return !identity_.synchronized() || must_settle;
+    const bool must_confirm = is_unconfirmed(record_, id) && copied_epoch() <= self->copied_epoch();
+    return !identity_.synchronized() || must_confirm;
   }
   return find_learner(record_, id) != nullptr && copied_epoch() != record_.epoch();
 }
--- a/src/cluster/consensus/local_membership.hpp
+++ b/src/cluster/consensus/local_membership.hpp
@@ -51,7 +51,7 @@
   const wire::MemberRecord& record() const { return record_; }
   const MembershipStatus& status() const { return status_; }
   // True if this node has to copy the other members' state (anew): as a member that doesn't hold it, as an
-  // unsettled member, or as a learner that copied it under an earlier member epoch.
+  // unconfirmed member, or as a learner that copied it under an earlier member epoch.
   bool needs_state_transfer() const;
   // Member epoch under which this node copied the state last; 0: never.
   std::uint64_t copied_epoch() const { return identity_.copied_epoch(); }
--- a/src/cluster/consensus/member_joiner.cpp
+++ b/src/cluster/consensus/member_joiner.cpp
@@ -93,7 +93,7 @@
                                                      const GroupContext& group, const PeerTable& peers,
                                                      GroupGrowth growth, Millis unreachable_after) {
   const std::uint64_t id = candidate.member.id();
-  if (may_settle(record, id, candidate.copied_epoch)) return with_settled(record);
+  if (may_confirm(record, id, candidate.copied_epoch)) return with_confirmed(record);
   const bool member = find_member(record, id) != nullptr;
   if (const wire::Member* predecessor = find_predecessor(record, candidate.member)) {
     if (can_remove(record, predecessor->id(), group)) return without_member(record, predecessor->id());
@@ -134,7 +134,7 @@
   if (was_removed(group_.record(), candidate.id())) return false;
   const bool is_admitted = find_member(group_.record(), candidate.id()) != nullptr &&
                            find_predecessor(group_.record(), candidate) == nullptr &&
-                           !is_unsettled(group_.record(), candidate.id());
+                           !is_unconfirmed(group_.record(), candidate.id());
   return !is_admitted && group_.voting() && group_.has_quorum_contact();
 }
 
--- a/src/cluster/consensus/member_joiner.hpp
+++ b/src/cluster/consensus/member_joiner.hpp
@@ -34,7 +34,7 @@
 //   has
 //     copied the state (see member_record.hpp). If it or a member doesn't know learners, as during the
 //     roll-out of this version, it is added as a member at once and copies the state then.
-//   - An unsettled member that copied the state again is declared settled.
+//   - An unconfirmed member that copied the state again is declared confirmed.
 // The group never gets smaller than its largest size less one, and every change leaves it with a majority of
 // reachable voters.
 std::optional<wire::MemberRecord> next_member_record(const wire::MemberRecord& record,
--- a/src/cluster/consensus/member_record.cpp
+++ b/src/cluster/consensus/member_record.cpp
@@ -17,36 +17,37 @@
   return std::max<std::size_t>(record.stale_bound(), outside_quorum(record));
 }
 
-// The bound on the settled members alone. A version of the program that knows no learners hands on an old
+// The bound on the confirmed members alone. A version of the program that knows no learners hands on an old
 // value.
-std::size_t settled_stale_bound(const wire::MemberRecord& record) {
-  const bool valid = record.unsettled() != 0 && record.settled_bound_epoch() == record.epoch();
-  return valid ? record.settled_stale_bound() : record.stale_bound();
+std::size_t confirmed_stale_bound(const wire::MemberRecord& record) {
+  const bool valid = record.unconfirmed() != 0 && record.confirmed_bound_epoch() == record.epoch();
+  return valid ? record.confirmed_stale_bound() : record.stale_bound();
 }
 
-void set_settled_bound(wire::MemberRecord& record, std::size_t bound) {
-  record.set_settled_stale_bound(static_cast<std::uint32_t>(bound));
-  record.set_settled_bound_epoch(record.epoch());
+void set_confirmed_bound(wire::MemberRecord& record, std::size_t bound) {
+  record.set_confirmed_stale_bound(static_cast<std::uint32_t>(bound));
+  record.set_confirmed_bound_epoch(record.epoch());
 }
 
 // The bound that the successor without this member carries.
 std::size_t bound_without(const wire::MemberRecord& record, std::uint64_t id) {
-  const bool unsettled = id != 0 && record.unsettled() == id;
-  return unsettled ? std::max(settled_stale_bound(record), outside_quorum(record)) : next_stale_bound(record);
+  const bool unconfirmed = id != 0 && record.unconfirmed() == id;
+  return unconfirmed ? std::max(confirmed_stale_bound(record), outside_quorum(record))
+                     : next_stale_bound(record);
 }
 
-void clear_unsettled(wire::MemberRecord& record) {
-  record.clear_unsettled();
-  record.clear_settled_stale_bound();
-  record.clear_settled_bound_epoch();
+void clear_unconfirmed(wire::MemberRecord& record) {
+  record.clear_unconfirmed();
+  record.clear_confirmed_stale_bound();
+  record.clear_confirmed_bound_epoch();
 }
 
 wire::MemberRecord successor(const wire::MemberRecord& record) {
   wire::MemberRecord next = record;
   next.set_epoch(record.epoch() + 1);
   next.set_stale_bound(static_cast<std::uint32_t>(next_stale_bound(record)));
-  if (record.unsettled() != 0)
-    set_settled_bound(next, std::max(settled_stale_bound(record), outside_quorum(record)));
+  if (record.unconfirmed() != 0)
+    set_confirmed_bound(next, std::max(confirmed_stale_bound(record), outside_quorum(record)));
   return next;
 }
 
@@ -92,11 +93,11 @@
 }
 
 std::size_t state_transfer_sources_needed(const wire::MemberRecord& record, std::uint64_t reader) {
-  return (is_unsettled(record, reader) ? settled_stale_bound(record) : record.stale_bound()) + 1;
+  return (is_unconfirmed(record, reader) ? confirmed_stale_bound(record) : record.stale_bound()) + 1;
 }
 
-bool is_unsettled(const wire::MemberRecord& record, std::uint64_t id) {
-  return id != 0 && record.unsettled() == id && find_member(record, id) != nullptr;
+bool is_unconfirmed(const wire::MemberRecord& record, std::uint64_t id) {
+  return id != 0 && record.unconfirmed() == id && find_member(record, id) != nullptr;
 }
 
 bool may_remove_member(const wire::MemberRecord& record, std::uint64_t id) {
@@ -119,7 +120,7 @@
   }
   next.add_removed(id);
   next.set_stale_bound(static_cast<std::uint32_t>(bound_without(record, id)));
-  if (record.unsettled() == id) clear_unsettled(next);
+  if (record.unconfirmed() == id) clear_unconfirmed(next);
   return next;
 }
 
@@ -138,7 +139,7 @@
 }
 
 bool may_promote(const wire::MemberRecord& record, std::uint64_t copied_epoch) {
-  return copied_epoch == record.epoch() && record.unsettled() == 0 &&
+  return copied_epoch == record.epoch() && record.unconfirmed() == 0 &&
          majority_of(static_cast<std::size_t>(record.members_size()) + 1) >
              std::max<std::size_t>(record.stale_bound(), outside_quorum(record) + 1);
 }
@@ -149,25 +150,25 @@
   wire::MemberRecord next = without_learner(record, id);
   add_member(next, member);
   const std::size_t bound = std::max<std::size_t>(record.stale_bound(), outside_quorum(record) + 1);
-  // An even group: the grown one's own bound is no smaller, so nothing is gained by settling.
-  const bool settles_at_once = bound <= std::max<std::size_t>(next.stale_bound(), outside_quorum(next));
-  if (!settles_at_once) {
-    next.set_unsettled(id);
-    set_settled_bound(next, next.stale_bound());
+  // An even group: the grown one's own bound is no smaller, so nothing is gained by confirming.
+  const bool confirmed_at_once = bound <= std::max<std::size_t>(next.stale_bound(), outside_quorum(next));
+  if (!confirmed_at_once) {
+    next.set_unconfirmed(id);
+    set_confirmed_bound(next, next.stale_bound());
   }
   next.set_stale_bound(static_cast<std::uint32_t>(bound));
   return next;
 }
 
-bool may_settle(const wire::MemberRecord& record, std::uint64_t id, std::uint64_t copied_epoch) {
-  return is_unsettled(record, id) && copied_epoch > find_member(record, id)->copied_epoch() &&
+bool may_confirm(const wire::MemberRecord& record, std::uint64_t id, std::uint64_t copied_epoch) {
+  return is_unconfirmed(record, id) && copied_epoch > find_member(record, id)->copied_epoch() &&
          copied_epoch <= record.epoch();
 }
 
-wire::MemberRecord with_settled(const wire::MemberRecord& record) {
+wire::MemberRecord with_confirmed(const wire::MemberRecord& record) {
   wire::MemberRecord next = successor(record);
-  next.set_stale_bound(next.settled_stale_bound());
-  clear_unsettled(next);
+  next.set_stale_bound(next.confirmed_stale_bound());
+  clear_unconfirmed(next);
   return next;
 }
 
--- a/src/cluster/consensus/member_record.hpp
+++ b/src/cluster/consensus/member_record.hpp
@@ -32,15 +32,15 @@
 //   So it is listed as a learner first, which changes no quorum, and copies the state as above under the
 //   record's epoch p. Only the record that follows p may promote it to a member, which votes from its
 //   promotion on. It then holds what was acknowledged before p, but may lack what was acknowledged under p:
-//   it is "unsettled", one stale member more for just j = p. So
+//   it is "unconfirmed", one stale member more for just j = p. So
 //       stale_bound(p+1) = max(stale_bound(p), n(p) - majority(n(p)) + 1) < majority(n(p) + 1)
-//   As a member it copies the state once more, from settled members only. It then holds what was acknowledged
-//   before the epoch of that copy, and a further record declares it settled: stale_bound falls back to
-//   `settled_stale_bound`, which is carried along and counts all members but the unsettled one. One member at
-//   a time is unsettled. Where the group had an even size the promotion raises the bound no further than the
-//   next record does anyway, and the newcomer counts as settled at once. Chain: a record is adopted only when
-//   it is known to be chosen, and a change is computed only from the record under whose epoch it is proposed:
-//   one change at a time, and a majority at that epoch took part.
+//   As a member it copies the state once more, from confirmed members only. It then holds what was
+//   acknowledged before the epoch of that copy, and a further record declares it confirmed: stale_bound falls
+//   back to `confirmed_stale_bound`, which is carried along and counts all members but the unconfirmed one.
+//   One member at a time is unconfirmed. Where the group had an even size the promotion raises the bound no
+//   further than the next record does anyway, and the newcomer counts as confirmed at once. Chain: a record
+//   is adopted only when it is known to be chosen, and a change is computed only from the record under whose
+//   epoch it is proposed: one change at a time, and a majority at that epoch took part.
 // Leases are kept in memory: an acceptor that starts, or that begins to vote, treats the newest promise of
 // each shard as a lease granted at that moment, which is not earlier than the copied or forgotten grant.
 #pragma once
@@ -67,9 +67,9 @@
 // Number of voting members whose state this member or learner has to copy, itself not among them.
 std::size_t state_transfer_sources_needed(const wire::MemberRecord& record, std::uint64_t reader);
 // True if this member copied the state no later than as a learner.
-bool is_unsettled(const wire::MemberRecord& record, std::uint64_t id);
-// True if the argument above allows to remove this member. The unsettled one takes its part of the bound with
-// it.
+bool is_unconfirmed(const wire::MemberRecord& record, std::uint64_t id);
+// True if the argument above allows to remove this member. The unconfirmed one takes its part of the bound
+// with it.
 bool may_remove_member(const wire::MemberRecord& record, std::uint64_t id);
 
 // The record that follows with one member more that copies the state before it votes, or with one less.
@@ -83,10 +83,10 @@
 bool may_promote(const wire::MemberRecord& record, std::uint64_t copied_epoch);
 // The record that follows with a learner as a voting member. Only where `may_promote`.
 wire::MemberRecord with_promoted(const wire::MemberRecord& record, std::uint64_t id);
-// True if the unsettled member may be declared settled after a copy under this epoch.
-bool may_settle(const wire::MemberRecord& record, std::uint64_t id, std::uint64_t copied_epoch);
-// The record that follows without an unsettled member. Only where `may_settle`.
-wire::MemberRecord with_settled(const wire::MemberRecord& record);
+// True if the unconfirmed member may be declared confirmed after a copy under this epoch.
+bool may_confirm(const wire::MemberRecord& record, std::uint64_t id, std::uint64_t copied_epoch);
+// The record that follows without an unconfirmed member. Only where `may_confirm`.
+wire::MemberRecord with_confirmed(const wire::MemberRecord& record);
 // Like `without_member` where no successor is expected: the group keeps the smaller size.
 wire::MemberRecord shrunk_without_member(const wire::MemberRecord& record, std::uint64_t id);
 
--- a/src/cluster/consensus/member_record_exchange.cpp
+++ b/src/cluster/consensus/member_record_exchange.cpp
@@ -67,8 +67,8 @@
   const bool has_predecessor = std::any_of(members.begin(), members.end(), [&](const wire::Member& other) {
     return other.address() == self.address() && other.id() != self.id();
   });
-  const bool may_settle_now = may_settle(membership_.record(), self.id(), membership_.copied_epoch());
-  return !membership_.is_member() || has_predecessor || may_settle_now;
+  const bool may_confirm_now = may_confirm(membership_.record(), self.id(), membership_.copied_epoch());
+  return !membership_.is_member() || has_predecessor || may_confirm_now;
 }
 
 std::vector<Address> MemberRecordExchange::join_targets() const {
--- a/tests/aggregator/dynamic_config/store_integration_test.cpp
+++ b/tests/aggregator/dynamic_config/store_integration_test.cpp
@@ -196,11 +196,11 @@
 // signal of its parent at whatever it is doing then.
 enum class KillPoint { log_write, database_write, log_removal, by_parent };
 // Relative to the system call: not begun, half of its bytes written, completed.
-enum class KillStage { before, halfway, after };
+enum class KillMoment { before, halfway, after };
 
 struct KillPlan {
   KillPoint point;
-  KillStage stage;
+  KillMoment moment;
   int acknowledged_before;  // sets that are kept before the process may end
 };
 
@@ -226,22 +226,22 @@
 template <class Offset>
 ssize_t pwrite_or_die(int fd, const void* bytes, std::size_t size, Offset offset) {
   if (!is_armed_write(fd)) return pwrite(fd, bytes, size, offset);
-  if (armed->stage == KillStage::halfway) static_cast<void>(!pwrite(fd, bytes, size / 2, offset));
-  if (armed->stage == KillStage::after) static_cast<void>(!pwrite(fd, bytes, size, offset));
+  if (armed->moment == KillMoment::halfway) static_cast<void>(!pwrite(fd, bytes, size / 2, offset));
+  if (armed->moment == KillMoment::after) static_cast<void>(!pwrite(fd, bytes, size, offset));
   die();
 }
 
 ssize_t write_or_die(int fd, const void* bytes, std::size_t size) {
   if (!is_armed_write(fd)) return write(fd, bytes, size);
-  if (armed->stage == KillStage::halfway) static_cast<void>(!write(fd, bytes, size / 2));
-  if (armed->stage == KillStage::after) static_cast<void>(!write(fd, bytes, size));
+  if (armed->moment == KillMoment::halfway) static_cast<void>(!write(fd, bytes, size / 2));
+  if (armed->moment == KillMoment::after) static_cast<void>(!write(fd, bytes, size));
   die();
 }
 
 int unlink_or_die(const char* path) {
   if (!armed || armed->point != KillPoint::log_removal || !std::string(path).ends_with("-wal"))
     return unlink(path);
-  if (armed->stage != KillStage::before) static_cast<void>(unlink(path));
+  if (armed->moment != KillMoment::before) static_cast<void>(unlink(path));
   die();
 }
 
@@ -281,12 +281,12 @@
     "killed 200 times at any step of keeping: what is there is whole, and no less than what was said kept") {
   constexpr KillPoint kPoints[] = {KillPoint::log_write, KillPoint::database_write, KillPoint::log_removal,
                                    KillPoint::by_parent};
-  constexpr KillStage kStages[] = {KillStage::before, KillStage::halfway, KillStage::after};
+  constexpr KillMoment kMoments[] = {KillMoment::before, KillMoment::halfway, KillMoment::after};
   Place p;
   std::mt19937 dice(20261201);
   int acknowledged = -1, number = 0, least = 0;
   for (unsigned round = 0; round < 200; ++round) {
-    const KillPlan plan{kPoints[round % 4], kStages[round / 4 % 3], static_cast<int>(dice() % 12)};
+    const KillPlan plan{kPoints[round % 4], kMoments[round / 4 % 3], static_cast<int>(dice() % 12)};
     CAPTURE(round);
     int ends[2];
     REQUIRE(pipe(ends) == 0);
--- a/tests/cluster/consensus/learner_test.cpp
+++ b/tests/cluster/consensus/learner_test.cpp
@@ -52,7 +52,7 @@
 // The joins that are over at the first event that finds this true.
 bool has_joined(Cluster& cluster, std::size_t newcomer) {
   return cluster.running(newcomer) && cluster.group(newcomer).votes() &&
-         cluster.group(newcomer).members().unsettled() == 0;
+         cluster.group(newcomer).members().unconfirmed() == 0;
 }
 
 struct Join {
@@ -78,7 +78,7 @@
 void at_each_event(const Join& join, int event_step, const Fault& fault) {
   bool joined = false;
   std::size_t learning = 0;
-  std::size_t unsettled = 0;
+  std::size_t unconfirmed = 0;
   for (int events = 0; !joined && events < kMaxEvents; events += event_step) {
     CAPTURE(join.machines, join.replaced, events);
     Cluster cluster(1 + static_cast<std::uint64_t>(events), join.machines);
@@ -88,12 +88,12 @@
     joined = has_joined(cluster, newcomer);
     const wire::MemberRecord& record = cluster.group(join.machines - 1).members();
     if (record.learners_size() > 0) ++learning;
-    if (record.unsettled() != 0) ++unsettled;
+    if (record.unconfirmed() != 0) ++unconfirmed;
     fault(cluster, newcomer);
   }
   CHECK(joined);
   CHECK(learning > 0);
-  if (join.machines % 2 == 1 && join.replaced == 0) CHECK(unsettled > 0);
+  if (join.machines % 2 == 1 && join.replaced == 0) CHECK(unconfirmed > 0);
 }
 
 TEST_CASE("a member's disk is lost for good at any event of a join: the others go on") {
--- a/tests/cluster/consensus/members_test.cpp
+++ b/tests/cluster/consensus/members_test.cpp
@@ -195,7 +195,7 @@
       case 3:
         return promote();
       case 4:
-        return settle();
+        return confirm();
       case 5:
         if (record_.learners_size() > 0) record_ = without_learner(record_, record_.learners(0).id());
         return;
@@ -209,7 +209,7 @@
   void transfer_state() {
     for (const wire::Member& member : record_.members()) {
       const std::uint64_t id = member.id();
-      const bool needs_state = !voting_.contains(id) || is_unsettled(record_, id);
+      const bool needs_state = !voting_.contains(id) || is_unconfirmed(record_, id);
       if (needs_state && generator_() % 2 == 0 && copy_state_to(id)) voting_.insert(id);
     }
     for (const wire::Member& learner : record_.learners()) {
@@ -217,7 +217,7 @@
     }
   }
   std::size_t promotions() const { return promotions_; }
-  std::size_t settlements() const { return settlements_; }
+  std::size_t confirmations() const { return confirmations_; }
 
   // Every majority of voting members holds every thing, i.e. fewer than a majority don't.
   bool safe() const {
@@ -236,18 +236,18 @@
 
   static void add_id(wire::MemberRecord& record, std::uint64_t id) { record.add_members()->set_id(id); }
 
-  wire::Member draw_newcomer() {
+  wire::Member draw_joining_member() {
     wire::Member newcomer;
     newcomer.set_id(next_id_++);
     newcomer.set_address("10.0.0." + std::to_string(newcomer.id()) + ":7000");
     return newcomer;
   }
   void add_member() {
-    if (record_.members_size() < kMaxMembers) record_ = with_member(record_, draw_newcomer());
+    if (record_.members_size() < kMaxMembers) record_ = with_member(record_, draw_joining_member());
   }
   void add_learner() {
     if (record_.members_size() + record_.learners_size() < kMaxMembers)
-      record_ = with_learner(record_, draw_newcomer());
+      record_ = with_learner(record_, draw_joining_member());
   }
   void promote() {
     for (const wire::Member& learner : record_.learners()) {
@@ -259,11 +259,11 @@
       return;
     }
   }
-  void settle() {
-    const std::uint64_t id = record_.unsettled();
-    if (!may_settle(record_, id, copied_epochs_[id])) return;
-    record_ = with_settled(record_);
-    ++settlements_;
+  void confirm() {
+    const std::uint64_t id = record_.unconfirmed();
+    if (!may_confirm(record_, id, copied_epochs_[id])) return;
+    record_ = with_confirmed(record_);
+    ++confirmations_;
   }
   void remove_member() {
     const int index = static_cast<int>(generator_() % static_cast<std::uint64_t>(record_.members_size()));
@@ -282,7 +282,7 @@
     record_.set_epoch(record_.epoch() + 1);
     record_.set_stale_bound(static_cast<std::uint32_t>(bound));
     if (!removes) {
-      *record_.add_members() = draw_newcomer();
+      *record_.add_members() = draw_joining_member();
       return;
     }
     const int index = static_cast<int>(generator_() % members);
@@ -323,7 +323,7 @@
   std::set<std::uint64_t> voting_;
   std::map<std::uint64_t, std::uint64_t> copied_epochs_;  // member epoch of the newest copy, by id
   std::size_t promotions_ = 0;
-  std::size_t settlements_ = 0;
+  std::size_t confirmations_ = 0;
   std::vector<std::set<std::uint64_t>> acknowledged_holders_;
   std::uint64_t next_id_ = 0;
 };
@@ -331,7 +331,7 @@
 void check_record_chains(bool with_earlier_version) {
   std::mt19937_64 generator(17);
   std::size_t promotions = 0;
-  std::size_t settlements = 0;
+  std::size_t confirmations = 0;
   for (int chain = 0; chain < 40000; ++chain) {
     RecordChainModel model(generator, with_earlier_version);
     for (int step = 0; step < 30; ++step) {
@@ -341,10 +341,10 @@
       if (!model.safe()) FAIL("a quorum lacks what was acknowledged, chain " << chain << ", step " << step);
     }
     promotions += model.promotions();
-    settlements += model.settlements();
+    confirmations += model.confirmations();
   }
   CHECK(promotions > 10000);
-  CHECK(settlements > 1000);
+  CHECK(confirmations > 1000);
 }
 
 TEST_CASE("quorums of any two member records hold what was acknowledged, whatever the changes between them") {
