Count adopted and surplus runs, expired leases of leaves, and leaves awaited

Cause: nothing showed what a new leader found on the leaves, so the hypotheses of the incident could not be told apart by metrics.

--- a/src/cluster/scheduler/run_end_handler.cpp
+++ b/src/cluster/scheduler/run_end_handler.cpp
@@ -132,6 +132,7 @@
 }
 
 void RunEndHandler::on_lease_expired(Leaf& leaf) {
+  ++state_.counters.leaf_leases_expired;
   for (const RunKey& key : keys_of_runs(leaf)) {
     auto found = leaf.runs.find(RunKeyView(key));
     if (found == leaf.runs.end()) continue;
--- a/src/cluster/scheduler/run_table.cpp
+++ b/src/cluster/scheduler/run_table.cpp
@@ -83,6 +83,8 @@
 }
 
 Run& RunTable::adopt_reported_run(Leaf& leaf, const wire::RunningTask& entry, const TaskRef& ref) {
+  ++state_.counters.runs_adopted;
+  if (ref.task != nullptr && !ref.task->runs.empty()) ++state_.counters.surplus_runs;
   Run& run = insert(leaf, entry.task(), entry.run());
   run.start_delivered = true;
   run.job = ref.job;
--- a/src/cluster/scheduler/scheduler_inspection.cpp
+++ b/src/cluster/scheduler/scheduler_inspection.cpp
@@ -85,6 +85,7 @@
   for (const auto& [key, stage] : state.queue.stages()) stats.waiting_tasks += stage->waiting.size();
   for (const auto& leaf : state.leaves.all()) stats.runs += leaf->runs.size();
   stats.leaves = state.leaves.all().size();
+  stats.unsynchronized_leaves = state.unsynchronized_leaves.size();
   return stats;
 }
 
--- a/src/cluster/scheduler/scheduler_views.hpp
+++ b/src/cluster/scheduler/scheduler_views.hpp
@@ -19,6 +19,9 @@
   std::uint64_t jobs_accepted = 0;
   std::uint64_t tasks_started = 0;                 // runs ordered, retries and speculative runs included
   std::uint64_t reports = 0;                       // of worker-agents, duplicates included
+  std::uint64_t runs_adopted = 0;                  // that leaves listed and an earlier leader had ordered
+  std::uint64_t surplus_runs = 0;                  // of `runs_adopted`, those beside another run of the task
+  std::uint64_t leaf_leases_expired = 0;           // execution leases of leaves
   std::array<std::uint64_t, kEndKinds> ends = {};  // of runs, by wire::EndKind
 };
 
@@ -28,6 +31,7 @@
   std::uint64_t waiting_tasks = 0;  // that may be placed
   std::uint64_t runs = 0;           // that may exist on a leaf
   std::uint64_t leaves = 0;
+  std::uint64_t unsynchronized_leaves = 0;  // whose reports the restored jobs wait for
 };
 
 struct JobView {
--- a/tests/cluster/metrics/collectors_test.cpp
+++ b/tests/cluster/metrics/collectors_test.cpp
@@ -29,6 +29,10 @@
   service.stats.counters.jobs_accepted = 6;
   service.stats.counters.tasks_started = 8;
   service.stats.counters.ends[wire::END_FAILED] = 3;
+  service.stats.counters.runs_adopted = 9;
+  service.stats.counters.surplus_runs = 1;
+  service.stats.counters.leaf_leases_expired = 5;
+  service.stats.unsynchronized_leaves = 7;
   service.write_times.add(Millis(4));
   service.write_times.add(Millis(4000));
   status.services.push_back(service);
@@ -48,6 +52,10 @@
   CHECK(has_line(text, "winchhall_tasks_started_total{service=\"core\"} 8"));
   CHECK(has_line(text, "winchhall_tasks_waiting{service=\"core\"} 4"));
   CHECK(has_line(text, "winchhall_leases_acquired_total{service=\"core\"} 2"));
+  CHECK(has_line(text, "winchhall_runs_adopted_total{service=\"core\"} 9"));
+  CHECK(has_line(text, "winchhall_surplus_runs_total{service=\"core\"} 1"));
+  CHECK(has_line(text, "winchhall_leaf_leases_expired_total{service=\"core\"} 5"));
+  CHECK(has_line(text, "winchhall_leaves_awaited{service=\"core\"} 7"));
   CHECK(has_line(text, "winchhall_task_ends_total{service=\"core\",kind=\"failed\"} 3"));
 }
 
