Keep the newest of several reported runs; nothing starts beside one that may exist

Cause: a new leader counted for a task whichever run was reported first. The worker-agent beside a leaf that is lost repeats the leaf's last list, so a run that is long over displaced the one started after it: that one was ordered to stop, and once the lost leaf's lease was found expired, the task was free to start while it still ran. Change: a reported run is attached to its task until it is certainly over, and a task with a run attached does not start; of several attached runs the newest (of a gang, the newest number; of a speculative task, two) is kept, the others are ordered to stop. A start of a later run proves that the earlier ones are over, so the order of reports no longer matters.

--- a/src/cluster/scheduler/job.hpp
+++ b/src/cluster/scheduler/job.hpp
@@ -42,7 +42,7 @@
   std::vector<RunNumber> failed_runs;        // that ended END_FAILED, each once
   std::vector<std::string> failed_leaves;    // IDs of leaves where it failed, was refused or stalled
   Checkpoint checkpoint;                     // the newest known
-  std::vector<Run*> runs;                    // runs that may exist on a leaf and count for this task
+  std::vector<Run*> runs;                    // of this task that may exist on a leaf; see RunTable
   std::uint32_t consecutive_short_runs = 0;  // of a long-running task, for its restart backoff
   TimePoint earliest_start;                  // backoff: the task isn't enqueued before
   TimePoint enqueued_at;
--- a/src/cluster/scheduler/run.hpp
+++ b/src/cluster/scheduler/run.hpp
@@ -22,7 +22,7 @@
   Leaf* leaf = nullptr;            // never null
   Job* job = nullptr;              // null: no longer kept, or never known
   StageInstance* stage = nullptr;  // null: no longer kept, or never known
-  Task* task = nullptr;            // null: the run occupies resources but doesn't count for the task
+  Task* task = nullptr;            // null: it is over, or the task is done or unknown
   Resources demand;                // zero while it is unknown
   bool demand_known = true;
   std::uint32_t priority = 0;   // of its job's queue; meaningless while the demand is unknown
--- a/src/cluster/scheduler/run_end_handler.cpp
+++ b/src/cluster/scheduler/run_end_handler.cpp
@@ -114,15 +114,11 @@
 }
 
 void RunEndHandler::stop_if_partial(StageInstance& stage) {
-  RunNumber number = 0;
-  bool complete = true;
-  for (const Task& member : stage.tasks) {
-    if (member.runs.empty()) {
-      complete = false;
-    } else {
-      number = member.runs.front()->number;
-    }
-  }
+  const RunNumber number = RunTable::newest_gang_run(stage);
+  const bool complete = std::all_of(stage.tasks.begin(), stage.tasks.end(), [number](const Task& member) {
+    return std::any_of(member.runs.begin(), member.runs.end(),
+                       [number](const Run* run) { return run->number == number; });
+  });
   if (number > 0 && !complete) stop_gang_run(stage, number);
 }
 
--- a/src/cluster/scheduler/run_table.cpp
+++ b/src/cluster/scheduler/run_table.cpp
@@ -1,6 +1,8 @@
 #include "cluster/scheduler/run_table.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <vector>
 
 namespace winchhall::cluster::scheduling {
 namespace {
@@ -72,19 +74,45 @@
   return run;
 }
 
-bool RunTable::may_attach(const Run& run, const TaskRef& ref) const {
-  if (ref.task == nullptr || ref.job->is_final() || ref.task->done) return false;
-  if (ref.stage->spec->gang())
-    for (const Task& member : ref.stage->tasks)
-      for (const Run* other : member.runs)
-        if (other->number != run.number) return false;
-  const bool speculative = ref.stage->spec->speculative() && !ref.stage->spec->gang();
-  return ref.task->runs.size() < (speculative ? kMaxSpeculativeRuns : 1);
+// A leader starts a run only once every earlier one is certainly over. So of several runs that leaves report,
+// the one with the highest number is the one that exists, whichever is reported first: the last lists of a
+// leaf that is lost go on naming the earlier ones. Those stay attached until they are over all the same,
+// since nothing may start beside a run that might exist.
+void RunTable::stop_surplus_runs(const TaskRef& ref) {
+  for (Run* run : find_surplus_runs(ref)) {
+    if (run->stop_revision > 0) continue;
+    ++state_.counters.surplus_runs;
+    stop_run(*run);
+  }
+}
+
+std::vector<Run*> RunTable::find_surplus_runs(const TaskRef& ref) {
+  if (ref.stage->spec->gang()) return find_earlier_gang_runs(*ref.stage);
+  const std::size_t limit = ref.stage->spec->speculative() ? kMaxSpeculativeRuns : 1;
+  std::vector<Run*> runs = ref.task->runs;
+  std::sort(runs.begin(), runs.end(), [](const Run* a, const Run* b) { return a->number < b->number; });
+  runs.resize(runs.size() - std::min(runs.size(), limit));
+  return runs;
+}
+
+std::vector<Run*> RunTable::find_earlier_gang_runs(const StageInstance& stage) {
+  const RunNumber newest = newest_gang_run(stage);
+  std::vector<Run*> earlier;
+  for (const Task& member : stage.tasks)
+    std::copy_if(member.runs.begin(), member.runs.end(), std::back_inserter(earlier),
+                 [newest](const Run* run) { return run->number < newest; });
+  return earlier;
+}
+
+RunNumber RunTable::newest_gang_run(const StageInstance& stage) {
+  RunNumber newest = 0;
+  for (const Task& member : stage.tasks)
+    for (const Run* run : member.runs) newest = std::max(newest, run->number);
+  return newest;
 }
 
 Run& RunTable::adopt_reported_run(Leaf& leaf, const wire::RunningTask& entry, const TaskRef& ref) {
   ++state_.counters.runs_adopted;
-  if (ref.task != nullptr && !ref.task->runs.empty()) ++state_.counters.surplus_runs;
   Run& run = insert(leaf, entry.task(), entry.run());
   run.start_delivered = true;
   run.job = ref.job;
@@ -101,12 +129,13 @@
   if (ref.job != nullptr) ++ref.job->live_runs;
   allocate(run);
   leaf.load_ms += run.cost_ms;
-  if (!may_attach(run, ref)) {
+  if (ref.task == nullptr || ref.task->done || ref.job->is_final()) {
     stop_run(run);
     return run;
   }
   attach_task(run, ref);
   if (ref.job->state == wire::JOB_QUEUED) ref.job->state = wire::JOB_RUNNING;
+  stop_surplus_runs(ref);
   return run;
 }
 
--- a/src/cluster/scheduler/run_table.hpp
+++ b/src/cluster/scheduler/run_table.hpp
@@ -1,6 +1,8 @@
 // The runs that may exist on leaves: their accounting, their orders, and which tasks wait for a run.
 #pragma once
 
+#include <vector>
+
 #include "cluster/scheduler/scheduler_state.hpp"
 
 namespace winchhall::cluster::scheduling {
@@ -9,9 +11,12 @@
 // resources and load, the counts of live runs of stage, repeat and job, the task's `runs`, the orders to the
 // leaf that are not applied yet, and the queue.
 //
-// Invariants: a run occupies its resources on its leaf until `remove`, however it has ended for its task; a
-// task that has a run attached isn't in the queue; a task has at most one run attached, or two if it is
-// speculative; all runs attached to a gang's members have the same number.
+// Invariants:
+// - a run occupies its resources on its leaf until `remove`, however it has ended for its task;
+// - a run of a task that isn't done is attached to it until it is certain that the run is over, and a task
+//   with a run attached isn't in the queue: so no run starts beside another one that may exist;
+// - of the runs attached to a task, all but the newest (the two newest, if it is speculative) are ordered to
+//   stop; of those attached to a gang's members, all of an earlier number than the newest.
 class RunTable {
  public:
   explicit RunTable(SchedulerState& state) : state_(state) {}
@@ -19,8 +24,8 @@
   // Orders a run of a task on a leaf. `number`: from `next_run_number`, for a gang the same for all members.
   // `cost_ms`: estimated duration on that leaf. The result stays valid until `remove`.
   Run& start_run(StageInstance& stage, Task& task, Leaf& leaf, RunNumber number, double cost_ms);
-  // Inserts a run that the leaf reports and that this leader did not order. It is attached to its task if
-  // that may have it, and ordered to stop if not.
+  // Inserts a run that the leaf reports and that this leader did not order. It is attached to its task unless
+  // that is done or unknown; it, or earlier runs of the task, are ordered to stop where there are too many.
   Run& adopt_reported_run(Leaf& leaf, const wire::RunningTask& entry, const TaskRef& ref);
   // Orders a run to stop; no effect if that is ordered already. A start order that was never delivered is
   // withdrawn instead: then `run` is destroyed and its task may be enqueued again.
@@ -41,6 +46,8 @@
   // Takes all tasks of a stage off the queue.
   void dequeue(StageInstance& stage);
 
+  // The highest number of the runs attached to a gang's members; 0: none is attached.
+  static RunNumber newest_gang_run(const StageInstance& stage);
   // The number for the next run of a task, or of a gang; above all numbers given to it before.
   RunNumber next_run_number(const StageInstance& stage, const Task& task) const;
 
@@ -49,7 +56,10 @@
   void allocate(Run& run);
   void release(const Run& run);
   void attach_task(Run& run, const TaskRef& ref);
-  bool may_attach(const Run& run, const TaskRef& ref) const;
+  // Orders the runs of the task, or of its gang, to stop that are too many, the earliest first.
+  void stop_surplus_runs(const TaskRef& ref);
+  static std::vector<Run*> find_surplus_runs(const TaskRef& ref);
+  static std::vector<Run*> find_earlier_gang_runs(const StageInstance& stage);
 
   SchedulerState& state_;
 };
