--- a/tests/cluster/scheduler/run_table_test.cpp
+++ b/tests/cluster/scheduler/run_table_test.cpp
@@ -10,8 +10,8 @@
 // Cause: of two reported runs the one that was reported first counted, and a run that didn't count was
 // forgotten for its task at once, though it might still run.
 // Evidence: in replays of the incident a new leader coded into the number of a run what had come before its
-// start. 4 of 60 showed the failure, and all 8 recorded third runs say the same: another run was attached to the
-// task when the second was reported; its number was lower, its leaf had no record and no lease, the last
+// start. 4 of 60 showed the failure, and all 8 recorded third runs say the same: another run was attached to
+// the task when the second was reported; its number was lower, its leaf had no record and no lease, the last
 // heartbeat there was older than 10 s; and that leaf's lease was judged expired before the third run started.
 #include <catch2/catch.hpp>
 #include <vector>
