--- a/testbed/cluster/fake_leaf.cpp
+++ b/testbed/cluster/fake_leaf.cpp
@@ -1,5 +1,6 @@
 #include "testbed/cluster/fake_leaf.hpp"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace winchhall::testbed::cluster {
@@ -13,6 +14,8 @@
 constexpr milliseconds kHeartbeatDelayAfterEnd{50};
 constexpr milliseconds kPollInterval{5};
 constexpr milliseconds kCallTimeout{1000};
+constexpr std::int64_t kFullProgress = 100;
+constexpr std::chrono::steady_clock::duration kTick{1};
 
 // Value of a JSON integer; 0 for anything else.
 std::uint64_t to_number(const json::value* value) {
@@ -24,13 +27,23 @@
 
 }  // namespace
 
-FakeLeaf::FakeLeaf(FakeLeafOptions options) : options_(std::move(options)), thread_([this] { run(); }) {}
+FakeLeaf::FakeLeaf(FakeLeafOptions options)
+    : options_(std::move(options)), random_(options_.seed), thread_([this] { run(); }) {}
 
 FakeLeaf::~FakeLeaf() { crash(); }
 
 void FakeLeaf::crash() {
   stopping_ = true;
-  if (thread_.joinable()) thread_.join();
+  if (!thread_.joinable()) return;
+  thread_.join();
+  const Clock::time_point now = std::min(Clock::now(), lease_expires_at_);
+  const std::lock_guard lock(starts_mutex_);
+  for (const auto& [task, running] : running_) {
+    FakeLeafTaskStart& start = starts_[running.start_index];
+    start.ended = std::max(now, start.began);
+    start.running = false;
+  }
+  running_.clear();
 }
 
 std::vector<FakeLeafTaskStart> FakeLeaf::starts() const {
@@ -62,26 +75,39 @@
 void FakeLeaf::end_due_tasks(Clock::time_point now) {
   std::vector<std::string> due;
   const bool lease_expired = now >= lease_expires_at_;
+  if (lease_expired && !running_.empty()) ++lease_expiries_;
   for (const auto& [task, running] : running_) {
     if (lease_expired || now >= running.ends) due.push_back(task);
   }
-  for (const std::string& task : due) end_task(task, lease_expired ? "lapsed" : "done", now);
+  for (const std::string& task : due) {
+    if (lease_expired) {
+      end_task(task, "lapsed", lease_expires_at_);
+    } else {
+      end_task(task, running_.at(task).stopping ? "stopped" : "done", now);
+    }
+  }
 }
 
 void FakeLeaf::end_task(const std::string& task, const std::string& outcome, Clock::time_point now) {
   const auto found = running_.find(task);
   if (found == running_.end()) return;
-  ended_.push_back({++last_end_number_, task, found->second.run, outcome});
+  ended_.push_back(
+      {++last_end_number_, task, found->second.run, outcome, found->second.start_index, lease_expiries_});
   const std::lock_guard lock(starts_mutex_);
   FakeLeafTaskStart& start = starts_[found->second.start_index];
-  start.ended = now;
+  start.ended = std::max(now, start.began);
   start.done = outcome == "done";
+  start.running = false;
   running_.erase(found);
 }
 
 std::string FakeLeaf::heartbeat_body() {
   json::array running;
-  for (const auto& [task, state] : running_) running.push_back(json::array{task, state.run, "", 50});
+  const Clock::time_point now = Clock::now();
+  for (const auto& [task, state] : running_) {
+    const auto elapsed = (now - state.began) * kFullProgress / std::max(state.ends - state.began, kTick);
+    running.push_back(json::array{task, state.run, "", std::clamp<std::int64_t>(elapsed, 0, kFullProgress)});
+  }
   json::array finished;
   for (const EndedTask& end : ended_)
     finished.push_back(json::array{end.number, end.task, end.run, end.outcome, ""});
@@ -110,22 +136,43 @@
   const std::uint64_t token = to_number(orders.if_contains("fence_token"));
   if (token < fence_token_) return kHeartbeatInterval;
   fence_token_ = token;
+  end_due_tasks(now);  // the lease may have expired while the response was awaited
   lease_expires_at_ =
       std::max(lease_expires_at_, sent_at + milliseconds(to_number(orders.if_contains("hold_ms"))));
-  const std::uint64_t last_seen = to_number(orders.if_contains("last_seen"));
-  std::erase_if(ended_, [last_seen](const EndedTask& end) { return end.number <= last_seen; });
+  acknowledge_ends(to_number(orders.if_contains("last_seen")));
   apply_stops(orders.if_contains("stopped_at"), now);
   apply_starts(orders.if_contains("started_at"), now);
   const json::value* retry_after = orders.if_contains("retry_after_ms");
   return retry_after ? milliseconds(to_number(retry_after)) : kHeartbeatInterval;
 }
 
+void FakeLeaf::acknowledge_ends(std::uint64_t last_seen) {
+  const std::lock_guard lock(starts_mutex_);
+  std::erase_if(ended_, [&](const EndedTask& end) {
+    if (end.number > last_seen) return false;
+    if (end.outcome == "done" && end.lease_expiries == lease_expiries_)
+      starts_[end.start_index].done_recorded = true;
+    return true;
+  });
+}
+
+milliseconds FakeLeaf::random_time(milliseconds shortest, milliseconds longest) {
+  if (longest <= shortest) return shortest;
+  return milliseconds(
+      std::uniform_int_distribution<milliseconds::rep>(shortest.count(), longest.count())(random_));
+}
+
 void FakeLeaf::apply_stops(const json::value* stops, Clock::time_point now) {
   if (!stops) return;
   for (const json::value& stop : stops->as_array()) {
     const std::string task(stop.at(0).as_string());
     highest_run_[task] = std::max(highest_run_[task], to_number(&stop.at(1)));
-    end_task(task, "stopped", now);
+    const auto found = running_.find(task);
+    if (found == running_.end() || found->second.run > to_number(&stop.at(1)) || found->second.stopping)
+      continue;
+    found->second.stopping = true;
+    found->second.ends = now + random_time(milliseconds(0), options_.max_stop_time);
+    if (found->second.ends <= now) end_task(task, "stopped", now);
   }
 }
 
@@ -140,8 +187,9 @@
   if (run <= highest_run_[task] || now >= lease_expires_at_) return;
   highest_run_[task] = run;
   const std::lock_guard lock(starts_mutex_);
-  running_[task] = {run, now + options_.task_time, starts_.size()};
-  starts_.push_back({task, run, now, now, false});
+  const Clock::time_point ends = now + random_time(options_.task_time, options_.max_task_time);
+  running_[task] = {run, now, ends, false, starts_.size()};
+  starts_.push_back({task, run, now, now});
 }
 
 }  // namespace winchhall::testbed::cluster
--- a/testbed/cluster/fake_leaf.hpp
+++ b/testbed/cluster/fake_leaf.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,6 +24,9 @@
   unsigned cpu = 4000;
   unsigned mem_mb = 8192;
   std::chrono::milliseconds task_time{300};
+  std::chrono::milliseconds max_task_time{0};  // above task_time: each task takes a random time up to this
+  std::chrono::milliseconds max_stop_time{0};  // a stop takes a random time up to this
+  std::uint64_t seed = 1;
 };
 
 // A task that was started.
@@ -32,12 +36,14 @@
   std::chrono::steady_clock::time_point began;
   std::chrono::steady_clock::time_point ended;  // equal to `began` while the task runs
   bool done = false;
+  bool running = true;
+  bool done_recorded = false;  // the leader recorded the end, and the lease had not expired in between
 };
 
 // Sends heartbeats to a worker-agent and executes the orders in the responses. Obeys the protocol of a leaf:
 // it ignores responses with an old fencing token, ends its tasks when its lease expires, and starts a task
 // only with a higher run number than before. Records the tasks that it started. Runs on its own thread;
-// public members are thread-safe.
+// public members are thread-safe, but `crash` is called by one thread only.
 class FakeLeaf {
  public:
   explicit FakeLeaf(FakeLeafOptions options);
@@ -45,7 +51,7 @@
 
   // All tasks started so far, in order.
   std::vector<FakeLeafTaskStart> starts() const;
-  // Stops the leaf immediately, without leaving the cluster. Its tasks are not reported as ended.
+  // Stops the leaf immediately, without leaving the cluster. Its tasks end now and are not reported as ended.
   void crash();
 
  private:
@@ -53,7 +59,9 @@
 
   struct RunningTask {
     std::uint64_t run = 0;
+    Clock::time_point began;
     Clock::time_point ends;
+    bool stopping = false;  // ends as stopped, not as done
     std::size_t start_index = 0;
   };
   struct EndedTask {
@@ -61,6 +69,8 @@
     std::string task;
     std::uint64_t run = 0;
     std::string outcome;  // as in a heartbeat: done, stopped or lapsed
+    std::size_t start_index = 0;
+    std::uint64_t lease_expiries = 0;  // before this end
   };
 
   void run();
@@ -68,6 +78,9 @@
   void end_task(const std::string& task, const std::string& outcome, Clock::time_point now);
   std::string heartbeat_body();
   // Returns the time until the next heartbeat.
+  void acknowledge_ends(std::uint64_t last_seen);
+  std::chrono::milliseconds random_time(std::chrono::milliseconds shortest,
+                                        std::chrono::milliseconds longest);
   std::chrono::milliseconds apply_heartbeat_response(const HttpCallResponse& answer,
                                                      Clock::time_point sent_at);
   void apply_stops(const boost::json::value* stops, Clock::time_point now);
@@ -80,6 +93,8 @@
   std::uint64_t last_end_number_ = 0;
   std::uint64_t fence_token_ = 0;
   Clock::time_point lease_expires_at_;
+  std::uint64_t lease_expiries_ = 0;  // with tasks running
+  std::mt19937_64 random_;
   std::map<std::string, RunningTask> running_;
   std::map<std::string, std::uint64_t> highest_run_;  // by task
   std::vector<EndedTask> ended_;                      // not yet acknowledged by the worker-agent
--- /dev/null
+++ b/testbed/cluster/fault_soak.cpp
@@ -0,0 +1,219 @@
+#include "testbed/cluster/fault_soak.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <memory>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include "testbed/cluster/fake_leaf.hpp"
+#include "testbed/cluster/local_cluster.hpp"
+#include "testbed/cluster/process_faults.hpp"
+#include "testbed/cluster/records_service.hpp"
+#include "testbed/cluster/run_history.hpp"
+#include "testbed/cluster/soak_clients.hpp"
+
+namespace winchhall::testbed::cluster {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kClients = 4;
+constexpr milliseconds kStep{10};
+constexpr std::chrono::seconds kCompletionTime{60};
+constexpr milliseconds kShortestTask{100};
+constexpr milliseconds kLongestTask{6000};
+constexpr milliseconds kLongestStop{300};
+
+// The leaf beside one worker-agent, and the leaves that were there before it.
+struct LeafSlot {
+  unsigned worker = 0;
+  unsigned incarnations = 0;
+  std::unique_ptr<FakeLeaf> leaf;  // null: lost
+  Clock::time_point next_at;       // when the next one starts, while there is none
+};
+
+class FaultSoak {
+ public:
+  explicit FaultSoak(const FaultSoakOptions& options)
+      : options_(options),
+        random_(options.seed),
+        cluster_(options.program, options.workers, kRecordsService, options.control_nodes) {}
+
+  int run() {
+    cluster_.start_all();
+    for (unsigned worker = 0; worker < options_.workers; ++worker) {
+      slots_.emplace_back().worker = worker;
+      start_leaf(slots_.back());
+    }
+    ProcessFaults processes(cluster_, random_());
+    SoakClients clients(cluster_.front_address(), control_addresses(), kClients, random_());
+    inject_faults(processes);
+    heal(processes, clients);
+    await_jobs(processes, clients.accepted_jobs());
+    check_configuration(clients.acknowledged_change());
+    add_faults(processes.faults());
+    add_faults(clients.faults());
+    check_runs();
+    report(processes, clients);
+    return faults_.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+  }
+
+ private:
+  milliseconds random_time(int least_ms, int most_ms) {
+    return milliseconds(std::uniform_int_distribution<int>(least_ms, most_ms)(random_));
+  }
+
+  std::vector<std::string> control_addresses() const {
+    std::vector<std::string> addresses;
+    for (unsigned index = 0; index < options_.control_nodes; ++index)
+      addresses.push_back(cluster_.control_address(index));
+    return addresses;
+  }
+
+  // ---------------------------------------------------------------- leaves
+
+  void start_leaf(LeafSlot& slot) {
+    FakeLeafOptions options;
+    options.agent = cluster_.worker_address(slot.worker);
+    options.id = "i-" + std::to_string(slot.worker) + "-" + std::to_string(++slot.incarnations);
+    options.service = kRecordsService;
+    options.zone = "a";
+    options.task_time = kShortestTask;
+    options.max_task_time = kLongestTask;
+    options.max_stop_time = kLongestStop;
+    options.seed = random_();
+    slot.leaf = std::make_unique<FakeLeaf>(options);
+  }
+
+  void lose_leaf(LeafSlot& slot) {
+    if (!slot.leaf) return;
+    ++lost_leaves_;
+    slot.leaf->crash();
+    keep_history(slot);
+    slot.leaf.reset();
+    // Within its lease, or after a new leader can no longer know of it.
+    slot.next_at = Clock::now() + (random_() % 2 == 0 ? random_time(100, 2000) : random_time(8000, 16000));
+  }
+
+  void keep_history(const LeafSlot& slot) {
+    const std::string id = "i-" + std::to_string(slot.worker) + "-" + std::to_string(slot.incarnations);
+    histories_.push_back({id, slot.leaf->starts()});
+  }
+
+  void start_due_leaves() {
+    for (LeafSlot& slot : slots_)
+      if (!slot.leaf && Clock::now() >= slot.next_at) start_leaf(slot);
+  }
+
+  // ---------------------------------------------------------------- faults
+
+  void inject_faults(ProcessFaults& processes) {
+    const Clock::time_point end = Clock::now() + options_.duration;
+    Clock::time_point next = Clock::now() + random_time(1000, 3000);
+    while (Clock::now() < end) {
+      if (Clock::now() >= next) {
+        if (random_() % 4 == 0) {
+          lose_leaf(slots_[random_() % slots_.size()]);
+        } else {
+          processes.inject();
+        }
+        // Series of faults in quick succession, with pauses between them.
+        next = Clock::now() + (random_() % 3 == 0 ? random_time(1000, 4000) : random_time(20, 500));
+      }
+      step(processes);
+    }
+  }
+
+  void step(ProcessFaults& processes) {
+    processes.step();
+    start_due_leaves();
+    std::this_thread::sleep_for(kStep);
+  }
+
+  void heal(ProcessFaults& processes, SoakClients& clients) {
+    processes.heal();
+    for (LeafSlot& slot : slots_) slot.next_at = Clock::now();
+    start_due_leaves();
+    clients.stop();
+  }
+
+  // ---------------------------------------------------------------- checks
+
+  void await_jobs(ProcessFaults& processes, const std::vector<std::string>& jobs) {
+    std::deque<std::string> open(jobs.begin(), jobs.end());
+    const Clock::time_point limit = Clock::now() + kCompletionTime;
+    HttpConnection connection;
+    while (!open.empty() && Clock::now() < limit) {
+      step(processes);  // before each call: a process may still end, and has to be started again
+      const std::string job = open.front();
+      open.pop_front();
+      const HttpCallResponse response = connection.send(job_call(cluster_.front_address(), "GET", job));
+      const bool completed = response.status == kOk && response.body.find("completed") != std::string::npos;
+      if (!completed) open.push_back(job);
+    }
+    for (const std::string& job : open) faults_.push_back("job " + job + " does not complete");
+  }
+
+  void check_configuration(const ConfigurationChange& newest) {
+    const Clock::time_point limit = Clock::now() + kCompletionTime;
+    for (std::size_t turn = 0; Clock::now() < limit; ++turn) {
+      HttpCall call;
+      call.address = cluster_.control_address(static_cast<unsigned>(turn % options_.control_nodes));
+      call.target = "/v1/Config.Get";
+      const HttpCallResponse response = send_http_call(call);
+      if (response.status != kOk) {
+        std::this_thread::sleep_for(kStep);
+        continue;
+      }
+      if (response.body.find('"' + newest.route + '"') == std::string::npos && !newest.route.empty())
+        faults_.push_back("the configuration lacks the acknowledged route " + newest.route);
+      return;
+    }
+    faults_.emplace_back("the configuration can't be read");
+  }
+
+  void check_runs() {
+    for (const LeafSlot& slot : slots_)
+      if (slot.leaf) keep_history(slot);
+    add_faults(find_run_faults(histories_, Clock::now()));
+  }
+
+  void add_faults(const std::vector<std::string>& found) {
+    faults_.insert(faults_.end(), found.begin(), found.end());
+  }
+
+  void report(const ProcessFaults& processes, const SoakClients& clients) {
+    std::size_t runs = 0;
+    for (const LeafHistory& history : histories_) runs += history.starts.size();
+    std::printf("seed %llu: %zu jobs, %zu runs, configuration %llu; lost leaves %u",
+                static_cast<unsigned long long>(options_.seed), clients.accepted_jobs().size(), runs,
+                static_cast<unsigned long long>(clients.acknowledged_change().version), lost_leaves_);
+    for (const auto& [kind, count] : processes.counts()) std::printf(", %s %u", kind.c_str(), count);
+    std::printf("; faults found: %zu\n", faults_.size());
+    for (const std::string& fault : faults_) std::printf("FAULT: %s\n", fault.c_str());
+    if (!faults_.empty()) cluster_.save_logs("found/soak-" + std::to_string(options_.seed));
+  }
+
+  const FaultSoakOptions options_;
+  std::mt19937_64 random_;
+  LocalCluster cluster_;
+  std::vector<LeafSlot> slots_;
+  std::vector<LeafHistory> histories_;  // of leaves that were lost, and at the end of all
+  unsigned lost_leaves_ = 0;
+  std::vector<std::string> faults_;
+};
+
+}  // namespace
+
+int run_fault_soak(const FaultSoakOptions& options) {
+  FaultSoak soak(options);
+  return soak.run();
+}
+
+}  // namespace winchhall::testbed::cluster
--- a/testbed/cluster/http_call.cpp
+++ b/testbed/cluster/http_call.cpp
@@ -18,11 +18,11 @@
   return {boost::asio::ip::make_address(address.substr(0, colon)), port};
 }
 
-http::request<http::string_body> make_request(const HttpCall& call) {
+http::request<http::string_body> make_request(const HttpCall& call, bool keep_alive) {
   constexpr unsigned kHttp11 = 11;
   http::request<http::string_body> request(http::string_to_verb(call.method), call.target, kHttp11);
   request.set(http::field::host, call.host.empty() ? call.address : call.host);
-  request.set(http::field::connection, "close");
+  if (!keep_alive) request.set(http::field::connection, "close");
   if (!call.body.empty()) request.set(http::field::content_type, "application/json");
   for (const HttpHeader& header : call.headers) request.set(header.name, header.value);
   request.body() = call.body;
@@ -34,7 +34,7 @@
 class HttpExchange {
  public:
   HttpExchange(boost::asio::io_context& loop, const HttpCall& call)
-      : stream_(loop), request_(make_request(call)) {
+      : stream_(loop), request_(make_request(call, false)) {
     stream_.expires_after(call.timeout);
     stream_.async_connect(parse_endpoint(call.address), [this](const beast::error_code& error) {
       if (!error) write();
@@ -63,6 +63,64 @@
 
 }  // namespace
 
+// An open connection with its own event loop, which runs only during a call.
+class HttpConnection::Stream {
+ public:
+  Stream() : stream_(loop_) {}
+
+  bool connect(const HttpCall& call) {
+    return run(call.timeout, [&](const auto& done) {
+      stream_.async_connect(parse_endpoint(call.address), [done](const beast::error_code& e) { done(e); });
+    });
+  }
+  // Status 0 in `response`, or false: the connection can't be used any more.
+  bool exchange(const HttpCall& call, HttpCallResponse& response) {
+    const auto request = make_request(call, true);
+    http::response<http::string_body> message;
+    const bool sent = run(call.timeout, [&](const auto& done) {
+      http::async_write(stream_, request, [done](const beast::error_code& e, std::size_t) { done(e); });
+    });
+    const bool received = sent && run(call.timeout, [&](const auto& done) {
+                            http::async_read(stream_, buffer_, message,
+                                             [done](const beast::error_code& e, std::size_t) { done(e); });
+                          });
+    if (!received) return false;
+    response = {message.result_int(), message.body()};
+    return message.keep_alive();
+  }
+
+ private:
+  template <class Start>
+  bool run(std::chrono::milliseconds timeout, const Start& start) {
+    bool succeeded = false;
+    stream_.expires_after(timeout);
+    start([&succeeded](const beast::error_code& error) { succeeded = !error; });
+    loop_.restart();
+    loop_.run();
+    return succeeded;
+  }
+
+  boost::asio::io_context loop_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+};
+
+HttpConnection::HttpConnection() = default;
+HttpConnection::~HttpConnection() = default;
+
+HttpCallResponse HttpConnection::send(const HttpCall& call) {
+  HttpCallResponse response;
+  if (!stream_) {
+    stream_ = std::make_unique<Stream>();
+    if (!stream_->connect(call)) {
+      stream_.reset();
+      return response;
+    }
+  }
+  if (!stream_->exchange(call, response)) stream_.reset();
+  return response;
+}
+
 HttpCallResponse send_http_call(const HttpCall& call) {
   boost::asio::io_context loop;
   HttpExchange exchange(loop, call);
--- a/testbed/cluster/http_call.hpp
+++ b/testbed/cluster/http_call.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -31,4 +32,21 @@
 // Sends one request on a new connection and waits for the response or the time-out.
 HttpCallResponse send_http_call(const HttpCall& call);
 
+// A connection that is used for one call after another until the server closes it or a call fails; the next
+// call opens a new one. Not thread-safe.
+class HttpConnection {
+ public:
+  HttpConnection();
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+
+  // As send_http_call. All calls have the same address.
+  HttpCallResponse send(const HttpCall& call);
+
+ private:
+  class Stream;
+  std::unique_ptr<Stream> stream_;  // null: not connected
+};
+
 }  // namespace winchhall::testbed::cluster
--- a/testbed/cluster/local_cluster.cpp
+++ b/testbed/cluster/local_cluster.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr unsigned kControlNodes = 3;
 constexpr unsigned kControlPort = 8144;
 constexpr unsigned kFrontPort = 8149;
 constexpr unsigned kReadyPort = 8141;
@@ -31,13 +30,14 @@
 
 }  // namespace
 
-LocalCluster::LocalCluster(std::string program, unsigned workers, std::string service)
+LocalCluster::LocalCluster(std::string program, unsigned workers, std::string service, unsigned control_nodes)
     : program_(std::move(program)),
       service_(std::move(service)),
+      control_nodes_(control_nodes),
       directory_(make_temporary_directory()),
       network_(1 + static_cast<unsigned>(getpid()) % 250) {
   const std::string prefix = "127." + std::to_string(network_) + ".0.";
-  for (unsigned i = 0; i < kControlNodes; ++i) {
+  for (unsigned i = 0; i < control_nodes_; ++i) {
     add({"control-" + std::to_string(i), "control", prefix + std::to_string(1 + i), true});
   }
   const std::string edge_ip = prefix + std::to_string(kFirstEdge);
@@ -72,7 +72,7 @@
   std::ostringstream text;
   text << "node_name = \"" << process.name << "\"\nrole = \"" << process.command << "\"\nip = \""
        << process.ip << "\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [7380,7395]\nseeds = [";
-  for (unsigned i = 0; i < kControlNodes; ++i) text << (i ? "," : "") << '"' << control_address(i) << '"';
+  for (unsigned i = 0; i < control_nodes_; ++i) text << (i ? "," : "") << '"' << control_address(i) << '"';
   text << "]\nbootstrap = " << (first_start_ ? "true" : "false")
        << "\ncounts_for_quorum = " << (process.control ? "true" : "false") << "\nheartbeat_ms = 1500\n";
   if (process.control) text << "data_dir = \"" << (directory_of(process.name) / "data").string() << "\"\n";
@@ -133,21 +133,49 @@
   return status;
 }
 
+void LocalCluster::signal(const std::string& name, int number) {
+  const LocalProcess& process = find(name);
+  if (process.pid > 0) ::kill(process.pid, number);
+}
+
+std::optional<int> LocalCluster::poll_end(const std::string& name) {
+  LocalProcess& process = find(name);
+  int status = 0;
+  if (process.pid <= 0 || waitpid(process.pid, &status, WNOHANG) != process.pid) return std::nullopt;
+  process.pid = 0;
+  return status;
+}
+
+std::vector<std::string> LocalCluster::process_names() const {
+  std::vector<std::string> names;
+  for (const LocalProcess& process : processes_) names.push_back(process.name);
+  return names;
+}
+
+void LocalCluster::save_logs(const std::filesystem::path& directory) const {
+  std::filesystem::create_directories(directory);
+  for (const LocalProcess& process : processes_) {
+    std::error_code ignored;
+    std::filesystem::copy_file(directory_of(process.name) / "log", directory / (process.name + ".log"),
+                               std::filesystem::copy_options::overwrite_existing, ignored);
+  }
+}
+
 std::string LocalCluster::control_address(unsigned index) const {
   return processes_.at(index).ip + ":" + std::to_string(kControlPort);
 }
 
 std::string LocalCluster::front_address() const {
-  return processes_.at(kControlNodes).ip + ":" + std::to_string(kFrontPort);
+  return processes_.at(control_nodes_).ip + ":" + std::to_string(kFrontPort);
 }
 
 std::string LocalCluster::ready_address() const {
-  return processes_.at(kControlNodes).ip + ":" + std::to_string(kReadyPort);
+  return processes_.at(control_nodes_).ip + ":" + std::to_string(kReadyPort);
 }
 
 std::string LocalCluster::worker_address(unsigned index) const {
-  constexpr unsigned kProcessesBefore = kControlNodes + 2;
-  return processes_.at(kProcessesBefore + index).ip + ":" + std::to_string(kControlPort);
+  const unsigned processes_before = control_nodes_ + 2;
+  return processes_.at(processes_before + index).ip + ":" + std::to_string(kControlPort);
 }
 
 std::string LocalCluster::log_of(const std::string& name) const {
--- a/testbed/cluster/local_cluster.hpp
+++ b/testbed/cluster/local_cluster.hpp
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,14 +20,14 @@
   pid_t pid = 0;
 };
 
-// Three control nodes, one edge machine (ingress and agent), and `workers` machines with a worker-agent. Each
-// machine has its own loopback address, settings file and data directory; all files are in a temporary
-// directory that is removed at the end. Processes that are still running are then killed.
+// Control nodes (three unless said), one edge machine (ingress and agent), and `workers` machines with a
+// worker-agent. Each machine has its own loopback address, settings file and data directory; all files are in
+// a temporary directory that is removed at the end. Processes that are still running are then killed.
 class LocalCluster {
  public:
   // `program`: path of winchhall-cluster. `service`: that the workers belong to. Throws std::system_error if
   // the temporary directory can't be created.
-  LocalCluster(std::string program, unsigned workers, std::string service);
+  LocalCluster(std::string program, unsigned workers, std::string service, unsigned control_nodes = 3);
   ~LocalCluster();
   LocalCluster(const LocalCluster&) = delete;
   LocalCluster& operator=(const LocalCluster&) = delete;
@@ -40,6 +41,17 @@
   // Sends SIGTERM and waits for the end of the process. Returns the status of waitpid.
   int terminate(const std::string& name);
 
+  // Sends a signal to a process that was started and not waited for.
+  void signal(const std::string& name, int number);
+  // The status of waitpid if the process has ended since it was started; it is not running from then on. None
+  // while it runs, or if it wasn't started.
+  std::optional<int> poll_end(const std::string& name);
+  bool is_running(const std::string& name) { return find(name).pid > 0; }
+  // Names of all processes: control nodes first, then ingress, agent and worker-agents.
+  std::vector<std::string> process_names() const;
+  // Copies the logs of all processes into a directory, which is created.
+  void save_logs(const std::filesystem::path& directory) const;
+
   // Addresses of the HTTP servers.
   std::string control_address(unsigned index) const;
   std::string front_address() const;
@@ -57,6 +69,7 @@
   std::string program_;                          // of processes without an entry in `programs_`
   std::map<std::string, std::string> programs_;  // by name of the process
   std::string service_;
+  unsigned control_nodes_;
   std::filesystem::path directory_;
   unsigned network_;  // second byte of all addresses; differs between clusters that run at the same time
   std::vector<LocalProcess> processes_;
--- a/testbed/cluster/main.cpp
+++ b/testbed/cluster/main.cpp
@@ -1,5 +1,6 @@
 // winchhall-cluster-testbed: a whole cluster on loopback. Without arguments, a demonstration;
-// `rolling-upgrade OLD_PROGRAM NEW_PROGRAM`: a trial of replacing its processes one at a time.
+// `rolling-upgrade OLD_PROGRAM NEW_PROGRAM`: a trial of replacing its processes one at a time;
+// `soak SEED SECONDS [CONTROL_NODES WORKERS]`: overlapping faults under load.
 #include <unistd.h>
 
 #include <chrono>
@@ -8,8 +9,10 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "testbed/cluster/fake_leaf.hpp"
+#include "testbed/cluster/fault_soak.hpp"
 #include "testbed/cluster/http_call.hpp"
 #include "testbed/cluster/local_cluster.hpp"
 #include "testbed/cluster/rolling_upgrade.hpp"
@@ -86,11 +89,28 @@
   return EXIT_SUCCESS;
 }
 
+// `arguments`: seed, seconds, and the numbers of control nodes and workers.
+int soak(const std::vector<std::string>& arguments) {
+  FaultSoakOptions options;
+  options.program = sibling_program("winchhall-cluster");
+  options.seed = std::stoull(arguments[0]);
+  options.duration = std::chrono::seconds(std::stoul(arguments[1]));
+  if (arguments.size() > 2) {
+    options.control_nodes = static_cast<unsigned>(std::stoul(arguments[2]));
+    options.workers = static_cast<unsigned>(std::stoul(arguments[3]));
+  }
+  return run_fault_soak(options);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   if (argc == 1) return demo();
   if (argc == 4 && std::string(argv[1]) == "rolling-upgrade") return try_rolling_upgrade(argv[2], argv[3]);
-  std::fprintf(stderr, "usage: winchhall-cluster-testbed [rolling-upgrade OLD_PROGRAM NEW_PROGRAM]\n");
+  if ((argc == 4 || argc == 6) && std::string(argv[1]) == "soak")
+    return soak(std::vector<std::string>(argv + 2, argv + argc));
+  std::fprintf(stderr,
+               "usage: winchhall-cluster-testbed [rolling-upgrade OLD_PROGRAM NEW_PROGRAM | "
+               "soak SEED SECONDS [CONTROL_NODES WORKERS]]\n");
   return kExitUsage;
 }
--- /dev/null
+++ b/testbed/cluster/records_service.cpp
@@ -0,0 +1,69 @@
+#include "testbed/cluster/records_service.hpp"
+
+#include <cstdio>
+
+namespace winchhall::testbed::cluster {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr const char* kHost = "demo.example";
+constexpr const char* kFirstConfiguration =
+    R"({"version":1,"routes":[{"name":"extract","hostname":"demo.example","path_prefix":"/extract/",)"
+    R"("route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":"records",)"
+    R"("max_retries":3,"stretch":1.5}],"services":[{"name":"records","health_check_path":"/health",)"
+    R"("max_connections":64,"protocol":"h1","tls":false,"preconditions":false}],"limits":{}})";
+constexpr std::chrono::milliseconds kCallTimeout{4000};
+
+}  // namespace
+
+ConfigurationChange first_configuration() { return {0, 1, "", "/v1/Config.Put", kFirstConfiguration}; }
+
+ConfigurationChange add_route(std::uint64_t base_version) {
+  ConfigurationChange change;
+  change.base_version = base_version;
+  change.version = base_version + 1;
+  change.route = "step-" + std::to_string(change.version);
+  change.path = "/v1/Config.Patch";
+  change.body = R"({"version":)" + std::to_string(change.version) + R"(,"upsert":{"routes":[{"name":")" +
+                change.route + R"(","hostname":"demo.example","path_prefix":"/)" + change.route +
+                R"(/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":2,)"
+                R"("backend":"records","max_retries":3,"stretch":2.5}]}})";
+  return change;
+}
+
+HttpCall configuration_call(const ConfigurationChange& change, const std::string& control_address) {
+  HttpCall call;
+  call.address = control_address;
+  call.method = "POST";
+  call.target = change.path;
+  call.body = change.body;
+  call.headers.push_back({"X-Winchhall-Base-Version", std::to_string(change.base_version)});
+  call.timeout = kCallTimeout;
+  return call;
+}
+
+bool acknowledges(const HttpCallResponse& response, const ConfigurationChange& change) {
+  const std::string wanted = R"("version":)" + std::to_string(change.version) + "}";
+  return response.status == kOk && response.body.find(wanted) != std::string::npos;
+}
+
+HttpCall job_call(const std::string& front_address, const std::string& method, const std::string& job,
+                  const std::string& body) {
+  HttpCall call;
+  call.address = front_address;
+  call.method = method;
+  call.target = "/extract/" + job;
+  call.host = kHost;
+  call.body = body;
+  call.timeout = kCallTimeout;
+  return call;
+}
+
+std::string job_id(std::uint64_t number) {
+  char digits[17];
+  std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(number));
+  return digits;
+}
+
+}  // namespace winchhall::testbed::cluster
--- /dev/null
+++ b/testbed/cluster/records_service.hpp
@@ -0,0 +1,38 @@
+// The service "records" that trials and soaks run: its configuration and how clients and the operator call
+// it.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "testbed/cluster/http_call.hpp"
+
+namespace winchhall::testbed::cluster {
+
+inline constexpr const char* kRecordsService = "records";
+
+// A change of the configuration, as the operator sends it.
+struct ConfigurationChange {
+  std::uint64_t base_version = 0;
+  std::uint64_t version = 0;
+  std::string route;  // that it adds; empty: the first configuration
+  std::string path;   // of the call
+  std::string body;
+};
+
+// Version 1: the queue "extract" alone.
+ConfigurationChange first_configuration();
+// Adds a route to the version before it.
+ConfigurationChange add_route(std::uint64_t base_version);
+// The operator's call to a control node.
+HttpCall configuration_call(const ConfigurationChange& change, const std::string& control_address);
+// True if the response acknowledges the change with its version.
+bool acknowledges(const HttpCallResponse& response, const ConfigurationChange& change);
+
+// A client's call for a job of the queue "extract". `method`: POST with the job as body, GET or DELETE.
+HttpCall job_call(const std::string& front_address, const std::string& method, const std::string& job,
+                  const std::string& body = "");
+// 16 hexadecimal digits.
+std::string job_id(std::uint64_t number);
+
+}  // namespace winchhall::testbed::cluster
--- a/testbed/cluster/rolling_upgrade.cpp
+++ b/testbed/cluster/rolling_upgrade.cpp
@@ -13,6 +13,7 @@
 #include "testbed/cluster/fake_leaf.hpp"
 #include "testbed/cluster/http_call.hpp"
 #include "testbed/cluster/local_cluster.hpp"
+#include "testbed/cluster/records_service.hpp"
 
 namespace winchhall::testbed::cluster {
 
@@ -22,17 +23,9 @@
 
 constexpr std::chrono::seconds kPatience{40};
 constexpr std::chrono::milliseconds kPause{50};
-constexpr std::chrono::milliseconds kCallTimeout{4000};
 constexpr unsigned kControlNodes = 3;
 constexpr unsigned kWorkers = 2;
 constexpr unsigned kOk = 200;
-constexpr const char* kHost = "demo.example";
-constexpr const char* kService = "records";
-constexpr const char* kFirstConfiguration =
-    R"({"version":1,"routes":[{"name":"extract","hostname":"demo.example","path_prefix":"/extract/",)"
-    R"("route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":"records",)"
-    R"("max_retries":3,"stretch":1.5}],"services":[{"name":"records","health_check_path":"/health",)"
-    R"("max_connections":64,"protocol":"h1","tls":false,"preconditions":false}],"limits":{}})";
 constexpr const char* kJob =
     R"({"spec":"x","stages":[{"count":6,"cpu":1000,"mem_mb":100,"estimated_ms":300},)"
     R"({"count":3,"cpu":1000,"mem_mb":100,"estimated_ms":300,"depends_on":[0]}]})";
@@ -46,19 +39,10 @@
   return false;
 }
 
-// A change of the configuration that was acknowledged.
-struct AcknowledgedChange {
-  std::uint64_t base_version = 0;
-  std::uint64_t version = 0;
-  std::string route;  // that it added; empty: the first configuration
-  std::string path;
-  std::string body;
-};
-
 class RollingUpgrade {
  public:
   RollingUpgrade(const std::string& old_program, std::string new_program)
-      : new_program_(std::move(new_program)), cluster_(old_program, kWorkers, kService) {}
+      : new_program_(std::move(new_program)), cluster_(old_program, kWorkers, kRecordsService) {}
 
   int run() {
     if (!begin()) return EXIT_FAILURE;
@@ -89,10 +73,10 @@
   bool begin() {
     cluster_.start_all();
     for (unsigned index = 0; index < kWorkers; ++index) {
-      leaves_.push_back(std::make_unique<FakeLeaf>(
-          FakeLeafOptions{cluster_.worker_address(index), "i-" + std::to_string(index), kService, "a"}));
+      leaves_.push_back(std::make_unique<FakeLeaf>(FakeLeafOptions{
+          cluster_.worker_address(index), "i-" + std::to_string(index), kRecordsService, "a"}));
     }
-    const AcknowledgedChange first{0, 1, "", "/v1/Config.Put", kFirstConfiguration};
+    const ConfigurationChange first = first_configuration();
     if (!acknowledged(first)) return fail("the first configuration is not taken");
     changes_.push_back(first);
     return submit_job() && change_configuration();
@@ -130,20 +114,11 @@
   }
 
   HttpCallResponse call_as_client(const char* method, const std::string& job, const char* body) const {
-    HttpCall call;
-    call.address = cluster_.front_address();
-    call.method = method;
-    call.target = "/extract/" + job;
-    call.host = kHost;
-    call.body = body;
-    call.timeout = kCallTimeout;
-    return send_http_call(call);
+    return send_http_call(job_call(cluster_.front_address(), method, job, body));
   }
 
   bool submit_job() {
-    char id[17];
-    std::snprintf(id, sizeof id, "%016zx", jobs_.size() + 1);
-    const std::string job = id;
+    const std::string job = job_id(jobs_.size() + 1);
     if (!wait_until([&] { return call_as_client("POST", job, kJob).status == kOk; })) {
       return fail("job " + job + " is not taken");
     }
@@ -152,31 +127,15 @@
   }
 
   // Sends a change, to the control nodes in turn, until it is acknowledged with its version.
-  bool acknowledged(const AcknowledgedChange& change) {
-    const std::string wanted = R"("version":)" + std::to_string(change.version) + "}";
+  bool acknowledged(const ConfigurationChange& change) {
     return wait_until([&] {
-      HttpCall call;
-      call.address = cluster_.control_address(next_control_++ % kControlNodes);
-      call.method = "POST";
-      call.target = change.path;
-      call.body = change.body;
-      call.headers.push_back({"X-Winchhall-Base-Version", std::to_string(change.base_version)});
-      call.timeout = kCallTimeout;
-      const HttpCallResponse response = send_http_call(call);
-      return response.status == kOk && response.body.find(wanted) != std::string::npos;
+      const std::string control = cluster_.control_address(next_control_++ % kControlNodes);
+      return acknowledges(send_http_call(configuration_call(change, control)), change);
     });
   }
 
   bool change_configuration() {
-    AcknowledgedChange change;
-    change.base_version = changes_.back().version;
-    change.version = change.base_version + 1;
-    change.route = "step-" + std::to_string(change.version);
-    change.path = "/v1/Config.Patch";
-    change.body = R"({"version":)" + std::to_string(change.version) + R"(,"upsert":{"routes":[{"name":")" +
-                  change.route + R"(","hostname":"demo.example","path_prefix":"/)" + change.route +
-                  R"(/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":2,)"
-                  R"("backend":"records","max_retries":3,"stretch":2.5}]}})";
+    const ConfigurationChange change = add_route(changes_.back().version);
     if (!acknowledged(change)) return fail("change " + change.route + " is not taken");
     changes_.push_back(change);
     return true;
@@ -195,7 +154,7 @@
     const bool listed = wait_until([&] {
       HttpCall call;
       call.address = cluster_.control_address(next_control_++ % kControlNodes);
-      call.target = std::string("/v1/jobs?service=") + kService;
+      call.target = std::string("/v1/jobs?service=") + kRecordsService;
       const HttpCallResponse response = send_http_call(call);
       list = response.body;
       return response.status == kOk;
@@ -240,12 +199,12 @@
       found.emplace_back(route.at("name").as_string().c_str());
     }
     std::vector<std::string> wanted = {"extract"};
-    for (const AcknowledgedChange& change : changes_) {
+    for (const ConfigurationChange& change : changes_) {
       if (!change.route.empty()) wanted.push_back(change.route);
     }
     if (found != wanted) fail("the routes are not those of the acknowledged changes in their order: " + json);
     // An acknowledged change that is sent again is acknowledged again, with the version that it made.
-    for (const AcknowledgedChange& change : changes_) {
+    for (const ConfigurationChange& change : changes_) {
       if (!acknowledged(change)) fail("version " + std::to_string(change.version) + " is not known any more");
     }
   }
@@ -253,8 +212,8 @@
   const std::string new_program_;
   LocalCluster cluster_;
   std::vector<std::unique_ptr<FakeLeaf>> leaves_;
-  std::vector<std::string> jobs_;            // acknowledged, in order
-  std::vector<AcknowledgedChange> changes_;  // in order
+  std::vector<std::string> jobs_;             // acknowledged, in order
+  std::vector<ConfigurationChange> changes_;  // in order
   unsigned next_control_ = 0;
   unsigned faults_ = 0;
 };
