End a leadership whose write was lost, also if its lease is renewed at once

A leader that is held up between its look at the lease and its write (a freeze, a spent quota) got the outcome lost; if a renewal was under way, the lease was valid again before its expiry was noticed, and the leader went on. Its next write, once durable, then passed for all before it, the lost one included: a job acknowledged and not kept, a leaf given orders without a record. Change: LeasedShard::write abandons the leadership when it has to answer lost; an abandoned one leads no more and ends at once.

--- a/src/cluster/consensus/leased_shard.cpp
+++ b/src/cluster/consensus/leased_shard.cpp
@@ -80,6 +80,9 @@
 
 void LeasedShard::write(std::vector<ShardChange> changes, std::function<void(ShardWriteOutcome)> done) {
   if (leads()) return leadership_->write(changes, std::move(done));
+  // The lease may have run out only since the caller looked, and may be renewed yet. But the caller's later
+  // writes build on this one, so none may follow under this epoch.
+  if (leadership_) leadership_->abandon();
   group_.defer([done = std::move(done)] { done(ShardWriteOutcome::lost); });
 }
 
--- a/src/cluster/consensus/replicated_shard.hpp
+++ b/src/cluster/consensus/replicated_shard.hpp
@@ -12,7 +12,8 @@
 
 namespace winchhall::cluster {
 
-// How a write ended. `lost`: this node no longer leads; the write may or may not last.
+// How a write ended. `lost`: this node no longer leads, and won't again under that epoch; the write may or
+// may not last.
 enum class ShardWriteOutcome { durable, lost };
 
 // One change of a record; no value: the record is removed.
--- a/src/cluster/consensus/shard_leadership.cpp
+++ b/src/cluster/consensus/shard_leadership.cpp
@@ -55,8 +55,16 @@
   callbacks_.on_lost();
 }
 
+void ShardLeadership::abandon() {
+  if (phase_ != Phase::leading || abandoned_) return;
+  abandoned_ = true;
+  group_.defer([weak = weak_from_this()] {
+    if (const std::shared_ptr<ShardLeadership> self = weak.lock()) self->end_as_lost();
+  });
+}
+
 bool ShardLeadership::leads() const {
-  return !ended_ && phase_ == Phase::leading && lease_->is_held() && group_.voting();
+  return !ended_ && !abandoned_ && phase_ == Phase::leading && lease_->is_held() && group_.voting();
 }
 
 std::uint64_t ShardLeadership::highest_epoch() const {
--- a/src/cluster/consensus/shard_leadership.hpp
+++ b/src/cluster/consensus/shard_leadership.hpp
@@ -55,6 +55,9 @@
   // After `release`: reports all unfinished writes as lost.
   void fail_writes();
 
+  // Never leads again; ends as lost soon, not within this function. For a leader that failed to write.
+  void abandon();
+
   // True while this node certainly holds the lease, leads and votes, by the clock of this moment.
   bool leads() const;
   // True once `on_lead` was called.
@@ -107,6 +110,7 @@
   std::shared_ptr<LeaseRenewer> lease_;
   Phase phase_ = Phase::requesting_lease;
   bool ended_ = false;
+  bool abandoned_ = false;
   std::uint64_t highest_rejecting_epoch_ = 0;            // of members that rejected a write
   std::map<std::uint64_t, ShardReplica> read_replicas_;  // during recovery, by member
   LeaderRecordTable records_;
--- a/tests/cluster/consensus/shard_test.cpp
+++ b/tests/cluster/consensus/shard_test.cpp
@@ -291,6 +291,50 @@
   }
 }
 
+// A leader that was frozen until its lease had run out writes first and handles a renewal that came in
+// meanwhile next. If it went on to lead, its later writes would be taken for durable together with the lost
+// one.
+TEST_CASE("a leader whose write was lost leads no more under that epoch, though its lease is renewed") {
+  std::size_t lost_writes = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    ShardHistory history;
+    history_of_test = &history;
+    SimulationOptions slow_links;  // so that a renewal is often under way when the leader freezes
+    slow_links.delay_min_us = 20000;
+    slow_links.delay_max_us = 40000;
+    Cluster cluster(seed, 5, slow_links);
+    Simulation& simulation = cluster.simulation();
+    cluster.bootstrap();
+    REQUIRE(simulation.run_until([&] { return cluster.is_stable() && leader_of(cluster).has_value(); },
+                                 Millis(10000)));
+    simulation.run_for(Millis(simulation.random_between(0, 400)));
+    REQUIRE(simulation.run_until([&] { return leader_of(cluster).has_value(); }, Millis(5000)));
+    const std::size_t index = *leader_of(cluster);
+    ShardUser& leader = cluster.extra(index);
+    SimNode& node = cluster.node(index);
+    std::uint64_t lost_epoch = 0;
+    const auto write = [&] {
+      const std::uint64_t epoch = leader.shard().epoch();
+      if (epoch == 0) return;
+      leader.write("key", "value", [&, epoch](ShardWriteOutcome outcome) {
+        if (outcome != ShardWriteOutcome::lost) return;
+        ++lost_writes;
+        lost_epoch = epoch;
+      });
+    };
+    const auto timer = node.after(Millis(1), write);
+    node.freeze_for(Millis(simulation.random_between(540, 704)));
+    simulation.on_event([&] {
+      if (lost_epoch != 0 && leader.leads() && leader.shard().epoch() == lost_epoch)
+        FAIL("leads on after a lost write");
+    });
+    simulation.run_for(Millis(3000));
+    simulation.on_event(nullptr);
+  }
+  CHECK(lost_writes > 0);
+}
+
 TEST_CASE("writes are durable soon and in order, also while one member is down") {
   ShardHistory history;
   history_of_test = &history;
