Move the worker-agent's test cases to files that mirror the units

Cause: test files of worker_agent were named after topics (heartbeat, leader, orders, http), so the tests of a unit had to be searched for. Change: heartbeat_json, leaf_session, leaf_task_lists, leader_reporter, worker_agent and worker_http_server tests; scripted_runtime.hpp lies in tests/cluster/support.

--- a/tests/cluster/worker_agent/heartbeat_test.cpp
+++ b/tests/cluster/worker_agent/heartbeat_json_test.cpp
@@ -1,4 +1,4 @@
-// The JSON encoding of heartbeats and responses, and the comparison of task lists.
+// The JSON encoding of heartbeats and responses.
 #include <catch2/catch.hpp>
 
 #include "tests/cluster/worker_agent/worker_fixture.hpp"
@@ -91,14 +91,3 @@
         R"({"hold_ms":4000,"last_seen":58,"fence_token":7,"started_at":[["5c.0.1.18",1,"work",""]],)"
         R"("stopped_at":[["5c.0.1.17",2]],"retry_after_ms":200})");
 }
-
-TEST_CASE("another order of the listed tasks is no change") {
-  LeafTaskLists lists;
-  wire::RunningTask one;
-  one.set_task("a");
-  wire::RunningTask other;
-  other.set_task("b");
-  CHECK(lists.update({one, other}, {}) == TaskListsChange::runs);
-  CHECK(lists.update({other, one}, {}) == TaskListsChange::none);
-  CHECK(lists.update({other}, {}) == TaskListsChange::runs);
-}
--- a/tests/cluster/worker_agent/simulated_leaf.hpp
+++ b/tests/cluster/worker_agent/simulated_leaf.hpp
@@ -12,7 +12,7 @@
 #include <tuple>
 #include <vector>
 
-#include "tests/cluster/worker_agent/scripted_runtime.hpp"
+#include "tests/cluster/support/scripted_runtime.hpp"
 #include "tests/cluster/worker_agent/worker_fixture.hpp"
 
 namespace winchhall::cluster::worker_test {
--- a/tests/cluster/worker_agent/orders_test.cpp
+++ b/tests/cluster/worker_agent/worker_agent_test.cpp
@@ -231,3 +231,29 @@
   CHECK(complete.running_size() == 0);
   CHECK(complete.orders_settled() == 1);
 }
+
+TEST_CASE_METHOD(WorkerAgentFixture, "a response that is late after a suspension carries no orders") {
+  complete_first_exchange();
+  const auto answer = heartbeat({});
+  REQUIRE(peek_report());
+  const ScriptedRuntime::Call report = take_newest_report();
+  runtime.suspend(Millis(3000));
+  answer_orders(report, orders_of(5, {start_order(1, kTask, 7)}));
+  CHECK(answer->starts() == 0);
+}
+
+TEST_CASE_METHOD(WorkerAgentFixture,
+                 "a shutdown sends the deferred response with its lease and without orders") {
+  complete_first_exchange();
+  const auto answer = heartbeat({});
+  bool done = false;
+  agent->shut_down([&done] { done = true; });
+  REQUIRE(answer->answered);
+  CHECK(answer->has("hold_ms"));
+  CHECK_FALSE(done);
+  runtime.advance(Millis(100));
+  CHECK(done);
+  const auto later = heartbeat({});
+  CHECK(later->answered);
+  CHECK(later->starts() == 0);
+}
--- a/tests/cluster/worker_agent/worker_fixture.hpp
+++ b/tests/cluster/worker_agent/worker_fixture.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "cluster/worker_agent/worker_agent.hpp"
-#include "tests/cluster/worker_agent/scripted_runtime.hpp"
+#include "tests/cluster/support/scripted_runtime.hpp"
 
 namespace winchhall::cluster::worker_test {
 
--- a/tests/cluster/worker_agent/http_test.cpp
+++ b/tests/cluster/worker_agent/worker_http_server_test.cpp
@@ -1,7 +1,8 @@
 // The HTTP interface of the worker-agent.
+#include "cluster/worker_agent/worker_http_server.hpp"
+
 #include <catch2/catch.hpp>
 
-#include "cluster/worker_agent/worker_http_server.hpp"
 #include "tests/cluster/worker_agent/worker_fixture.hpp"
 
 using namespace winchhall::cluster;
