--- a/tests/cluster/scheduler/run_table_test.cpp
+++ b/tests/cluster/scheduler/run_table_test.cpp
@@ -121,6 +121,29 @@
   }
 }
 
+TEST_CASE("a gang's earlier run is ordered to stop, and the gang starts anew only once that has ended") {
+  wire::JobSpec spec = single_stage_job(2);
+  spec.mutable_stages(0)->set_gang(true);
+  SchedulerHarness leader(kSecondEpoch, records_of_two_leaves(spec));
+  const wire::StartOrder earlier = make_run("a.0.0.0", 1);
+  const wire::StartOrder later = make_run("a.0.0.1", 2);
+  leader.deliver(leader.make_report("i-idle"));
+  leader.deliver(report_with_run(leader, "i-1", earlier));
+  leader.deliver(report_with_run(leader, "i-2", later));
+  const wire::WorkerOrders orders = leader.orders("i-1");
+  REQUIRE(orders.stops_size() == 1);
+  CHECK(orders.stops(0).run() == earlier.run());
+  // The later run is only a part of a gang, too, and is stopped for that.
+  CHECK(leader.orders("i-2").stops_size() == 1);
+
+  wire::WorkerReport later_ended = leader.make_report("i-2");
+  add_end(later_ended, 1, later, wire::END_STOPPED);
+  leader.deliver(later_ended);
+  leader.deliver(report_with_run(leader, "i-1", earlier));
+  let_leader_plan(leader);
+  for (const std::string leaf : {"i-1", "i-2", "i-idle"}) CHECK(leader.orders(leaf).starts_size() == 0);
+}
+
 TEST_CASE("a task with a surplus run starts anew only once that has ended") {
   SchedulerHarness leader(kSecondEpoch, records_of_two_leaves(single_stage_job(1)));
   const wire::StartOrder earlier = make_run("a.0.0.0", 1);
--- a/tests/cluster/support/scripted_runtime.hpp
+++ b/tests/cluster/support/scripted_runtime.hpp
@@ -11,7 +11,7 @@
 
 #include "cluster/common/runtime.hpp"
 
-namespace winchhall::cluster::worker_test {
+namespace winchhall::cluster::testing {
 
 // A runtime whose clock moves only with `advance`. Calls wait until the test answers them or they time out.
 class ScriptedRuntime : public Runtime {
@@ -84,4 +84,4 @@
   std::map<std::pair<TimePoint, std::uint64_t>, Entry> timers_;
 };
 
-}  // namespace winchhall::cluster::worker_test
+}  // namespace winchhall::cluster::testing
--- a/tests/cluster/worker_agent/simulated_leaf.hpp
+++ b/tests/cluster/worker_agent/simulated_leaf.hpp
@@ -17,6 +17,8 @@
 
 namespace winchhall::cluster::worker_test {
 
+using testing::ScriptedRuntime;
+
 // Time after which the leaf gives up on a heartbeat and drops its response.
 inline constexpr Millis kCallLimit{1000};
 
--- a/tests/cluster/worker_agent/worker_fixture.hpp
+++ b/tests/cluster/worker_agent/worker_fixture.hpp
@@ -15,6 +15,8 @@
 
 namespace winchhall::cluster::worker_test {
 
+using testing::ScriptedRuntime;
+
 inline const Address kLeader = "10.0.0.3:7000";
 
 inline NodeSettings worker_settings() {
