Give the testbed's constants names of their own

Cause: the linter reads a module as one unit, and names of the new files met those of others. Change: kHttpOk stands once in http_call.hpp; two constants are renamed.

--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -22,7 +22,6 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr unsigned kOk = 200;
 constexpr unsigned kClients = 4;
 constexpr milliseconds kStep{10};
 constexpr std::chrono::seconds kCompletionTime{60};
@@ -154,7 +153,8 @@
       const std::string job = open.front();
       open.pop_front();
       const HttpCallResponse response = connection.send(job_call(cluster_.front_address(), "GET", job));
-      const bool completed = response.status == kOk && response.body.find("completed") != std::string::npos;
+      const bool completed =
+          response.status == kHttpOk && response.body.find("completed") != std::string::npos;
       if (!completed) open.push_back(job);
     }
     for (const std::string& job : open) faults_.push_back("job " + job + " does not complete");
@@ -167,7 +167,7 @@
       call.address = cluster_.control_address(static_cast<unsigned>(turn % options_.control_nodes));
       call.target = "/v1/Config.Get";
       const HttpCallResponse response = send_http_call(call);
-      if (response.status != kOk) {
+      if (response.status != kHttpOk) {
         std::this_thread::sleep_for(kStep);
         continue;
       }
--- a/testbed/cluster/http_call.hpp
+++ b/testbed/cluster/http_call.hpp
@@ -8,6 +8,8 @@
 
 namespace winchhall::testbed::cluster {
 
+inline constexpr unsigned kHttpOk = 200;
+
 struct HttpHeader {
   std::string name;
   std::string value;
--- a/testbed/cluster/records_service.cpp
+++ b/testbed/cluster/records_service.cpp
@@ -6,14 +6,13 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
 constexpr const char* kHost = "demo.example";
 constexpr const char* kFirstConfiguration =
     R"({"version":1,"routes":[{"name":"extract","hostname":"demo.example","path_prefix":"/extract/",)"
     R"("route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":"records",)"
     R"("max_retries":3,"stretch":1.5}],"services":[{"name":"records","health_check_path":"/health",)"
     R"("max_connections":64,"protocol":"h1","tls":false,"preconditions":false}],"limits":{}})";
-constexpr std::chrono::milliseconds kCallTimeout{4000};
+constexpr std::chrono::milliseconds kServiceCallTimeout{4000};
 
 }  // namespace
 
@@ -39,13 +38,13 @@
   call.target = change.path;
   call.body = change.body;
   call.headers.push_back({"X-Winchhall-Base-Version", std::to_string(change.base_version)});
-  call.timeout = kCallTimeout;
+  call.timeout = kServiceCallTimeout;
   return call;
 }
 
 bool acknowledges(const HttpCallResponse& response, const ConfigurationChange& change) {
   const std::string wanted = R"("version":)" + std::to_string(change.version) + "}";
-  return response.status == kOk && response.body.find(wanted) != std::string::npos;
+  return response.status == kHttpOk && response.body.find(wanted) != std::string::npos;
 }
 
 HttpCall job_call(const std::string& front_address, const std::string& method, const std::string& job,
@@ -56,7 +55,7 @@
   call.target = "/extract/" + job;
   call.host = kHost;
   call.body = body;
-  call.timeout = kCallTimeout;
+  call.timeout = kServiceCallTimeout;
   return call;
 }
 
--- a/testbed/cluster/rolling_upgrade.cpp
+++ b/testbed/cluster/rolling_upgrade.cpp
@@ -25,7 +25,6 @@
 constexpr std::chrono::milliseconds kPause{50};
 constexpr unsigned kControlNodes = 3;
 constexpr unsigned kWorkers = 2;
-constexpr unsigned kOk = 200;
 constexpr const char* kJob =
     R"({"spec":"x","stages":[{"count":6,"cpu":1000,"mem_mb":100,"estimated_ms":300},)"
     R"({"count":3,"cpu":1000,"mem_mb":100,"estimated_ms":300,"depends_on":[0]}]})";
@@ -108,7 +107,7 @@
       call.target = "/v1/status";
     }
     const HttpCallResponse response = send_http_call(call);
-    if (response.status != kOk) return false;
+    if (response.status != kHttpOk) return false;
     return !control || (response.body.find(R"("votes":true)") != std::string::npos &&
                         response.body.find(R"("in_touch":true)") != std::string::npos);
   }
@@ -119,7 +118,7 @@
 
   bool submit_job() {
     const std::string job = job_id(jobs_.size() + 1);
-    if (!wait_until([&] { return call_as_client("POST", job, kJob).status == kOk; })) {
+    if (!wait_until([&] { return call_as_client("POST", job, kJob).status == kHttpOk; })) {
       return fail("job " + job + " is not taken");
     }
     jobs_.push_back(job);
@@ -146,7 +145,7 @@
       HttpCallResponse last;
       const bool completed = wait_until([&] {
         last = call_as_client("GET", job, "");
-        return last.status == kOk && last.body.find("completed") != std::string::npos;
+        return last.status == kHttpOk && last.body.find("completed") != std::string::npos;
       });
       if (!completed) fail("job " + job + ": " + std::to_string(last.status) + " " + last.body);
     }
@@ -157,7 +156,7 @@
       call.target = std::string("/v1/jobs?service=") + kRecordsService;
       const HttpCallResponse response = send_http_call(call);
       list = response.body;
-      return response.status == kOk;
+      return response.status == kHttpOk;
     });
     if (!listed) fail("no control node lists the jobs");
     for (const std::string& job : jobs_) {
@@ -185,7 +184,7 @@
       call.target = "/v1/Config.Get";
       const HttpCallResponse response = send_http_call(call);
       json = response.body;
-      return response.status == kOk;
+      return response.status == kHttpOk;
     });
     if (!read) {
       fail("the configuration can't be read");
--- a/testbed/cluster/soak_clients.cpp
+++ b/testbed/cluster/soak_clients.cpp
@@ -8,9 +8,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr unsigned kOk = 200;
 constexpr unsigned kUnknownJob = 410;
-constexpr milliseconds kRetryInterval{50};
+constexpr milliseconds kClientRetryInterval{50};
 constexpr milliseconds kPauseStep{20};
 constexpr unsigned kClientIdShift = 32;  // job numbers of different clients don't meet
 
@@ -88,12 +87,12 @@
 
 bool SoakClients::submit(HttpConnection& connection, const std::string& job, const std::string& body) {
   while (!stopping_) {
-    if (connection.send(job_call(front_address_, "POST", job, body)).status == kOk) {
+    if (connection.send(job_call(front_address_, "POST", job, body)).status == kHttpOk) {
       const std::lock_guard lock(mutex_);
       accepted_.push_back(job);
       return true;
     }
-    pause(kRetryInterval);
+    pause(kClientRetryInterval);
   }
   return false;
 }
@@ -105,10 +104,11 @@
     was_completed = completed_.contains(job);
   }
   const HttpCallResponse response = connection.send(job_call(front_address_, "GET", job));
-  const bool is_completed = response.status == kOk && response.body.find("completed") != std::string::npos;
+  const bool is_completed =
+      response.status == kHttpOk && response.body.find("completed") != std::string::npos;
   const std::lock_guard lock(mutex_);
   if (response.status == kUnknownJob) faults_.push_back("job " + job + " was accepted and is unknown");
-  if (response.status == kOk && was_completed && !is_completed)
+  if (response.status == kHttpOk && was_completed && !is_completed)
     faults_.push_back("job " + job + " was completed and is " + response.body);
   if (is_completed) completed_.insert(job);
 }
@@ -130,7 +130,7 @@
   for (std::size_t turn = 0; !stopping_; ++turn) {
     const std::string& control = control_addresses_[turn % control_addresses_.size()];
     if (acknowledges(send_http_call(configuration_call(change, control)), change)) return true;
-    pause(kRetryInterval);
+    pause(kClientRetryInterval);
   }
   return false;
 }
