Continue the stopped process after the end of the operators' experiment

What callers saw: testbed_operations lost 40 of 2,109 queries once ("o2086 never got its answer"), all asked just before the end. Cause: `run` takes no step of the history once the time is over, and the SIGCONT after a SIGSTOP is such a step. A history whose last step is a SIGSTOP left the aggregator stopped for good. The fault is the experiment's, not the aggregator's. Change: a stopped process is continued after the end too; the check of lost queries and its time stay as they are.

--- a/testbed/experiments.hpp
+++ b/testbed/experiments.hpp
@@ -37,6 +37,7 @@
 struct Operations {
   Common common{};
   std::size_t clients = 40, leafs = 8;
+  bool stop_at_end = false;  // the last step of the history stops the process
 };
 int operations(const Operations& options);
 
--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -69,6 +69,7 @@
   common_options(*o, ops.common);
   o->add_option("--clients", ops.clients)->check(CLI::Range(1, 400))->capture_default_str();
   o->add_option("--leafs", ops.leafs)->check(CLI::Range(3, 64))->capture_default_str();
+  o->add_flag("--stop-at-end", ops.stop_at_end, "the last step of the history stops the process");
 
   testbed::PlatformCost cost;
   CLI::App* c = experiment->add_subcommand("platform-cost", "start, memory and CPU of two programs in turns");
--- a/testbed/operations.cpp
+++ b/testbed/operations.cpp
@@ -21,12 +21,13 @@
 namespace {
 
 using nlohmann::json;
-constexpr Millis kTimeout = 4000;      // ms of a client's patience
-constexpr Millis kDoorWithin = 1000;   // ms for the door to answer
-constexpr Millis kAwayWithin = 4000;   // ms until no client is left
-constexpr Millis kDrainGrace = 2000;   // ms after a leaf's drain was told
-constexpr Millis kLeaveWithin = 8700;  // ms from SIGTERM to SIGKILL: the longest deadline and 0.7 s
-constexpr Millis kStartWithin = 6000;  // ms for a new process to say yes
+constexpr Millis kTimeout = 4000;       // ms of a client's patience
+constexpr Millis kDoorWithin = 1000;    // ms for the door to answer
+constexpr Millis kAwayWithin = 4000;    // ms until no client is left
+constexpr Millis kDrainGrace = 2000;    // ms after a leaf's drain was told
+constexpr Millis kLeaveWithin = 8700;   // ms from SIGTERM to SIGKILL: the longest deadline and 0.7 s
+constexpr Millis kStartWithin = 6000;   // ms for a new process to say yes
+constexpr Millis kFinalStopLead = 100;  // ms that clients still ask after the stop of `stop_at_end`
 
 class Play {
  public:
@@ -53,15 +54,22 @@
     clients_.resize(options_.clients);
     for (Client& c : clients_) c.next_at = loop_.now() + random_.between(0, 200);
     Millis act_at = loop_.now() + 1000;
-    while (loop_.now() < end || open() > 0) {
+    while (loop_.now() < end || open() > 0 || (options_.stop_at_end && !final_stop_done_)) {
       Millis before = loop_.now();
       loop_.turn(5);
       Millis now = loop_.now();
       bool over = now >= end;
       if (!current_->said("phase ready")) found_.unready_ms += now - before;
+      if (options_.stop_at_end && now >= end - kFinalStopLead && !final_stop_done_) {
+        final_stop_done_ = true;
+        end = now + kFinalStopLead;
+        over = false;
+        if (!stopped_) act_at = now + stop();
+      }
       for (Client& c : clients_) serve(c, over, now);
       watch(now);
-      if (now >= act_at && !over) act_at = now + act(now);
+      // A stopped process is continued after the end too: otherwise its open queries are never answered.
+      if (now >= act_at && (!over || stopped_)) act_at = now + act(now);
       if (now > end + 20000) break;  // what is open by now is lost
     }
     for (Client& c : clients_)
@@ -320,13 +328,18 @@
       }
       default:
         if (old_ || random_.chance(0.5)) return 200;
-        ++found_.stops;
-        current_->signal(SIGSTOP);
-        stopped_ = true;
-        return random_.between(300, 1500);
+        return stop();
     }
   }
 
+  // Stops the process with SIGSTOP. Returns the time in ms after which act() continues it.
+  Millis stop() {
+    ++found_.stops;
+    current_->signal(SIGSTOP);
+    stopped_ = true;
+    return random_.between(300, 1500);
+  }
+
   Millis upgrade(Millis now) {
     ++found_.upgrades;
     named_ = classes_;
@@ -381,7 +394,7 @@
   std::map<std::size_t, Millis> drained_;
   int port_ = 0, classes_ = 2, named_ = 2, attempts_ = 3;
   Millis named_at_ = 0, away_at_ = 0, left_at_ = 0, killed_at_ = -1e9;
-  bool checked_away_ = true, stopped_ = false;
+  bool checked_away_ = true, stopped_ = false, final_stop_done_ = false;
   Found found_;
 };
 
