End a Flight call by its query's own result, never by a timer of the call

Cause: the timer at a call's deadline reset the stream whether or not an answer had been given. In a process that runs late the loop's timers come before the router, which ends the query at the same time: the client got a broken stream in place of DEADLINE_EXCEEDED, or of an answer that had arrived meanwhile. Change: the query's one result ends the call. The timer is for what it was meant for, a client that does not take its answer: it is armed when the answer is given, for the call's deadline or 1 s after the answer, whichever is later. Why this works: the router gives every query exactly one result at give_up_at or before, also when it runs late, and the stream stays open until then.

--- a/src/aggregator/flight/flight_server.cpp
+++ b/src/aggregator/flight/flight_server.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -18,8 +19,9 @@
 constexpr char kService[] = "/arrow.flight.protocol.FlightService/";
 constexpr std::size_t kRequestMost = 96 * 1024;  // a command's text is held to 64 KiB like a body elsewhere
 constexpr std::size_t kTextMost = 64 * 1024;
-constexpr event_loop::Millis kFirstCall = 2000;  // ms from connecting to a first call
-constexpr event_loop::Millis kHalfCall = 2000;   // ms from a call's headers to its end
+constexpr event_loop::Millis kFirstCall = 2000;          // ms from connecting to a first call
+constexpr event_loop::Millis kHalfCall = 2000;           // ms from a call's headers to its end
+constexpr event_loop::Millis kAnswerTakenWithin = 1000;  // ms from a call's answer until its client has it
 constexpr event_loop::Millis kSweep = 200;
 constexpr event_loop::Millis kDueSlack =
     50;  // ms before its end from which a failed query counts as out of time
@@ -136,12 +138,12 @@
     coordination::QueryNumber query = 0;
     bool answered = false;
     Layout layout = Layout::shards;
-    event_loop::TimerId timer{};
+    event_loop::TimerId untaken_timer{};  // armed once the call is answered
   };
 
   void forget(std::map<std::int32_t, Call>::iterator it) {
     if (it->second.query != 0) server_.router_.withdraw(it->second.query);
-    server_.loop_.cancel(it->second.timer);
+    server_.loop_.cancel(it->second.untaken_timer);
     server_.live_ids_.erase(it->second.id);
     calls_.erase(it);
   }
@@ -211,11 +213,8 @@
     call.id = spec.id;
     call.layout = spec.spans.empty() ? Layout::shards : Layout::spans;
     spec.give_up_at = call.due = coordination::due(call.arrived, timeout);
-    // A client that does not take its answer is let go when its time is up.
-    call.timer = server_.loop_.at(call.arrived + timeout, [this, id] {
-      http2_.reset(id, NGHTTP2_CANCEL);
-      http2_.pump();
-    });
+    // The router gives each query its one result at give_up_at, so no timer of the call's own ends it: a
+    // timer that fired first, in a process that runs late, would reset the stream in place of the answer.
     call.query = server_.router_.submit(std::move(spec), [this, id](coordination::QueryResult v) {
       auto it = calls_.find(id);
       if (it != calls_.end()) answer(id, it->second, v);
@@ -258,10 +257,21 @@
 
   void respond(std::int32_t id, Call& call, std::string body, const Headers& trailers) {
     call.answered = true;
+    release_untaken_after(id, call);
     http2_.respond(id, {{":status", "200"}, {"content-type", "application/grpc"}}, std::move(body), trailers);
     http2_.pump();
   }
 
+  // Resets the stream of a client that doesn't take its answer: at the call's deadline, but never sooner than
+  // kAnswerTakenWithin after the answer was given.
+  void release_untaken_after(std::int32_t id, Call& call) {
+    event_loop::Millis now = server_.loop_.now();
+    call.untaken_timer = server_.loop_.at(std::max(call.due, now + kAnswerTakenWithin), [this, id] {
+      http2_.reset(id, NGHTTP2_CANCEL);
+      http2_.pump();
+    });
+  }
+
   FlightServer& server_;
   Http2 http2_;
   event_loop::Millis began_;
--- a/tests/aggregator/flight/flight_integration_test.cpp
+++ b/tests/aggregator/flight/flight_integration_test.cpp
@@ -1,5 +1,8 @@
 // Stories of the Flight front and of Flight calls to nodes, against a stand-in node and a client written
 // here.
+#include <chrono>
+#include <thread>
+
 #include "tests/aggregator/flight/flight_fixture.hpp"
 
 using namespace winchhall;
@@ -134,6 +137,24 @@
   s.until([&] { return !s.front.busy(); });
 }
 
+TEST_CASE("a process that was stopped past a call's deadline answers it with a status and resets no stream") {
+  FlightStage s;
+  StandIn node(s.loop);
+  node.on_part = [](const StandIn::Part&) {};
+  s.begin({member("a", node.listener.port(), 0)});
+  std::vector<std::int32_t> calls;
+  for (int i = 0; i < 3; ++i) calls.push_back(s.get(FlightStage::command({1, 2}), "1S"));
+  s.until([&] { return node.asked.size() == 6; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));  // as a SIGSTOP and a SIGCONT would
+  for (std::int32_t call : calls) {
+    Reply& got = s.finish(call);
+    CHECK(got.status() == static_cast<int>(Status::deadline_exceeded));
+    CHECK(got.error == NGHTTP2_NO_ERROR);
+  }
+  CHECK(s.router.figures()[0].failed == 3);
+  s.until([&] { return s.router.attempts_out() == 0 && !s.front.busy(); });
+}
+
 TEST_CASE("what ends a call is a proper status") {
   winchhall::Settings settings = two_classes();
   settings.max_open = 3;
