Bound what a cold server is sent where queries bring no cost estimates

Cause: slow start measures a part by its cost estimate in ms. Without estimates a part counted as 1 ms, so each of three aggregators allowed itself 245 parts a second to a node that could take about 120; the cold node, with nothing outstanding, drew more than its share. Nor did the limit regard what was outstanding: parts that wait in a connection while a server stands still arrive together. Change: a part without an estimate counts as its class's mean response time, and its limit follows what warm servers complete for this instance, times the cold share. A part counts until its answer shows that it arrived before the window (WarmUpWindow). With estimates the limit is as before, but for parts in flight.

--- a/src/aggregator/decision/coordinator.cpp
+++ b/src/aggregator/decision/coordinator.cpp
@@ -155,10 +155,12 @@
     // Deviation: statistics of a server expire more slowly where this instance sends to it less than once a
     // second (sparse_factor_ > 1).
     double ready = 0;
+    warm_size_ = 0;
     std::vector<double> paces;
     for (const Server& s : servers_) {
       if (s.state != ServerState::ready) continue;
       ++ready;
+      if (!is_warming_up(s)) warm_size_ += s.size;
       if (s.pace > 0) paces.push_back(s.pace);
     }
     if (!paces.empty()) {
--- a/src/aggregator/decision/query_state.hpp
+++ b/src/aggregator/decision/query_state.hpp
@@ -1,12 +1,12 @@
 // State of attempts, parts, queries and servers. Times are in ms on the caller's clock, costs in ms of work.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <set>
 #include <utility>
 
 #include "aggregator/decision/tuning.hpp"
+#include "aggregator/decision/warm_up_window.hpp"
 
 namespace winchhall::detail {
 
@@ -14,12 +14,13 @@
 struct Attempt {
   int server = -1;  // index into ServerPool::servers_
   Millis sent = 0;
-  double cost = 0;                // its share of the server's outstanding cost
-  double cost_ahead = 0;          // the server's expected load when it was placed, this part included
-  bool in_flight = true;          // its AttemptEnded is outstanding
-  bool cancel_requested = false;  // CancelAttempt was sent
-  bool started = false;           // its response is being streamed to the client
-  Millis denied = kNever;         // when the server rejected it as not the owner
+  double cost = 0;                        // its share of the server's outstanding cost
+  double cost_ahead = 0;                  // the server's expected load when it was placed, this part included
+  bool in_flight = true;                  // its AttemptEnded is outstanding
+  bool cancel_requested = false;          // CancelAttempt was sent
+  bool started = false;                   // its response is being streamed to the client
+  Millis denied = kNever;                 // when the server rejected it as not the owner
+  WarmUpWindow::SendId warm_up_send = 0;  // in Server::warm_up_window; 0: the server was warm
 };
 
 // One part of a query with all its attempts.
@@ -92,8 +93,7 @@
   std::vector<ServerHealth> by_class;  // per class: a server may fail one class only
   Millis lot_drawn_at = kNever;        // slow start: when `lot` was last drawn
   double lot = 1;                      // slow start: random number that admits one part, see warm_up_allows
-  std::deque<std::pair<Millis, double>>
-      sent_while_warming_up{};  // slow start: (time, cost) sent by this instance
+  WarmUpWindow warm_up_window{};       // slow start: sent by this instance
 };
 
 }  // namespace winchhall::detail
--- a/src/aggregator/decision/query_table.hpp
+++ b/src/aggregator/decision/query_table.hpp
@@ -1,6 +1,8 @@
 // The open queries: placement, retries and the final answer of each.
 #pragma once
 
+#include <deque>
+
 #include "aggregator/decision/server_pool.hpp"
 
 namespace winchhall::detail {
@@ -59,7 +61,10 @@
     p.attempts.push_back({server, now_, p.hint, s.outstanding_cost + load(s, c) + p.hint});
     s.outstanding_cost += p.hint;
     s.in_flight_since.insert(now_);
-    if (is_warming_up(s)) s.sent_while_warming_up.emplace_back(now_, std::max(p.hint, mean_hint(c)));
+    if (is_warming_up(s) && settings_.fall_multiple > 0) {
+      p.attempts.back().warm_up_send = ++last_warm_up_send_;
+      s.warm_up_window.add(last_warm_up_send_, now_, warm_up_work(c, p.hint));
+    }
     return true;
   }
 
@@ -67,6 +72,7 @@
   void release(Attempt& a) {
     Server& s = servers_[a.server];
     a.in_flight = false;
+    s.warm_up_window.settle(a.warm_up_send, now_);
     s.outstanding_cost = std::max(0.0, s.outstanding_cost - a.cost);
     if (auto it = s.in_flight_since.find(a.sent); it != s.in_flight_since.end()) s.in_flight_since.erase(it);
     if (s.in_flight_since.empty()) s.outstanding_cost = 0;  // drops accumulated rounding errors
@@ -74,9 +80,8 @@
 
   // Reverts place() for an attempt that wasn't sent.
   void undo_placement(Part& p, bool is_spare = false) {
-    Server& s = servers_[p.attempts.back().server];
-    if (!s.sent_while_warming_up.empty() && s.sent_while_warming_up.back().first == now_)
-      s.sent_while_warming_up.pop_back();
+    const Attempt& attempt = p.attempts.back();
+    servers_[attempt.server].warm_up_window.remove(attempt.warm_up_send);
     release(p.attempts.back());
     p.attempts.pop_back();
     p.is_spare |= is_spare;
--- a/src/aggregator/decision/server_pool.hpp
+++ b/src/aggregator/decision/server_pool.hpp
@@ -74,6 +74,7 @@
         s.by_class.assign(settings_.classes.size(), {});
         s.reported_at = kNever;
         s.pace = 0;
+        s.warm_up_window.on_restart();
         s.started = e.started;
       }
       s.cell = e.cell;
@@ -153,26 +154,54 @@
     return s.started && now_ - *s.started < settings_.warm_up_time;
   }
 
-  // Rule: slow start. The cost this instance sends to a warming server within `fall_time` stays below its
-  // fraction of the server's allowance. Nothing is sent for `fall_time` after this instance's own start,
-  // since what a previous process sent is unknown.
-  bool warm_up_allows(Server& s, double work) {
+  // Whether the queries of a class come with cost estimates. Without any, a part's `hint` has no unit.
+  bool has_hints(int c) const { return class_statistics_[c].hint.seen > 0; }
+
+  // Work of a part in ms, as far as slow start is concerned.
+  double warm_up_work(int c, double hint) const {
+    if (has_hints(c)) return std::max(hint, mean_hint(c));
+    const Estimate& response = class_statistics_[c].response;
+    return response.seen < kMinSamples ? kUnknownPartWork : std::max(response.mean, 1.0);
+  }
+
+  // Records that a server completed a part of class `c`. What warm servers complete is a lower limit of what
+  // a server can do once it is warm.
+  void record_completed_work(const Server& s, int c, double hint) {
+    if (!is_warming_up(s)) warm_work_completed_.add(warm_up_work(c, hint), now_);
+  }
+
+  // Work in ms per ms that a warm server of this size completes for this instance; 0 if there is none.
+  double warm_work_rate(const Server& like) const {
+    if (warm_size_ <= 0) return 0;
+    double completed = warm_work_completed_.sum * warm_work_completed_.left(now_) / kDecayTime;
+    return completed * like.size / warm_size_;
+  }
+
+  // Limit in ms of work on what this instance may send to a warming server within `fall_time`, for parts of
+  // class `c`: its fraction of the server's capacity. Parts without cost estimates tell nothing of a server's
+  // cores, so there the limit follows what warm servers complete.
+  double warm_up_allowance(const Server& s, int c) const {
+    double age = std::max(0.0, now_ - settings_.fall_time - *s.started) / settings_.warm_up_time;
+    double share = settings_.warm_up_initial_share + (1 - settings_.warm_up_initial_share) * age;
+    double warm_rate = kMinServerCores / settings_.brokers;
+    if (!has_hints(c)) warm_rate = std::max(warm_rate, warm_work_rate(s));
+    return kWarmUpSafety * settings_.fall_multiple * share * warm_rate * settings_.fall_time;
+  }
+
+  // Rule: slow start. The work that this instance sends to a warming server and that may arrive there within
+  // `fall_time` stays below warm_up_allowance(). Nothing is sent for `fall_time` after this instance's own
+  // start, since what a previous process sent is unknown.
+  bool warm_up_allows(Server& s, int c, double hint) {
     if (!is_warming_up(s) || settings_.fall_multiple <= 0) return true;
     if (now_ - started_at_ < settings_.fall_time && *s.started < started_at_) return false;
-    while (!s.sent_while_warming_up.empty() &&
-           s.sent_while_warming_up.front().first < now_ - settings_.fall_time)
-      s.sent_while_warming_up.pop_front();
-    double age = std::max(0.0, now_ - settings_.fall_time - *s.started) / settings_.warm_up_time;
-    double capacity =
-        kMinServerCores * (settings_.warm_up_initial_share + (1 - settings_.warm_up_initial_share) * age);
-    double allowance =
-        kWarmUpSafety * settings_.fall_multiple * capacity * settings_.fall_time / settings_.brokers;
-    for (const auto& sent : s.sent_while_warming_up) work += sent.second;
-    if (work <= allowance) return true;
+    double work = warm_up_work(c, hint);
+    double allowance = warm_up_allowance(s, c);
+    double sent = s.warm_up_window.work_since(now_ - settings_.fall_time);
+    if (sent + work <= allowance) return true;
     // If the fraction is smaller than one part, it is kept in expectation only, as otherwise no instance
     // would send before the server is warm: a random draw in each `fall_time` interval may admit one part.
     // Unused intervals raise the probability, up to kMaxUnusedLotIntervals.
-    if (!s.sent_while_warming_up.empty()) return false;
+    if (!s.warm_up_window.empty()) return false;
     if (now_ - s.lot_drawn_at >= settings_.fall_time) {
       Millis saved = now_ - std::max({s.lot_drawn_at, *s.started, started_at_});
       s.lot_drawn_at = now_;
@@ -221,7 +250,7 @@
       if (s.state != ServerState::ready || (!p.holders && !is_replica_of(s, p.shard)))
         continue;  // Rule: no sends to draining servers
       if (may_be_draining(s) || denied_recently(i, p)) continue;
-      if (!warm_up_allows(s, std::max(p.hint, mean_hint(c)))) continue;
+      if (!warm_up_allows(s, c, p.hint)) continue;
       int rank = health_rank(s, p, c);
       if (rank <= max_health_rank) least.offer(i, cost(s, c, p.hint), random_, rank);
     }
@@ -279,6 +308,7 @@
           resolve_broken_connection(s, false);
         record_success(s, s.health);
         record_success(s, s.by_class[c]);
+        record_completed_work(s, c, hint);
         return record_response_time(s, took, a, c, hint);
       case Outcome::cancelled:
       case Outcome::timeout:
@@ -369,7 +399,10 @@
   double sparse_factor_ = 1;    // mean seconds between two attempts at one server, at least 1
   Recent spread_, spread_dev_;  // log(response time / cost ahead), and its deviation
   Recent pool_load_;            // load reported by all servers, in queue items
-  double typical_pace_ = 0;     // median of the ready servers' pace; 0: unknown
+  Recent warm_work_completed_;  // ms of work that warm servers completed for this instance
+  double warm_size_ = 0;        // sum of the sizes of the ready warm servers
+  WarmUpWindow::SendId last_warm_up_send_ = 0;
+  double typical_pace_ = 0;  // median of the ready servers' pace; 0: unknown
   // ms without an answer after which a server with attempts in flight counts as unresponsive.
   Millis response_timeout_ = std::numeric_limits<double>::infinity();
   winchhall::membership::EndpointListFreshness list_freshness_{{}, 0};
--- a/src/aggregator/decision/tuning.hpp
+++ b/src/aggregator/decision/tuning.hpp
@@ -1,4 +1,4 @@
-// Tuning constants of the decision module, each with its unit and reason.
+// Tuning constants of the decision module, each with its unit.
 #pragma once
 
 #include "winchhall/estimate.hpp"
@@ -7,67 +7,46 @@
 
 // ---- Estimates
 
-// x class mean: a cost estimate further off than this is treated as an error and clamped.
-constexpr double kHintClamp = 8;
-// Samples before a learned value replaces its default.
-constexpr int kMinSamples = 12;
-// Deviations above the mean response time: an attempt that takes longer is late.
-constexpr double kLateDeviations = 4;
-// Fraction of the latency target: upper limit of the patience, so that one more attempt fits.
-constexpr double kPatienceShareOfTarget = 0.5;
-// x: upper limit of how much longer statistics of rarely used servers are kept.
-constexpr double kMaxSparseFactor = 8;
-// Queue items: a load report above this is ignored as invalid.
-constexpr double kMaxReportedLoad = 1000;
-// x the peers' median: from here on a server's pace counts as different.
-constexpr double kPaceOutlierRatio = 1.5;
-// x: upper limit of the pace factor, so that a recovered server is tried again.
-constexpr double kMaxPace = 16;
-// ms: time constant with which a pace without new samples decays to the peers'.
-constexpr Millis kPaceDecayTime = 5000;
-// x per sample: step with which the median response time is followed.
-constexpr double kMedianStep = 1.05;
+constexpr double kHintClamp = 8;       // x class mean: a cost estimate further off is clamped as an error
+constexpr int kMinSamples = 12;        // samples before a learned value replaces its default
+constexpr double kLateDeviations = 4;  // deviations above the mean response time: later is late
+constexpr double kPatienceShareOfTarget = 0.5;  // of the latency target: limit of the patience
+constexpr double kMaxSparseFactor = 8;     // x: how much longer statistics of rarely used servers are kept
+constexpr double kMaxReportedLoad = 1000;  // queue items: a load report above this is ignored as invalid
+constexpr double kPaceOutlierRatio = 1.5;  // x the peers' median: from here on a server's pace is different
+constexpr double kMaxPace = 16;  // x: upper limit of the pace factor, so that a recovered server is tried
+constexpr Millis kPaceDecayTime = 5000;  // ms: time constant with which an old pace decays to the peers'
+constexpr double kMedianStep = 1.05;     // x per sample: step with which the median response is followed
 
 // ---- Outlier detection
 
 // Strikes that eject a server: two failures in a row, or a majority of many ...
 constexpr double kEjectionStrikes = 1.6;
-// ... as each success leaves this fraction of the strikes.
-constexpr double kStrikeDecay = 0.5;
-// ms of the first ejection: a few service times; doubles with each relapse.
-constexpr Millis kBaseEjectionTime = 500;
-// ms of an ejection at most: a recovered server is used again within this time.
-constexpr Millis kMaxEjectionTime = 4000;
-// ms: a crashed process doesn't answer again sooner.
-constexpr Millis kMinRestartTime = 1500;
-// Servers crashed by one query before its parts are sent one at a time.
-constexpr std::size_t kCrashSuspectCount = 2;
-// ms of caution after a query that crashed servers: its client is likely to retry.
-constexpr Millis kCrashSuspectTime = 60000;
+constexpr double kStrikeDecay = 0.5;           // ... as each success leaves this fraction of the strikes.
+constexpr Millis kBaseEjectionTime = 500;      // ms of the first ejection; doubles with each relapse
+constexpr Millis kMaxEjectionTime = 4000;      // ms of an ejection at most
+constexpr Millis kMinRestartTime = 1500;       // ms: a crashed process doesn't answer again sooner
+constexpr std::size_t kCrashSuspectCount = 2;  // servers crashed by one query before it is sent part by part
+constexpr Millis kCrashSuspectTime = 60000;    // ms of caution after a query that crashed servers
 
 // ---- Slow start
 
 // Fraction of the allowance that is used: reserve for other instances' sends and for random variation.
 constexpr double kWarmUpSafety = 0.8;
-// Fraction of that for random admission: the sum over all instances varies.
-constexpr double kWarmUpLotShare = 0.75;
-// Unused intervals that raise the admission probability at most: they may be spent in one burst.
-constexpr double kMaxUnusedLotIntervals = 4;
-// ms of work per ms: minimum rate of a warm server.
-constexpr double kMinServerCores = 1;
+constexpr double kWarmUpLotShare = 0.75;      // of that, for random admission: the sum over instances varies
+constexpr double kMaxUnusedLotIntervals = 4;  // unused intervals that count: they may be spent in one burst
+constexpr double kMinServerCores = 1;         // ms of work per ms: minimum rate of a warm server
+// ms of work: assumed for a part without a cost estimate until response times of its class are known.
+constexpr Millis kUnknownPartWork = 50;
 
 // ---- Retries and hedging
 
 // Tokens for late retries per first attempt: such retries must not cause more lateness.
 constexpr double kLateRetryShare = 0.1;
-// Tokens saved at most, or the parts of the largest query if that is more.
-constexpr double kMaxLateRetryTokens = 5;
-// x the median response time: later than that a hedged attempt is sent.
-constexpr double kHedgeDelayRatio = 3;
-// x the mean response time: with less time left a part isn't sent.
-constexpr double kMinUsefulShare = 0.5;
-// ms: a server that wasn't the owner of a range may have received a newer map by then.
-constexpr Millis kListPropagationTime = 60;
+constexpr double kMaxLateRetryTokens = 5;  // tokens saved at most, or the parts of the largest query
+constexpr double kHedgeDelayRatio = 3;     // x the median response time: later a hedged attempt is sent
+constexpr double kMinUsefulShare = 0.5;    // x the mean response time: with less time left a part isn't sent
+constexpr Millis kListPropagationTime = 60;  // ms until a server that denied a range may have a newer map
 
 // ---- Load shedding
 
@@ -78,17 +57,13 @@
 
 // ---- Housekeeping
 
-// ms between checks of the open queries, or two event ticks if that is longer.
-constexpr Millis kTickInterval = 10;
-// ms after which the state of a removed server is dropped.
-constexpr Millis kForgetRemovedAfter = 30000;
-// Log lines in a burst, and lines per second afterwards.
-constexpr double kLogLines = 200;
-constexpr double kLogPerSecond = 1;
+constexpr Millis kTickInterval = 10;  // ms between checks of open queries, or two event ticks if longer
+constexpr Millis kForgetRemovedAfter = 30000;  // ms after which a removed server's state is dropped
+constexpr double kLogLines = 200;              // log lines in a burst ...
+constexpr double kLogPerSecond = 1;            // ... and lines per second afterwards
 
 constexpr double kInfinity = std::numeric_limits<double>::infinity(), kNever = -kInfinity;
-// Rounding tolerance of sums of weights, and its lower limit.
-constexpr double kWeightSlack = 5e-5;
-constexpr double kLeastSlack = 1e-9;
+constexpr double kWeightSlack = 5e-5;  // rounding tolerance of sums of weights ...
+constexpr double kLeastSlack = 1e-9;   // ... and its lower limit
 
 }  // namespace winchhall::detail
