Split the Flight module by concept and name it in the field's terms

Cause: the module's two files held connections, calls, commands and codecs in one, in the older style; calls had booleans and pairs where types were wanted. Wire, statuses and log lines are as before.

--- a/src/aggregator/app/aggregator_process.cpp
+++ b/src/aggregator/app/aggregator_process.cpp
@@ -214,8 +214,9 @@
                                                           admits);
   if (config_.ops.flight.enabled) {
     analysts_ = std::make_unique<flight::FlightServer>(
-        loop_, *router_, address(config_.ops.flight.listen, "listen on"), config_.shards, config_.seed,
-        config_.sockets / 10, uses_spans(), siblings_ != nullptr);
+        loop_, *router_, address(config_.ops.flight.listen, "listen on"),
+        flight::FlightServerOptions{config_.shards, config_.seed, config_.sockets / 10, uses_spans(),
+                                    siblings_ != nullptr});
     spdlog::info("Flight on port {} of {}, nodes over {}", analysts_->port(), config_.ops.flight.listen,
                  nodes_ ? "Flight" : "frames");
   }
@@ -280,7 +281,7 @@
   if (lifecycle_.closes_idle(now)) front_->close_idle();
   if (analysts_ && lifecycle_.closes_idle(now) != flight_clients_dismissed_) {
     flight_clients_dismissed_ = !flight_clients_dismissed_;
-    flight_clients_dismissed_ ? analysts_->wind_down() : analysts_->take_again();
+    flight_clients_dismissed_ ? analysts_->begin_drain() : analysts_->end_drain();
   }
   if (!listeners_closed_ && lifecycle_.closes_listener(now)) {
     front_->stop_listening();
--- a/src/aggregator/flight/arrow.cpp
+++ b/src/aggregator/flight/arrow.cpp
@@ -17,118 +17,156 @@
   return {reinterpret_cast<const char*>(b.GetBufferPointer()), b.GetSize()};
 }
 
-// Buffers of a body start at multiples of eight bytes.
+constexpr std::size_t kAlignment = 8;  // bytes, of messages and of the buffers in a body
+
+std::size_t aligned_size(std::size_t size) { return (size + kAlignment - 1) / kAlignment * kAlignment; }
+
 fb::Buffer add_buffer(std::string& body, const void* bytes, std::size_t size) {
-  fb::Buffer at(static_cast<std::int64_t>(body.size()), static_cast<std::int64_t>(size));
+  fb::Buffer buffer(static_cast<std::int64_t>(body.size()), static_cast<std::int64_t>(size));
   if (size > 0) body.append(static_cast<const char*>(bytes), size);
-  body.resize((body.size() + 7) / 8 * 8);
-  return at;
+  body.resize(aligned_size(body.size()));
+  return buffer;
 }
 
-enum class Kind { int32, int64, utf8 };
+enum class ColumnType { int32, int64, utf8 };
 struct Column {
   const char* name;
-  Kind kind;
+  ColumnType type;
 };
 
 const std::vector<Column>& columns(Layout layout) {
-  static const std::vector<Column> shards{{"shard", Kind::int32}, {"data", Kind::utf8}};
-  static const std::vector<Column> spans{
-      {"from", Kind::int64}, {"to", Kind::int64}, {"revision", Kind::utf8}, {"data", Kind::utf8}};
+  static const std::vector<Column> shards{{"shard", ColumnType::int32}, {"data", ColumnType::utf8}};
+  static const std::vector<Column> spans{{"from", ColumnType::int64},
+                                         {"to", ColumnType::int64},
+                                         {"revision", ColumnType::utf8},
+                                         {"data", ColumnType::utf8}};
   return layout == Layout::shards ? shards : spans;
 }
 
-std::size_t buffers_of(Kind kind) { return kind == Kind::utf8 ? 3 : 2; }  // validity, (offsets,) values
-int width_of(Kind kind) { return kind == Kind::int32 ? 4 : 8; }
+// Validity, for strings the offsets, and the values.
+std::size_t buffer_count(ColumnType type) { return type == ColumnType::utf8 ? 3 : 2; }
+// Bytes of one number.
+int byte_width(ColumnType type) { return type == ColumnType::int32 ? 4 : 8; }
 
-std::int64_t number_of(const ArrowRow& row, Layout layout, std::size_t column) {
+std::int64_t integer_field(const ArrowRow& row, Layout layout, std::size_t column) {
   if (layout == Layout::shards) return row.shard;
   return static_cast<std::int64_t>(column == 0 ? row.span.from : row.span.to);
 }
-const std::string& text_of(const ArrowRow& row, Layout layout, std::size_t column) {
+
+// False for a value that the field can't have.
+bool set_integer_field(ArrowRow& row, Layout layout, std::size_t column, std::int64_t value) {
+  if (layout == Layout::shards) {
+    row.shard = static_cast<int>(value);
+    return true;
+  }
+  if (value < 0) return false;
+  (column == 0 ? row.span.from : row.span.to) = static_cast<ranges::Key>(value);
+  return true;
+}
+
+template <class Row>
+auto& string_field(Row& row, Layout layout, std::size_t column) {
   return layout == Layout::spans && column == 2 ? row.revision : row.data;
 }
 
-bool our_schema(const fb::Schema& schema, Layout layout) {
+bool matches_type(const fb::Field& field, ColumnType type) {
+  if (field.dictionary()) return false;
+  if (type == ColumnType::utf8) return field.type_as_Utf8() != nullptr;
+  const fb::Int* integer = field.type_as_Int();
+  return integer && integer->bitWidth() == 8 * byte_width(type) && integer->is_signed();
+}
+
+bool matches_layout(const fb::Schema& schema, Layout layout) {
   const auto* fields = schema.fields();
-  const auto& wanted = columns(layout);
-  if (schema.endianness() != fb::Endianness_Little || !fields || fields->size() != wanted.size())
+  const auto& expected = columns(layout);
+  if (schema.endianness() != fb::Endianness_Little || !fields || fields->size() != expected.size())
     return false;
-  for (std::size_t i = 0; i < wanted.size(); ++i) {
-    const fb::Field* field = fields->Get(static_cast<flatbuffers::uoffset_t>(i));
-    const fb::Int* integer = field->type_as_Int();
-    bool fits = wanted[i].kind == Kind::utf8
-                    ? field->type_as_Utf8() != nullptr
-                    : integer && integer->bitWidth() == 8 * width_of(wanted[i].kind) && integer->is_signed();
-    if (!fits || field->dictionary()) return false;
-  }
+  for (std::size_t i = 0; i < expected.size(); ++i)
+    if (!matches_type(*fields->Get(static_cast<flatbuffers::uoffset_t>(i)), expected[i].type)) return false;
   return true;
 }
 
-// The bytes of one buffer, or nothing if it is not inside the body or shorter than `least`.
-const char* slice(const fb::Buffer& at, const std::string& body, std::size_t least) {
-  std::int64_t size = static_cast<std::int64_t>(body.size());
-  if (at.offset() < 0 || at.length() < 0 || at.offset() > size || at.length() > size - at.offset() ||
-      static_cast<std::size_t>(at.length()) < least)
+// The bytes of one buffer, or null if it reaches outside the body or is shorter than `min_bytes`.
+const char* buffer_bytes(const fb::Buffer& buffer, const std::string& body, std::size_t min_bytes) {
+  const auto size = static_cast<std::int64_t>(body.size());
+  if (buffer.offset() < 0 || buffer.length() < 0 || buffer.offset() > size ||
+      buffer.length() > size - buffer.offset() || static_cast<std::size_t>(buffer.length()) < min_bytes)
     return nullptr;
-  return body.data() + at.offset();
+  return body.data() + buffer.offset();
 }
 
+// The i-th number of an array that need not be aligned.
 template <class T>
-T number_at(const char* from, std::size_t i) {
-  T n;
-  std::memcpy(&n, from + sizeof(T) * i, sizeof(T));
-  return n;
+T number_at(const char* array, std::size_t i) {
+  T number;
+  std::memcpy(&number, array + sizeof(T) * i, sizeof(T));
+  return number;
 }
 
-bool read_batch(const fb::RecordBatch& batch, const std::string& body, std::vector<ArrowRow>& rows,
-                Layout layout) {
-  const auto* nodes = batch.nodes();
-  const auto* buffers = batch.buffers();
-  const auto& wanted = columns(layout);
-  std::size_t needed = 0;
-  for (const Column& c : wanted) needed += buffers_of(c.kind);
-  if (batch.compression() || !nodes || nodes->size() != wanted.size() || !buffers ||
-      buffers->size() != needed)
-    return false;
+// The rows of a batch that are being read, and where its columns are.
+struct BatchReader {
+  const fb::RecordBatch& batch;
+  const std::string& body;
+  Layout layout;
+  ArrowRow* rows;  // the batch's first
+  std::size_t row_count;
+  flatbuffers::uoffset_t next_buffer = 0;
+
+  const fb::Buffer& take_buffer() { return *batch.buffers()->Get(next_buffer++); }
+
+  bool read_integers(std::size_t column, ColumnType type) {
+    const auto size = static_cast<std::size_t>(byte_width(type)) * row_count;
+    const char* values = buffer_bytes(take_buffer(), body, size);
+    if (!values) return false;
+    for (std::size_t i = 0; i < row_count; ++i) {
+      const std::int64_t value =
+          type == ColumnType::int32 ? number_at<std::int32_t>(values, i) : number_at<std::int64_t>(values, i);
+      if (!set_integer_field(rows[i], layout, column, value)) return false;
+    }
+    return true;
+  }
+
+  bool read_strings(std::size_t column) {
+    const char* offsets = buffer_bytes(take_buffer(), body, sizeof(std::int32_t) * (row_count + 1));
+    const fb::Buffer& values_buffer = take_buffer();
+    const char* values = buffer_bytes(values_buffer, body, 0);
+    if (!offsets || !values) return false;
+    for (std::size_t i = 0; i < row_count; ++i) {
+      const std::int64_t from = number_at<std::int32_t>(offsets, i);
+      const std::int64_t to = number_at<std::int32_t>(offsets, i + 1);
+      if (from < 0 || to < from || to > values_buffer.length()) return false;
+      string_field(rows[i], layout, column).assign(values + from, static_cast<std::size_t>(to - from));
+    }
+    return true;
+  }
+};
+
+// Whether the batch has the columns and buffers of the layout, and no nulls.
+bool is_well_formed(const fb::RecordBatch& batch, const std::string& body, Layout layout) {
+  const auto& expected = columns(layout);
+  std::size_t buffers = 0;
+  for (const Column& column : expected) buffers += buffer_count(column.type);
+  if (batch.compression() || !batch.nodes() || batch.nodes()->size() != expected.size()) return false;
+  if (!batch.buffers() || batch.buffers()->size() != buffers) return false;
   if (batch.length() < 0 || batch.length() > static_cast<std::int64_t>(body.size())) return false;
-  for (const fb::FieldNode* node : *nodes)
+  for (const fb::FieldNode* node : *batch.nodes())
     if (node->null_count() != 0 || node->length() != batch.length()) return false;
-  std::size_t count = static_cast<std::size_t>(batch.length()), first = rows.size();
+  return true;
+}
+
+bool read_batch(const fb::RecordBatch& batch, const std::string& body, std::vector<ArrowRow>& rows,
+                Layout layout) {
+  if (!is_well_formed(batch, body, layout)) return false;
+  const std::size_t count = static_cast<std::size_t>(batch.length()), first = rows.size();
   if (count == 0) return true;
   rows.resize(first + count);
-  flatbuffers::uoffset_t next = 0;
-  for (std::size_t column = 0; column < wanted.size(); ++column) {
-    ++next;  // validity: there are no nulls, so whatever it says
-    Kind kind = wanted[column].kind;
-    const char* values = nullptr;
-    if (kind != Kind::utf8) {
-      values = slice(*buffers->Get(next++), body, static_cast<std::size_t>(width_of(kind)) * count);
-      if (!values) return false;
-      for (std::size_t i = 0; i < count; ++i) {
-        ArrowRow& row = rows[first + i];
-        std::int64_t n =
-            kind == Kind::int32 ? number_at<std::int32_t>(values, i) : number_at<std::int64_t>(values, i);
-        if (layout == Layout::shards)
-          row.shard = static_cast<int>(n);
-        else if (n < 0)
-          return false;
-        else
-          (column == 0 ? row.span.from : row.span.to) = static_cast<ranges::Key>(n);
-      }
-      continue;
-    }
-    const char* offsets = slice(*buffers->Get(next++), body, 4 * (count + 1));
-    const fb::Buffer& at = *buffers->Get(next++);
-    values = slice(at, body, 0);
-    if (!offsets || !values) return false;
-    for (std::size_t i = 0; i < count; ++i) {
-      std::int64_t from = number_at<std::int32_t>(offsets, i), to = number_at<std::int32_t>(offsets, i + 1);
-      if (from < 0 || to < from || to > at.length()) return false;
-      ArrowRow& row = rows[first + i];
-      (layout == Layout::spans && column == 2 ? row.revision : row.data)
-          .assign(values + from, static_cast<std::size_t>(to - from));
-    }
+  BatchReader reader{batch, body, layout, &rows[first], count};
+  const auto& expected = columns(layout);
+  for (std::size_t column = 0; column < expected.size(); ++column) {
+    reader.take_buffer();  // validity: without nulls its content means nothing
+    const ColumnType type = expected[column].type;
+    if (!(type == ColumnType::utf8 ? reader.read_strings(column) : reader.read_integers(column, type)))
+      return false;
   }
   return true;
 }
@@ -141,12 +179,12 @@
   for (const Column& c : columns(layout)) {
     auto name = b.CreateString(c.name);
     auto children = b.CreateVector(none);
-    if (c.kind == Kind::utf8)
+    if (c.type == ColumnType::utf8)
       fields.push_back(
           fb::CreateField(b, name, false, fb::Type_Utf8, fb::CreateUtf8(b).Union(), 0, children));
     else
       fields.push_back(fb::CreateField(b, name, false, fb::Type_Int,
-                                       fb::CreateInt(b, 8 * width_of(c.kind), true).Union(), 0, children));
+                                       fb::CreateInt(b, 8 * byte_width(c.type), true).Union(), 0, children));
   }
   auto schema = fb::CreateSchema(b, fb::Endianness_Little, b.CreateVector(fields));
   return {finish(b, fb::MessageHeader_Schema, schema.Union(), 0), ""};
@@ -154,11 +192,12 @@
 
 std::string encapsulated_schema(Layout layout) {
   std::string message = schema_message(layout).header;
-  message.resize((message.size() + 7) / 8 * 8);
-  std::string all(4, '\xff');
-  std::uint32_t size = static_cast<std::uint32_t>(message.size());
-  for (int shift = 0; shift < 32; shift += 8) all.push_back(static_cast<char>((size >> shift) & 0xff));
-  return all + message;
+  message.resize(aligned_size(message.size()));
+  std::string encapsulated(4, '\xff');  // continuation marker
+  const auto size = static_cast<std::uint32_t>(message.size());
+  for (int shift = 0; shift < 32; shift += 8)
+    encapsulated.push_back(static_cast<char>((size >> shift) & 0xff));
+  return encapsulated + message;
 }
 
 ArrowMessage batch_message(const std::vector<ArrowRow>& rows, Layout layout) {
@@ -166,26 +205,26 @@
   std::int64_t count = static_cast<std::int64_t>(rows.size());
   std::vector<fb::FieldNode> nodes;
   std::vector<fb::Buffer> buffers;
-  const auto& wanted = columns(layout);
-  for (std::size_t column = 0; column < wanted.size(); ++column) {
+  const auto& expected = columns(layout);
+  for (std::size_t column = 0; column < expected.size(); ++column) {
     nodes.push_back({count, 0});
     buffers.push_back(add_buffer(body, nullptr, 0));  // no nulls, so no validity bits
-    if (wanted[column].kind == Kind::utf8) {
+    if (expected[column].type == ColumnType::utf8) {
       std::vector<std::int32_t> offsets{0};
       std::string data;
       for (const ArrowRow& row : rows) {
-        data += text_of(row, layout, column);
+        data += string_field(row, layout, column);
         offsets.push_back(static_cast<std::int32_t>(data.size()));
       }
-      buffers.push_back(add_buffer(body, offsets.data(), 4 * offsets.size()));
+      buffers.push_back(add_buffer(body, offsets.data(), sizeof(std::int32_t) * offsets.size()));
       buffers.push_back(add_buffer(body, data.data(), data.size()));
       continue;
     }
     std::string numbers;
     for (const ArrowRow& row : rows) {
-      std::int64_t n = number_of(row, layout, column);  // little endian, as Arrow's and as this machine's
-      numbers.append(reinterpret_cast<const char*>(&n),
-                     static_cast<std::size_t>(width_of(wanted[column].kind)));
+      const std::int64_t value = integer_field(row, layout, column);  // little-endian, as Arrow's numbers
+      numbers.append(reinterpret_cast<const char*>(&value),
+                     static_cast<std::size_t>(byte_width(expected[column].type)));
     }
     buffers.push_back(add_buffer(body, numbers.data(), numbers.size()));
   }
@@ -197,7 +236,7 @@
 
 ArrowKind read_arrow(const std::string& header, const std::string& body, std::vector<ArrowRow>& rows,
                      Layout layout) {
-  // Aligned for the verifier: a std::string's bytes may begin anywhere.
+  // The verifier reads aligned numbers, and a std::string's bytes may begin anywhere.
   std::vector<std::uint64_t> aligned(header.size() / 8 + 1);
   std::memcpy(aligned.data(), header.data(), header.size());
   const auto* bytes = reinterpret_cast<const std::uint8_t*>(aligned.data());
@@ -205,7 +244,7 @@
   if (header.size() < 8 || !fb::VerifyMessageBuffer(verifier)) return ArrowKind::bad;
   const fb::Message* message = fb::GetMessage(bytes);
   if (const fb::Schema* schema = message->header_as_Schema())
-    return our_schema(*schema, layout) ? ArrowKind::schema : ArrowKind::bad;
+    return matches_layout(*schema, layout) ? ArrowKind::schema : ArrowKind::bad;
   if (const fb::RecordBatch* batch = message->header_as_RecordBatch())
     if (read_batch(*batch, body, rows, layout)) return ArrowKind::batch;
   return ArrowKind::bad;
--- a/src/aggregator/flight/arrow.hpp
+++ b/src/aggregator/flight/arrow.hpp
@@ -1,4 +1,5 @@
-// Arrow IPC messages of the two schemas that answers have here, neither with nulls:
+// Arrow IPC messages (encoding and checked decoding, no I/O) of the two schemas that answers have, neither
+// with nulls:
 //   shards: shard (int32), data (utf8)
 //   spans:  from (int64), to (int64), revision (utf8), data (utf8)
 #pragma once
@@ -11,28 +12,30 @@
 
 namespace winchhall::flight {
 
+// Which of the two schemas.
 enum class Layout { shards, spans };
 
 struct ArrowRow {
-  int shard = 0;
+  int shard = 0;  // Layout::shards
   std::string data{};
-  ranges::Span span{};  // of the layout of spans, with the revision of the map
-  std::string revision{};
+  ranges::Span span{};     // Layout::spans
+  std::string revision{};  // Layout::spans: revision of the range map
   bool operator==(const ArrowRow&) const = default;
 };
 
 struct ArrowMessage {
-  std::string header{};  // a Message of Arrow's IPC metadata
+  std::string header{};  // a Message of Arrow's IPC metadata (FlatBuffers)
   std::string body{};
 };
 
 ArrowMessage schema_message(Layout layout = Layout::shards);
-// As FlightInfo carries it: marker, length, message.
+// The schema as FlightInfo carries it: continuation marker, length, message.
 std::string encapsulated_schema(Layout layout = Layout::shards);
 ArrowMessage batch_message(const std::vector<ArrowRow>& rows, Layout layout = Layout::shards);
 
 enum class ArrowKind { schema, batch, bad };
-// Checks a message and appends the rows of a batch. A schema other than that of the layout is bad.
+// Checks a message and appends the rows of a batch to `rows`, which are unspecified from the first new one on
+// if the message is bad. A schema other than that of the layout is bad.
 ArrowKind read_arrow(const std::string& header, const std::string& body, std::vector<ArrowRow>& rows,
                      Layout layout = Layout::shards);
 
--- a/src/aggregator/flight/flight_pool.hpp
+++ b/src/aggregator/flight/flight_pool.hpp
@@ -1,4 +1,4 @@
-// The carrier that calls ledger nodes over Arrow Flight: a part is one DoGet.
+// Transport that calls ledger nodes over Arrow Flight: a part is one DoGet.
 #pragma once
 
 #include <map>
@@ -13,18 +13,21 @@
 namespace winchhall::flight {
 
 struct NodeLimits {
-  std::size_t streams = 32;                  // parts on one connection
+  std::size_t streams = 32;                  // parts in flight on one connection
   event_loop::Millis connect_timeout = 250;  // ms
-  event_loop::Millis idle = 30000;           // ms: a connection that stood idle so long may be gone
-  std::size_t connections = 400;             // in all
+  event_loop::Millis idle = 30000;           // ms after which a node closes an idle connection
+  std::size_t connections = 400;             // to all nodes
 };
 
+// Every launched attempt that is neither abandoned nor recalled ends with exactly one
+// RequestRouter::attempt_ended(). Loop and router must outlive the pool; everything runs on the loop's
+// thread.
 class FlightPool final : public coordination::Transport {
  public:
   FlightPool(event_loop::Loop& loop, coordination::RequestRouter& router, NodeLimits limits);
   ~FlightPool();
 
-  void launch(const coordination::AttemptRequest& order) override;
+  void launch(const coordination::AttemptRequest& request) override;
   void flush() override;
   void abandon(coordination::AttemptNumber attempt) override;
   bool recall(coordination::AttemptNumber attempt) override;
@@ -35,17 +38,18 @@
   std::size_t connections() const { return connections_.size(); }
 
  private:
-  class Connection;
-  Connection* open(const coordination::AttemptRequest& order);
-  void drop(Connection& connection);
-  void sweep();
+  class Connection;  // flight_pool_connection.hpp
+  Connection* find_capacity(const coordination::AttemptRequest& request);
+  Connection* open(const coordination::AttemptRequest& request);
+  void remove(Connection& connection);
+  void close_unused();
 
   event_loop::Loop& loop_;
   coordination::RequestRouter& router_;
-  NodeLimits limits_;
-  std::unordered_map<coordination::AttemptNumber, Connection*> where_;
+  const NodeLimits limits_;
+  std::unordered_map<coordination::AttemptNumber, Connection*> connection_of_;  // by attempt in flight
   std::vector<std::shared_ptr<Connection>> connections_;
-  event_loop::TimerId sweep_{};
+  event_loop::TimerId close_timer_{};
 };
 
 }  // namespace winchhall::flight
--- a/src/aggregator/flight/flight_server.hpp
+++ b/src/aggregator/flight/flight_server.hpp
@@ -1,5 +1,5 @@
-// The second front: Arrow Flight for clients. GetFlightInfo and GetSchema describe a query's answer, DoGet
-// runs the query; grpc-timeout is its deadline.
+// Arrow Flight front end for clients. GetFlightInfo and GetSchema describe a query's answer, DoGet runs the
+// query; grpc-timeout is its deadline. docs/flight.md has the calls and statuses.
 #pragma once
 
 #include <cstdint>
@@ -12,37 +12,47 @@
 
 namespace winchhall::flight {
 
+struct FlightServerOptions {
+  int shard_count = 0;
+  std::uint64_t seed = 0;           // part of the ids made for queries that come without one
+  std::size_t max_connections = 0;  // further ones are closed again
+  bool allows_spans = false;        // queries may name account ranges
+  bool shares_port = false;         // other processes of this installation listen on the same port
+};
+
+// Each query gets exactly one response. Loop and router must outlive the server; everything runs on the
+// loop's thread.
 class FlightServer {
  public:
   FlightServer(event_loop::Loop& loop, coordination::RequestRouter& router, const sockaddr_in& address,
-               int shards, std::uint64_t seed, std::size_t connections, bool spans = false,
-               bool shared = false);
+               const FlightServerOptions& options);
   ~FlightServer();
 
-  void wind_down();                             // calls that are here are finished, no new ones are taken
-  void take_again() { winding_down_ = false; }  // on new connections; those of before are told to go
+  // Draining: open calls are finished, clients are told to go (GOAWAY), and no connection is accepted.
+  void begin_drain();
+  // New connections are accepted again; those of before the drain stay told to go.
+  void end_drain() { is_draining_ = false; }
   void stop_listening() { listener_.close(); }
+  // Whether a call is open or a response isn't sent completely.
   bool busy() const;
   int port() const { return listener_.port(); }
   std::size_t connections() const { return connections_.size(); }
 
  private:
-  class Connection;
+  class Connection;  // flight_server_connection.hpp
   void accept(event_loop::UniqueFd fd);
-  void drop(Connection& connection);
-  void sweep();
-  std::string next_id();
+  void remove(Connection& connection);
+  void check_connections();
+  std::string next_query_id();
 
   event_loop::Loop& loop_;
   coordination::RequestRouter& router_;
-  int shards_;
-  bool spans_;  // a directory of ranges is followed: queries may name accounts
-  std::uint64_t seed_, count_ = 0;
-  std::size_t most_;
-  bool winding_down_ = false;
+  const FlightServerOptions options_;
+  std::uint64_t query_ids_made_ = 0;
+  bool is_draining_ = false;
   std::set<std::shared_ptr<Connection>> connections_;
-  std::set<std::string> live_ids_;
-  event_loop::TimerId sweep_{};
+  std::set<std::string> open_query_ids_;
+  event_loop::TimerId check_timer_{};
   event_loop::Listener listener_;
 };
 
--- a/src/aggregator/flight/grpc.hpp
+++ b/src/aggregator/flight/grpc.hpp
@@ -1,15 +1,16 @@
-// gRPC on top of HTTP/2: message framing, deadlines, statuses.
+// gRPC on top of HTTP/2, as its protocol page has it: message framing, deadlines, statuses. No I/O.
 #pragma once
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "aggregator/flight/http2.hpp"
+#include "aggregator/flight/http2_connection.hpp"
 #include "aggregator/ranges/replan.hpp"
 
 namespace winchhall::flight {
 
+// Status codes of gRPC that are sent or understood here.
 enum class Status {
   ok = 0,
   cancelled = 1,
@@ -25,21 +26,30 @@
   unavailable = 14,
 };
 
-constexpr std::size_t kMessageMost = 1024 * 1024;
+constexpr std::size_t kMaxMessageBytes = 1024 * 1024;
 
+// The message with its prefix of five bytes, uncompressed.
 std::string frame_message(std::string_view message);
-// Takes one message from the front of `in` where it is whole. Sets `bad` for what cannot be one.
-std::optional<std::string> take_message(std::string& in, std::size_t most, bool& bad);
+// Removes one message from the front of `in`, if it is complete. Sets `malformed` if the bytes can't be a
+// message, or one of more than `max_bytes`.
+std::optional<std::string> take_message(std::string& in, std::size_t max_bytes, bool& malformed);
 
-std::optional<double> read_timeout(std::string_view text);  // grpc-timeout, in milliseconds
+// The value of grpc-timeout in ms, or nothing if it can't be read.
+std::optional<double> read_timeout(std::string_view text);
+// Rounds down to whole ms, to at least 1 ms.
 std::string write_timeout(double ms);
 
-// Trailers that end a call; retry_after above 0 adds google.rpc.RetryInfo.
+// Trailers that end a call; `retry_after_ms` above 0 adds google.rpc.RetryInfo.
 Headers status_trailers(Status status, const std::string& message, double retry_after_ms = 0);
+// The delay of google.rpc.RetryInfo in ms, or nothing if the trailers have none that can be read.
 std::optional<double> read_retry_after(const Headers& trailers);
-// A node's denial of a part, in the trailer range-denial-bin. One that can't be read has no revision.
+
+// A node's rejection of a part whose range it doesn't own, in the trailer range-denial-bin. What can't be
+// read is returned as a rejection without a revision.
 void add_denial(Headers& trailers, const ranges::NotMine& denial);
 ranges::NotMine read_denial(const Headers& trailers);
+
+// Base64 without padding, as gRPC sends binary headers; padding is accepted when decoding.
 std::string encode_base64(std::string_view bytes);
 std::optional<std::string> decode_base64(std::string_view text);
 
--- a/testbed/clients.cpp
+++ b/testbed/clients.cpp
@@ -131,10 +131,11 @@
 
 // ---- Flight
 
-class FlightClients::Connection : public flight::Http2::Handler,
+class FlightClients::Connection : public flight::Http2Connection::Handler,
                                   public std::enable_shared_from_this<Connection> {
  public:
-  explicit Connection(FlightClients& owner) : owner_(owner), http2_(owner.loop_, *this, false) {}
+  explicit Connection(FlightClients& owner)
+      : owner_(owner), http2_(owner.loop_, *this, flight::Http2Connection::Side::client) {}
   bool begin(int port) { return http2_.connect(loopback(port)); }
   void close() { http2_.close(); }
   bool room() const { return open_ && calls_.size() < kStreams; }
@@ -152,48 +153,48 @@
     }
     wire::Ticket ticket;
     ticket.set_ticket(command.SerializeAsString());
-    std::int32_t id = http2_.request({{":method", "POST"},
-                                      {":scheme", "http"},
-                                      {":path", "/arrow.flight.protocol.FlightService/DoGet"},
-                                      {":authority", "lab"},
-                                      {"te", "trailers"},
-                                      {"content-type", "application/grpc"},
-                                      {"x-request-id", a.id},
-                                      {"grpc-timeout", flight::write_timeout(a.timeout)}},
-                                     flight::frame_message(ticket.SerializeAsString()));
+    std::int32_t id = http2_.submit_request({{":method", "POST"},
+                                             {":scheme", "http"},
+                                             {":path", "/arrow.flight.protocol.FlightService/DoGet"},
+                                             {":authority", "lab"},
+                                             {"te", "trailers"},
+                                             {"content-type", "application/grpc"},
+                                             {"x-request-id", a.id},
+                                             {"grpc-timeout", flight::write_timeout(a.timeout)}},
+                                            flight::frame_message(ticket.SerializeAsString()));
     if (id < 0) return told({});
     calls_[id].told = std::move(told);
-    http2_.pump();
+    http2_.send_pending();
   }
 
-  void head(std::int32_t id, const flight::Headers& headers) override {
+  void on_headers(std::int32_t id, const flight::Headers& headers) override {
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
     for (const auto& h : headers) it->second.headers.push_back(h);
   }
-  void data(std::int32_t id, std::string_view bytes) override {
+  void on_data(std::int32_t id, std::string_view bytes) override {
     auto it = calls_.find(id);
     if (it != calls_.end())
       it->second.in.append(bytes);
     else
       ++owner_.extra_;
   }
-  void peer_done(std::int32_t id) override {
+  void on_end_stream(std::int32_t id) override {
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
     Call call = std::move(it->second);
     calls_.erase(it);
     call.told(read(call));
   }
-  void closed(std::int32_t id, std::uint32_t) override {
+  void on_stream_closed(std::int32_t id, std::uint32_t) override {
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
     Told told = std::move(it->second.told);
     calls_.erase(it);
     told({});
   }
-  void going_away() override { open_ = false; }
-  void down() override {
+  void on_goaway() override { open_ = false; }
+  void on_disconnected() override {
     open_ = false;
     auto self = shared_from_this();
     for (auto& [id, call] : std::exchange(calls_, {})) call.told({});
@@ -238,7 +239,7 @@
   }
 
   FlightClients& owner_;
-  flight::Http2 http2_;
+  flight::Http2Connection http2_;
   std::map<std::int32_t, Call> calls_;
   bool open_ = true;
 };
--- a/testbed/clients.hpp
+++ b/testbed/clients.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "aggregator/event_loop/stream.hpp"
-#include "aggregator/flight/http2.hpp"
+#include "aggregator/flight/http2_connection.hpp"
 #include "aggregator/http/http.hpp"
 #include "testbed/reference_model.hpp"
 
--- a/testbed/node.cpp
+++ b/testbed/node.cpp
@@ -102,22 +102,24 @@
 
 // ---- Flight
 
-class Node::FlightSide : public flight::Http2::Handler, public std::enable_shared_from_this<FlightSide> {
+class Node::FlightSide : public flight::Http2Connection::Handler,
+                         public std::enable_shared_from_this<FlightSide> {
  public:
-  explicit FlightSide(Node& node) : node_(node), http2_(node.loop_, *this, true) {}
+  explicit FlightSide(Node& node)
+      : node_(node), http2_(node.loop_, *this, flight::Http2Connection::Side::server) {}
   void begin(event_loop::UniqueFd fd) { http2_.adopt(std::move(fd)); }
   void close() { http2_.close(); }
 
-  void head(std::int32_t id, const Headers& headers) override { calls_[id].headers = headers; }
-  void data(std::int32_t id, std::string_view bytes) override { calls_[id].in.append(bytes); }
-  void peer_done(std::int32_t id) override {
+  void on_headers(std::int32_t id, const Headers& headers) override { calls_[id].headers = headers; }
+  void on_data(std::int32_t id, std::string_view bytes) override { calls_[id].in.append(bytes); }
+  void on_end_stream(std::int32_t id) override {
     Call& call = calls_[id];
     bool bad = false;
-    auto message = flight::take_message(call.in, flight::kMessageMost, bad);
+    auto message = flight::take_message(call.in, flight::kMaxMessageBytes, bad);
     wire::Ticket ticket;
     PartCommand command;
     if (!message || !ticket.ParseFromString(*message) || !command.ParseFromString(ticket.ticket()))
-      return http2_.reset(id, NGHTTP2_PROTOCOL_ERROR);
+      return http2_.reset_stream(id, NGHTTP2_PROTOCOL_ERROR);
     auto job = std::make_shared<Job>();
     const auto& interval = command.interval();
     job->part = {node_.number_,
@@ -134,13 +136,13 @@
     };
     node_.take(job);
   }
-  void closed(std::int32_t id, std::uint32_t) override {
+  void on_stream_closed(std::int32_t id, std::uint32_t) override {
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
     if (it->second.job) it->second.job->cancelled = true;
     calls_.erase(it);
   }
-  void down() override {
+  void on_disconnected() override {
     for (auto& [id, call] : calls_)
       if (call.job) call.job->cancelled = true;
     auto self = shared_from_this();
@@ -181,12 +183,12 @@
              data_message(flight::batch_message({row}, flight::Layout::spans));
     }
     if (end == http::kNotMine) flight::add_denial(trailers, http::read_denial(value));
-    http2_.respond(id, {{":status", "200"}, {"content-type", "application/grpc"}}, body, trailers);
-    http2_.pump();
+    http2_.submit_response(id, {{":status", "200"}, {"content-type", "application/grpc"}}, body, trailers);
+    http2_.send_pending();
   }
 
   Node& node_;
-  flight::Http2 http2_;
+  flight::Http2Connection http2_;
   std::map<std::int32_t, Call> calls_;
 };
 
--- a/tests/aggregator/flight/flight_fixture.hpp
+++ b/tests/aggregator/flight/flight_fixture.hpp
@@ -1,4 +1,5 @@
-// A node and a client that speak Flight, for stories of the Flight front and of Flight calls to nodes.
+// A ledger node and a client that speak Flight, for tests of the Flight front end and of Flight calls to
+// nodes.
 #pragma once
 
 #include "aggregator/flight/arrow.hpp"
@@ -21,16 +22,17 @@
   return frame_message(data.SerializeAsString());
 }
 
-// A ledger node on Flight. A script may answer otherwise than with two rows in two batches.
-class StandIn {
+// A ledger node on Flight. It answers each part with one row, unless `on_part` does otherwise.
+class StubNode {
  public:
-  struct Side : Http2::Handler {
-    Side(StandIn& node, event_loop::Loop& loop) : owner(node), http2(loop, *this, true) {}
-    void head(std::int32_t id, const Headers& headers) override { heads[id] = headers; }
-    void data(std::int32_t id, std::string_view bytes) override { in[id].append(bytes); }
-    void peer_done(std::int32_t id) override {
+  struct NodeConnection : Http2Connection::Handler {
+    NodeConnection(StubNode& node, event_loop::Loop& loop)
+        : owner(node), http2(loop, *this, Http2Connection::Side::server) {}
+    void on_headers(std::int32_t id, const Headers& headers) override { heads[id] = headers; }
+    void on_data(std::int32_t id, std::string_view bytes) override { in[id].append(bytes); }
+    void on_end_stream(std::int32_t id) override {
       bool bad = false;
-      auto message = take_message(in[id], kMessageMost, bad);
+      auto message = take_message(in[id], kMaxMessageBytes, bad);
       wire::Ticket ticket;
       PartCommand command;
       REQUIRE(message);
@@ -40,25 +42,27 @@
       owner.asked.push_back({this, id, command.shard(), command.text()});
       owner.on_part(owner.asked.back());
     }
-    void closed(std::int32_t, std::uint32_t error) override { owner.cancelled += error == NGHTTP2_CANCEL; }
-    void down() override { over = true; }
-    StandIn& owner;
-    Http2 http2;
+    void on_stream_closed(std::int32_t, std::uint32_t error) override {
+      owner.cancelled += error == NGHTTP2_CANCEL;
+    }
+    void on_disconnected() override { over = true; }
+    StubNode& owner;
+    Http2Connection http2;
     std::map<std::int32_t, Headers> heads;
     std::map<std::int32_t, std::string> in;
     bool over = false;
   };
   struct Part {
-    Side* side;
+    NodeConnection* connection;
     std::int32_t stream;
     int shard;
     std::string text;
   };
 
-  explicit StandIn(event_loop::Loop& loop)
+  explicit StubNode(event_loop::Loop& loop)
       : listener(loop, loopback(0), [this, &loop](event_loop::UniqueFd fd) {
-          sides.push_back(std::make_shared<Side>(*this, loop));
-          sides.back()->http2.adopt(std::move(fd));
+          connections.push_back(std::make_shared<NodeConnection>(*this, loop));
+          connections.back()->http2.adopt(std::move(fd));
         }) {}
 
   static std::string rows(int shard) {
@@ -66,8 +70,8 @@
     return data_message(schema_message()) + data_message(batch_message({{shard, v}}));
   }
   static void reply(const Part& p, const std::string& body, const Headers& trailers) {
-    p.side->http2.respond(p.stream, {{":status", "200"}, {"content-type", "application/grpc"}}, body,
-                          trailers);
+    p.connection->http2.submit_response(p.stream, {{":status", "200"}, {"content-type", "application/grpc"}},
+                                        body, trailers);
   }
   static void answer(const Part& p) {
     Headers trailers = status_trailers(Status::ok, "");
@@ -76,7 +80,7 @@
   }
 
   event_loop::Listener listener;
-  std::vector<std::shared_ptr<Side>> sides;
+  std::vector<std::shared_ptr<NodeConnection>> connections;
   std::vector<Part> asked;
   std::function<void(const Part&)> on_part = [](const Part& p) { answer(p); };
   int cancelled = 0;
@@ -93,14 +97,14 @@
   }
 };
 
-// The Flight side of a stage: nodes over Flight, the Flight front, and an analyst's client.
-struct FlightStage : Http2::Handler {
-  explicit FlightStage(winchhall::Settings settings = two_classes())
+// A router with Flight to its nodes, the Flight front end, and a client of it, on one event loop.
+struct FlightFixture : Http2Connection::Handler {
+  explicit FlightFixture(winchhall::Settings settings = two_classes())
       : router(
             std::move(settings), 7, [this] { return loop.now(); }, [](const std::string&) {}),
         pool(loop, router, {}),
-        front(loop, router, loopback(0), 16, 9, 20),
-        client(loop, *this, false) {
+        front(loop, router, loopback(0), {.shard_count = 16, .seed = 9, .max_connections = 20}),
+        client(loop, *this, Http2Connection::Side::client) {
     spdlog::set_level(spdlog::level::off);
     router.attach(pool, none);
   }
@@ -108,16 +112,16 @@
     router.start(members);
     REQUIRE(client.connect(loopback(front.port())));
   }
-  void head(std::int32_t id, const Headers& headers) override {
+  void on_headers(std::int32_t id, const Headers& headers) override {
     for (const auto& h : headers) replies[id].headers.push_back(h);
   }
-  void data(std::int32_t id, std::string_view bytes) override { replies[id].in.append(bytes); }
-  void peer_done(std::int32_t id) override { replies[id].done = true; }
-  void closed(std::int32_t id, std::uint32_t error) override {
+  void on_data(std::int32_t id, std::string_view bytes) override { replies[id].in.append(bytes); }
+  void on_end_stream(std::int32_t id) override { replies[id].done = true; }
+  void on_stream_closed(std::int32_t id, std::uint32_t error) override {
     replies[id].done = true;
     replies[id].error = error;
   }
-  void down() override { lost = true; }
+  void on_disconnected() override { lost = true; }
 
   void until(const std::function<bool()>& done) {
     event_loop::Millis give_up = loop.now() + 60000;  // only ends a test that hangs
@@ -151,8 +155,8 @@
                     {"content-type", "application/grpc"}};
     if (!timeout.empty()) headers.emplace_back("grpc-timeout", timeout);
     if (!id.empty()) headers.emplace_back("x-request-id", id);
-    std::int32_t stream = client.request(headers, frame_message(message));
-    client.pump();
+    std::int32_t stream = client.submit_request(headers, frame_message(message));
+    client.send_pending();
     return stream;
   }
   std::int32_t get(const std::string& cmd, const std::string& timeout = "8S", const std::string& id = "") {
@@ -167,7 +171,7 @@
   static std::vector<ArrowRow> read(Reply& r, std::string* metadata = nullptr) {
     std::vector<ArrowRow> rows;
     bool bad = false, first = true;
-    while (auto message = take_message(r.in, kMessageMost, bad)) {
+    while (auto message = take_message(r.in, kMaxMessageBytes, bad)) {
       wire::FlightData data;
       REQUIRE(data.ParseFromString(*message));
       CHECK(read_arrow(data.data_header(), data.data_body(), rows) ==
@@ -184,7 +188,7 @@
   NoDiscovery none;
   FlightPool pool;
   FlightServer front;
-  Http2 client;
+  Http2Connection client;
   std::map<std::int32_t, Reply> replies;
   bool lost = false;
 };
--- a/tests/aggregator/ranges/spans_wire_integration_test.cpp
+++ b/tests/aggregator/ranges/spans_wire_integration_test.cpp
@@ -161,19 +161,20 @@
 }
 
 TEST_CASE("spans over Flight, to nodes over Flight: schema, interval, not mine, rows") {
-  struct Node : flight::Http2::Handler {
+  struct Node : flight::Http2Connection::Handler {
     explicit Node(event_loop::Loop& loop)
         : listener(loop, loopback(0), [this, &loop](event_loop::UniqueFd fd) {
-            http2 = std::make_unique<flight::Http2>(loop, *this, true);
+            http2 =
+                std::make_unique<flight::Http2Connection>(loop, *this, flight::Http2Connection::Side::server);
             http2->adopt(std::move(fd));
           }) {}
-    void head(std::int32_t, const flight::Headers&) override {}
-    void data(std::int32_t id, std::string_view bytes) override { in[id].append(bytes); }
-    void peer_done(std::int32_t id) override {
+    void on_headers(std::int32_t, const flight::Headers&) override {}
+    void on_data(std::int32_t id, std::string_view bytes) override { in[id].append(bytes); }
+    void on_end_stream(std::int32_t id) override {
       bool bad = false;
       arrow::flight::protocol::Ticket ticket;
       PartCommand command;
-      REQUIRE(ticket.ParseFromString(*flight::take_message(in[id], flight::kMessageMost, bad)));
+      REQUIRE(ticket.ParseFromString(*flight::take_message(in[id], flight::kMaxMessageBytes, bad)));
       REQUIRE(command.ParseFromString(ticket.ticket()));
       asked.push_back(command);
       flight::Headers trailers;
@@ -198,27 +199,27 @@
           body += flight::frame_message(part.SerializeAsString());
         }
       }
-      http2->respond(id, {{":status", "200"}, {"content-type", "application/grpc"}}, body, trailers);
-      http2->pump();
+      http2->submit_response(id, {{":status", "200"}, {"content-type", "application/grpc"}}, body, trailers);
+      http2->send_pending();
     }
-    void closed(std::int32_t, std::uint32_t) override {}
-    void down() override {}
+    void on_stream_closed(std::int32_t, std::uint32_t) override {}
+    void on_disconnected() override {}
     event_loop::Listener listener;
-    std::unique_ptr<flight::Http2> http2;
+    std::unique_ptr<flight::Http2Connection> http2;
     std::map<std::int32_t, std::string> in;
     std::vector<PartCommand> asked;
     bool bent = false;
   };
-  struct Client : flight::Http2::Handler {
-    explicit Client(event_loop::Loop& loop) : http2(loop, *this, false) {}
-    void head(std::int32_t, const flight::Headers& h) override {
+  struct Client : flight::Http2Connection::Handler {
+    explicit Client(event_loop::Loop& loop) : http2(loop, *this, flight::Http2Connection::Side::client) {}
+    void on_headers(std::int32_t, const flight::Headers& h) override {
       headers.insert(headers.end(), h.begin(), h.end());
     }
-    void data(std::int32_t, std::string_view bytes) override { in.append(bytes); }
-    void peer_done(std::int32_t) override { done = true; }
-    void closed(std::int32_t, std::uint32_t) override { done = true; }
-    void down() override { done = true; }
-    flight::Http2 http2;
+    void on_data(std::int32_t, std::string_view bytes) override { in.append(bytes); }
+    void on_end_stream(std::int32_t) override { done = true; }
+    void on_stream_closed(std::int32_t, std::uint32_t) override { done = true; }
+    void on_disconnected() override { done = true; }
+    flight::Http2Connection http2;
     flight::Headers headers;
     std::string in;
     bool done = false;
@@ -230,7 +231,8 @@
   flight::FlightPool pool(loop, router, {});
   NoDiscovery none;
   router.attach(pool, none);
-  flight::FlightServer front(loop, router, loopback(0), 16, 9, 20, true);
+  flight::FlightServer front(loop, router, loopback(0),
+                             {.shard_count = 16, .seed = 9, .max_connections = 20, .allows_spans = true});
   Node node(loop);
   router.start({member("a", node.listener.port(), 0)});
   std::string why;
@@ -245,14 +247,14 @@
   span->set_to(100);
   arrow::flight::protocol::Ticket ticket;
   ticket.set_ticket(command.SerializeAsString());
-  client.http2.request({{":method", "POST"},
-                        {":scheme", "http"},
-                        {":path", "/arrow.flight.protocol.FlightService/DoGet"},
-                        {":authority", "x"},
-                        {"te", "trailers"},
-                        {"content-type", "application/grpc"}},
-                       flight::frame_message(ticket.SerializeAsString()));
-  client.http2.pump();
+  client.http2.submit_request({{":method", "POST"},
+                               {":scheme", "http"},
+                               {":path", "/arrow.flight.protocol.FlightService/DoGet"},
+                               {":authority", "x"},
+                               {"te", "trailers"},
+                               {"content-type", "application/grpc"}},
+                              flight::frame_message(ticket.SerializeAsString()));
+  client.http2.send_pending();
   SUBCASE("rows of the interval that was asked for") {}
   SUBCASE("rows of another interval are no answer") { node.bent = true; }
   event_loop::Millis give_up = loop.now() + 60000;
@@ -272,7 +274,7 @@
   CHECK(*flight::find_header(client.headers, "grpc-status") == "0");
   std::vector<flight::ArrowRow> rows;
   bool bad = false;
-  while (auto message = flight::take_message(client.in, flight::kMessageMost, bad)) {
+  while (auto message = flight::take_message(client.in, flight::kMaxMessageBytes, bad)) {
     arrow::flight::protocol::FlightData data;
     REQUIRE(data.ParseFromString(*message));
     CHECK(flight::read_arrow(data.data_header(), data.data_body(), rows, flight::Layout::spans) !=
