Read what has arrived before a client's connection is closed as idle or for room

Cause: an HTTP connection that stands idle is closed after 2 s where connections get short, or to make room for a newcomer. In a process that runs late a request may have arrived that it has not read: the connection was closed under it. Only the planned close of all idle connections looked first. Beside it the testbed's client reused connections whose end had arrived unread. Change: the server reads what has arrived before it ends an idle or surplus connection, and keeps one that brings a request; the testbed's client checks a connection before it uses it again, as HTTP clients do. Why this works: what has reached the kernel is served; a request that crosses the end is answered by a reset, as before, which tells the client that nobody read it.

--- a/src/aggregator/http/http_server.cpp
+++ b/src/aggregator/http/http_server.cpp
@@ -87,14 +87,14 @@
     if (!asked_) return now - since_ > kNewConnectionTime ? 3 : full && crowded ? 1 : 0;
     return parser_.begun() || (!full && now - since_ < kReservedDescriptors) ? 0 : 2;
   }
+  // Ends the connection if it is overdue. A process that is late has not read all that has arrived: that
+  // counts first.
   void check(event_loop::Millis now) {
-    if (query_ != 0) return;
-    if (stream_->unsent() > 0 || (asked_ && !parser_.begun())) {
-      if (now - since_ > (stream_->unsent() > 0 ? kSlowReader : front_.stand_idle())) front_.end(*this);
-    } else if (now > due_) {
-      if (!parser_.begun()) return front_.end(*this);
-      reject_client(408, "a request that does not end");
-    }
+    if (!is_overdue(now)) return;
+    look();
+    if (!is_overdue(now)) return;
+    if (parser_.begun() && stream_->unsent() == 0) return reject_client(408, "a request that does not end");
+    front_.end(*this);
   }
   event_loop::Millis since() const { return since_; }
   void close() {
@@ -113,6 +113,14 @@
   }
 
  private:
+  // Whether the client takes too long to read its answer, to send its next request, or to finish one.
+  bool is_overdue(event_loop::Millis now) const {
+    if (query_ != 0) return false;
+    if (stream_->unsent() > 0) return now - since_ > kSlowReader;
+    if (asked_ && !parser_.begun()) return now - since_ > front_.stand_idle();
+    return now > due_;
+  }
+
   void serve(const HttpMessage& m) {
     bool keep = m.keep_alive() && !front_.last_answers_;
     if (m.target == "/ready" || m.target == "/health") {
@@ -233,6 +241,14 @@
   // Guards against a newcomer reset before its request arrived while hardly a connection is in use: what
   // lingers is over within kLinger.
   const bool crowded = connections_.size() > roomy();
+  while (std::shared_ptr<Connection> connection = least_needed(now, full, crowded)) {
+    connection->look();  // a request that has arrived by now is served
+    if (connection->is_worth_shedding(now, full, crowded) > 0) return end(*connection);
+  }
+}
+
+std::shared_ptr<HttpServer::Connection> HttpServer::least_needed(event_loop::Millis now, bool full,
+                                                                 bool crowded) const {
   std::shared_ptr<Connection> best;
   int most = 0;
   for (const auto& c : connections_) {
@@ -242,7 +258,7 @@
       most = value;
     }
   }
-  if (best) end(*best);
+  return best;
 }
 
 // Guards against an answer that is lost with its connection, and a request that crosses the end of one.
--- a/src/aggregator/http/http_server.hpp
+++ b/src/aggregator/http/http_server.hpp
@@ -41,6 +41,8 @@
   void drop(Connection& connection);  // its client has ended it
   void end(Connection& connection);   // we do
   void reject_over_capacity(bool full);
+  // The connection to close first, or null if every one is needed.
+  std::shared_ptr<Connection> least_needed(event_loop::Millis now, bool full, bool crowded) const;
   event_loop::Millis stand_idle() const;
   std::size_t roomy() const { return most_ * 5 / 8; }  // above it, room is made
   void list_bad(int status, const std::string& why);
--- a/testbed/clients.cpp
+++ b/testbed/clients.cpp
@@ -69,6 +69,11 @@
   void close() {
     if (stream_) stream_->close();
   }
+  // Whether the server has not ended the connection, as far as what has arrived by now tells.
+  bool is_reusable() {
+    stream_->read_now();
+    return stream_->usable();
+  }
   void ask(const std::string& bytes, Told told) {
     told_ = std::move(told);
     parser_.reset();
@@ -118,10 +123,12 @@
 
 void HttpClients::ask(const std::string& request, Told told) {
   std::shared_ptr<Connection> c;
-  if (!idle_.empty()) {
+  while (!c && !idle_.empty()) {
     c = idle_.back();
     idle_.pop_back();
-  } else {
+    if (!c->is_reusable()) c.reset();  // it leaves by itself when its end is reported
+  }
+  if (!c) {
     c = std::make_shared<Connection>(*this);
     if (!c->begin(port_())) return told({});
     all_.push_back(c);
--- a/tests/aggregator/http/client_integration_test.cpp
+++ b/tests/aggregator/http/client_integration_test.cpp
@@ -1,4 +1,7 @@
 // Stories of the platform's front and its clients. Each guards against one failure.
+#include <chrono>
+#include <thread>
+
 #include "tests/aggregator/support/program_fixture.hpp"
 
 using namespace winchhall;
@@ -163,6 +166,29 @@
   CHECK(has(s.ask(*client, Stage::query("q", kTwoParts)), "\"exact\":true"));
 }
 
+TEST_CASE(
+    "a request that a late process has not read yet is served, though its connection was to be closed as "
+    "idle") {
+  Stage s;
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  // So many connections that idle ones are closed after 2 s.
+  std::vector<std::shared_ptr<Peer>> peers;
+  for (int i = 0; i < 60; ++i) peers.push_back(s.dial());
+  for (std::size_t i = 0; i < peers.size(); ++i)
+    CHECK(has(s.ask(*peers[i], Stage::query("first-" + std::to_string(i), R"({"id":1,"w":1})")), "200 OK"));
+  // The requests arrive after the process has looked at its sockets and before it looks for idle connections.
+  s.loop.at(s.loop.now(), [&] {
+    for (std::size_t i = 0; i < peers.size(); ++i)
+      peers[i]->stream->write(Stage::query("second-" + std::to_string(i), R"({"id":1,"w":1})"));
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  for (auto& peer : peers) {
+    s.until([&] { return !peer->text.empty() || peer->over; });
+    CHECK(has(peer->text, "200 OK"));
+  }
+}
+
 TEST_CASE("a client that goes on sending after its error still reads it, and none of that is held") {
   Stage s;
   ScriptedLeaf leaf(s.loop);
