Name the new tests of slow start and the window's event in the field's terms

Change: on_attempt_ended, and names of warming servers and submitted queries in warm_up_test; no check is changed.

--- a/src/aggregator/decision/query_table.hpp
+++ b/src/aggregator/decision/query_table.hpp
@@ -72,7 +72,7 @@
   void release(Attempt& a) {
     Server& s = servers_[a.server];
     a.in_flight = false;
-    s.warm_up_window.settle(a.warm_up_send, now_);
+    s.warm_up_window.on_attempt_ended(a.warm_up_send, now_);
     s.outstanding_cost = std::max(0.0, s.outstanding_cost - a.cost);
     if (auto it = s.in_flight_since.find(a.sent); it != s.in_flight_since.end()) s.in_flight_since.erase(it);
     if (s.in_flight_since.empty()) s.outstanding_cost = 0;  // drops accumulated rounding errors
--- a/src/aggregator/decision/warm_up_window.hpp
+++ b/src/aggregator/decision/warm_up_window.hpp
@@ -19,7 +19,7 @@
   void add(SendId id, Millis now, Millis work) { sends_[id] = {now, work, true}; }
 
   // The part's attempt has ended: it arrived at the latest its own work before that.
-  void settle(SendId id, Millis now) {
+  void on_attempt_ended(SendId id, Millis now) {
     auto found = sends_.find(id);
     if (found == sends_.end()) return;
     Send& send = found->second;
--- a/tests/aggregator/decision/warm_up_test.cpp
+++ b/tests/aggregator/decision/warm_up_test.cpp
@@ -167,7 +167,7 @@
   static constexpr int kBrokers = 3;
   static constexpr double kCores = 16;
   static constexpr Millis kPartWork = 125, kPartsPerSecond = 500;
-  static constexpr Millis kColdStart = 5000, kLength = 12000;
+  static constexpr Millis kRestartedAt = 5000, kLength = 12000;
 
   struct Answer {
     int broker;
@@ -176,7 +176,7 @@
   Settings settings = site(kBrokers);
   std::vector<Coordinator> brokers;
   std::multimap<Millis, Answer> answers;
-  std::vector<Millis> cold_sends;
+  std::vector<Millis> sends;
   int parts = 0;
 
   explicit UnhintedFleet(std::uint64_t seed) {
@@ -187,30 +187,30 @@
           0, list({{"warm-1", std::nullopt}, {"warm-2", std::nullopt}, {"warm-3", std::nullopt}}));
     }
   }
-  double cold_capacity(Millis now) const {  // ms of work per ms
-    double age = std::min(1.0, (now - kColdStart) / settings.warm_up_time);
+  double warming_capacity(Millis now) const {  // ms of work per ms
+    double age = std::min(1.0, (now - kRestartedAt) / settings.warm_up_time);
     return kCores * (settings.warm_up_initial_share + (1 - settings.warm_up_initial_share) * age);
   }
   void carry(int broker, Millis now, const std::vector<Action>& actions) {
     for (const Action& action : actions) {
       const auto* send = std::get_if<SendPart>(&action);
       if (!send) continue;
-      bool cold = send->server == "cold";
-      if (cold) cold_sends.push_back(now);
-      answers.emplace(now + kPartWork * (cold ? kCores / cold_capacity(now) : 1),
+      bool is_warming = send->server == "warming";
+      if (is_warming) sends.push_back(now);
+      answers.emplace(now + kPartWork * (is_warming ? kCores / warming_capacity(now) : 1),
                       Answer{broker, send->part, send->server});
     }
   }
-  void hand(int broker, Millis now, const Event& e) {
+  void deliver(int broker, Millis now, const Event& e) {
     carry(broker, now, brokers[static_cast<std::size_t>(broker)].handle(now, e));
   }
-  void ask(Millis now) {
+  void submit_query(Millis now) {
     QueryArrived q = query(++parts, now, 1);
     q.parts[0].hint.reset();
     // Two of five parts have no other replica.
-    q.parts[0].holders = parts % 5 < 2 ? std::vector<std::string>{"cold"}
+    q.parts[0].holders = parts % 5 < 2 ? std::vector<std::string>{"warming"}
                                        : std::vector<std::string>{"warm-1", "warm-2", "warm-3"};
-    hand(parts % kBrokers, now, q);
+    deliver(parts % kBrokers, now, q);
   }
   // Nothing is handed to any instance from `stops` to `continues`; what came meanwhile is handed then.
   void play(Millis stops, Millis continues) {
@@ -219,25 +219,26 @@
     for (Millis now = 10; now < kLength; now += 10) {
       due += kPartsPerSecond / 100;
       if (now > stops && now < continues) continue;
-      for (; !announced && now >= kColdStart; announced = true)
+      for (; !announced && now >= kRestartedAt; announced = true)
         for (int i = 0; i < kBrokers; ++i)
-          hand(i, now, ServerList{ServerList::Kind::changes, {{.server = "cold", .started = kColdStart}}});
+          deliver(i, now,
+                  ServerList{ServerList::Kind::changes, {{.server = "warming", .started = kRestartedAt}}});
       for (; !answers.empty() && answers.begin()->first <= now; answers.erase(answers.begin())) {
         Answer a = answers.begin()->second;
-        hand(a.broker, now, AttemptEnded{a.part, 0, a.server, Outcome::ok, kPartWork, true, {}});
+        deliver(a.broker, now, AttemptEnded{a.part, 0, a.server, Outcome::ok, kPartWork, true, {}});
       }
-      for (; due >= 1; --due) ask(now);
-      for (int i = 0; i < kBrokers; ++i) hand(i, now, TimerFired{0});
+      for (; due >= 1; --due) submit_query(now);
+      for (int i = 0; i < kBrokers; ++i) deliver(i, now, TimerFired{0});
     }
   }
   // The most work sent to the cold server within `fall_time`, as a multiple of what it can do in that time.
   double worst_multiple() const {
     double worst = 0;
     std::size_t from = 0;
-    for (std::size_t to = 0; to < cold_sends.size(); ++to) {
-      while (cold_sends[to] - cold_sends[from] > settings.fall_time) ++from;
+    for (std::size_t to = 0; to < sends.size(); ++to) {
+      while (sends[to] - sends[from] > settings.fall_time) ++from;
       worst = std::max(worst, static_cast<double>(to - from + 1) * kPartWork /
-                                  (cold_capacity(cold_sends[to]) * settings.fall_time));
+                                  (warming_capacity(sends[to]) * settings.fall_time));
     }
     return worst;
   }
@@ -247,9 +248,9 @@
   for (std::uint64_t seed = 1; seed <= 5; ++seed)
     for (Millis stop : {0.0, 400.0, 900.0}) {
       UnhintedFleet fleet(seed);
-      fleet.play(UnhintedFleet::kColdStart + 200, UnhintedFleet::kColdStart + 200 + stop);
-      INFO("seed " << seed << " stop " << stop << " sent " << fleet.cold_sends.size());
-      CHECK(fleet.cold_sends.size() > 100);  // it is used while it warms up
+      fleet.play(UnhintedFleet::kRestartedAt + 200, UnhintedFleet::kRestartedAt + 200 + stop);
+      INFO("seed " << seed << " stop " << stop << " sent " << fleet.sends.size());
+      CHECK(fleet.sends.size() > 100);  // it is used while it warms up
       CHECK(fleet.worst_multiple() <= fleet.settings.fall_multiple);
     }
 }
@@ -273,7 +274,7 @@
   Settings s = site(1);
   Coordinator module(s, 3, 0);
   module.start();
-  module.handle(0, list({{"cold", 0}}));
+  module.handle(0, list({{"warming", 0}}));
   double sent = 0;
   for (int number = 1; number <= 400; ++number) {
     Millis now = 10 * number;
--- a/tests/aggregator/decision/warm_up_window_test.cpp
+++ b/tests/aggregator/decision/warm_up_window_test.cpp
@@ -10,7 +10,7 @@
   WarmUpWindow window;
   CHECK(window.empty());
   window.add(1, 1000, 20);
-  window.settle(1, 1030);
+  window.on_attempt_ended(1, 1030);
   CHECK(window.work_since(1010) == 20);
   CHECK(window.work_since(1011) == 0);
   CHECK(window.empty());
@@ -21,7 +21,7 @@
   window.add(1, 1000, 20);
   window.add(2, 1500, 30);
   CHECK(window.work_since(9000) == 50);
-  window.settle(1, 9000);
+  window.on_attempt_ended(1, 9000);
   CHECK(window.work_since(8980) == 50);
   CHECK(window.work_since(8981) == 30);
 }
@@ -29,7 +29,7 @@
 TEST_CASE("a part answered sooner than its work takes counts from its sending") {
   WarmUpWindow window;
   window.add(1, 1000, 200);
-  window.settle(1, 1010);
+  window.on_attempt_ended(1, 1010);
   CHECK(window.work_since(1000) == 200);
   CHECK(window.work_since(1001) == 0);
 }
@@ -38,8 +38,8 @@
   WarmUpWindow window;
   window.add(1, 1000, 20);
   window.remove(1);
-  window.settle(1, 1000);
-  window.settle(0, 1000);
+  window.on_attempt_ended(1, 1000);
+  window.on_attempt_ended(0, 1000);
   CHECK(window.empty());
 }
 
