Ignore the late end of an attempt that went to a server's previous process

What callers saw: nothing yet; found in reading. A server that restarts while it warms up would be sent less than its share for up to a second, each time one of its old connections broke late. Cause: WarmUpWindow took the end of an attempt for news of the present process also after on_restart() had settled it, and counted the part from then. Why this works: an attempt's end counts once, and after a restart not at all.

--- a/src/aggregator/decision/warm_up_window.hpp
+++ b/src/aggregator/decision/warm_up_window.hpp
@@ -21,7 +21,7 @@
   // The part's attempt has ended: it arrived at the latest its own work before that.
   void on_attempt_ended(SendId id, Millis now) {
     auto found = sends_.find(id);
-    if (found == sends_.end()) return;
+    if (found == sends_.end() || !found->second.in_flight) return;
     Send& send = found->second;
     send.in_flight = false;
     send.counted_at = std::max(send.counted_at, now - send.work);
--- a/tests/aggregator/decision/warm_up_window_test.cpp
+++ b/tests/aggregator/decision/warm_up_window_test.cpp
@@ -49,4 +49,6 @@
   window.add(2, 2000, 30);
   window.on_restart();
   CHECK(window.work_since(1500) == 30);
+  window.on_attempt_ended(2, 9000);  // its old connection breaks late
+  CHECK(window.work_since(2001) == 0);
 }
