Read what has arrived before a Flight connection or call is ended as overdue

In a process that runs late a client's first call would be lost with its connection, and a request whose end had arrived be answered DEADLINE_EXCEEDED. Cause: the check for connections without a call and for requests that do not end went by what had been read, not by what had arrived. Why this works: nothing is overdue that has reached the kernel; the bounds are as they were. The comment on Http2Connection says no longer that close() silences callbacks under way.

--- a/src/aggregator/flight/flight_server_connection.cpp
+++ b/src/aggregator/flight/flight_server_connection.cpp
@@ -63,14 +63,24 @@
 }
 
 void FlightServer::Connection::check(event_loop::Millis now) {
-  if (!has_called_ && now - accepted_at_ > kFirstCallTimeout) return on_disconnected();
+  if (!is_first_call_overdue(now) && overdue_calls(now).empty()) return;
+  http2_.read_arrived();  // a process that is late has not read everything: that counts first
+  if (is_first_call_overdue(now)) return on_disconnected();
+  for (StreamId stream : overdue_calls(now))
+    if (auto it = calls_.find(stream); it != calls_.end())
+      reject(stream, it->second, {Status::deadline_exceeded, "a call that does not end"});
+}
+
+bool FlightServer::Connection::is_first_call_overdue(event_loop::Millis now) const {
+  return !has_called_ && now - accepted_at_ > kFirstCallTimeout;
+}
+
+std::vector<StreamId> FlightServer::Connection::overdue_calls(event_loop::Millis now) const {
   std::vector<StreamId> overdue;
   for (const auto& [stream, call] : calls_)
     if (!call.is_answered && call.query == 0 && now - call.arrived_at > kRequestTimeout)
       overdue.push_back(stream);
-  for (StreamId stream : overdue)
-    if (auto it = calls_.find(stream); it != calls_.end())
-      reject(stream, it->second, {Status::deadline_exceeded, "a call that does not end"});
+  return overdue;
 }
 
 // ---- Events of the connection
--- a/src/aggregator/flight/flight_server_connection.hpp
+++ b/src/aggregator/flight/flight_server_connection.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "aggregator/flight/arrow.hpp"
 #include "aggregator/flight/flight_server.hpp"
@@ -43,6 +44,9 @@
   };
   using Calls = std::map<StreamId, Call>;
 
+  bool is_first_call_overdue(event_loop::Millis now) const;
+  // The calls whose request doesn't end.
+  std::vector<StreamId> overdue_calls(event_loop::Millis now) const;
   void forget(Calls::iterator call);
   void serve(StreamId stream, Call& call);
   void describe(StreamId stream, Call& call, const std::string& method, const std::string& message);
--- a/src/aggregator/flight/http2_connection.hpp
+++ b/src/aggregator/flight/http2_connection.hpp
@@ -22,8 +22,8 @@
 
 using StreamId = std::int32_t;
 
-// Owned by the Handler's side of the connection, which must outlive it. After on_disconnected() or close() no
-// method of the handler is called. Not thread-safe.
+// Owned by the Handler's side of the connection, which must outlive it. After on_disconnected() no method of
+// the handler is called; after close() at most those for bytes that are being decoded. Not thread-safe.
 class Http2Connection : public event_loop::Stream::Owner {
  public:
   enum class Side { client, server };
@@ -57,6 +57,8 @@
   // False if no socket was available; any later failure is reported by on_disconnected().
   bool connect(const sockaddr_in& to);
   void close();
+  // Reads what has arrived by now, without waiting for the event loop.
+  void read_arrived() { stream_->read_now(); }
   bool open() const { return stream_ && stream_->open(); }
 
   // What is submitted goes out with the next send_pending().
--- a/tests/aggregator/flight/flight_integration_test.cpp
+++ b/tests/aggregator/flight/flight_integration_test.cpp
@@ -273,6 +273,20 @@
   });
 }
 
+TEST_CASE("a call that a late process has not read yet is served, though its connection was to be closed") {
+  FlightFixture s;
+  StubNode node(s.loop);
+  s.begin({member("a", node.listener.port(), 0)});
+  s.until([&] { return s.front.connections() == 1; });
+  // The call arrives after the process has read its sockets and before it checks its connections.
+  std::int32_t call = 0;
+  s.loop.at(s.loop.now(), [&] { call = s.get(FlightFixture::command({1})); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  s.until([&] { return s.lost || s.replies[call].done; });
+  CHECK(!s.lost);
+  CHECK(s.replies[call].status() == 0);
+}
+
 TEST_CASE("bytes that can't be read are an error of one part, and the node is not ejected") {
   FlightFixture s(patient());
   StubNode healthy(s.loop);
