Share the lookup of classes and tenants by name between both front ends

Cause: the reader of HTTP requests and that of Flight commands each had the same function. Change: index_by_name stands with the validation that both use; no behaviour is changed.

--- a/src/aggregator/coordination/query_validation.hpp
+++ b/src/aggregator/coordination/query_validation.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "aggregator/coordination/request_router.hpp"
 
@@ -17,6 +18,14 @@
 // 0 if unknown. The text goes to the client.
 std::string unsound(const QuerySpec& query, int shards);
 
+// Index of the element of that name, or -1. An empty name names nothing.
+template <class T>
+int index_by_name(const std::vector<T>& list, const std::string& name) {
+  for (std::size_t i = 0; i < list.size(); ++i)
+    if (!name.empty() && list[i].name == name) return static_cast<int>(i);
+  return -1;
+}
+
 // Whether an id is printable ASCII without blanks, of 1 to 128 bytes, so that it can be sent to a server in a
 // line of the protocol.
 bool fit_name(const std::string& id);
--- a/src/aggregator/flight/query_command.cpp
+++ b/src/aggregator/flight/query_command.cpp
@@ -11,14 +11,6 @@
 constexpr std::size_t kMaxTextBytes = 64 * 1024;  // as for a body over HTTP
 constexpr double kMicrosPerMilli = 1000;
 
-// Index of the element of that name, or -1. An empty name names nothing.
-template <class T>
-int index_by_name(const std::vector<T>& list, const std::string& name) {
-  for (std::size_t i = 0; i < list.size(); ++i)
-    if (!name.empty() && list[i].name == name) return static_cast<int>(i);
-  return -1;
-}
-
 coordination::QueryPart to_query_part(const QueryCommand::Part& part) {
   coordination::QueryPart result{part.shard(), part.weight(), {}};
   if (part.has_hint_us()) result.hint = part.hint_us() / kMicrosPerMilli;
@@ -33,11 +25,11 @@
   if (!command.ParseFromString(bytes))
     return CallError{Status::invalid_argument, "the command cannot be read"};
   coordination::QuerySpec query;
-  query.query_class = index_by_name(rules.settings.classes, command.query_class());
+  query.query_class = coordination::index_by_name(rules.settings.classes, command.query_class());
   if (query.query_class < 0) return CallError{Status::not_found, "no such class"};
   if (command.text().size() > kMaxTextBytes)
     return CallError{Status::invalid_argument, "the text is too long"};
-  query.tenant = index_by_name(rules.settings.tenants, command.tenant());
+  query.tenant = coordination::index_by_name(rules.settings.tenants, command.tenant());
   query.repeat = command.repeat();
   if (command.has_key()) query.key = command.key();
   query.text = command.text();
--- a/src/aggregator/http/request.cpp
+++ b/src/aggregator/http/request.cpp
@@ -15,13 +15,6 @@
 
 constexpr Millis kTimeoutMost = 24 * 3600e3;  // no client waits a day: a longer time is a mistake
 
-template <class T>
-int index_of(const std::vector<T>& list, const std::string& name) {
-  for (std::size_t i = 0; i < list.size(); ++i)
-    if (!name.empty() && list[i].name == name) return static_cast<int>(i);
-  return -1;
-}
-
 constexpr std::size_t kShown = 60;  // signs of a client's own word that are told back to it
 
 std::string names_of(const std::vector<winchhall::ClassSettings>& classes) {
@@ -101,7 +94,7 @@
   path = path.substr(0, path.find('/'));
   Decoded d;
   coordination::QuerySpec& q = d.query;
-  q.query_class = index_of(names.settings.classes, std::string(path));
+  q.query_class = coordination::index_by_name(names.settings.classes, std::string(path));
   if (q.query_class < 0)
     return wrong(404, "no such class: '" + std::string(path.substr(0, kShown)) + "', known are " +
                           names_of(names.settings.classes));
@@ -111,7 +104,7 @@
     return wrong(400, "X-Request-ID: wanted are 1 to 128 signs, none of them a space");
   q.id = *id;
   if (const std::string* tenant = m.header("x-tenant-id"))
-    q.tenant = index_of(names.settings.tenants, *tenant);
+    q.tenant = coordination::index_by_name(names.settings.tenants, *tenant);
   Millis timeout = names.settings.classes[static_cast<std::size_t>(q.query_class)].deadline;
   if (const std::string* text = m.header("x-timeout")) {
     auto read = read_timeout(*text);
