Test that a request which has arrived survives the making of room for a newcomer

Cause: of the two places that mended, the one where an idle connection makes room had no test of its own.

--- a/tests/aggregator/http/client_integration_test.cpp
+++ b/tests/aggregator/http/client_integration_test.cpp
@@ -189,6 +189,29 @@
   }
 }
 
+TEST_CASE(
+    "a request that has arrived is served, though its idle connection was to make room for a newcomer") {
+  Stage s;  // makes room above 62 connections of clients
+  ScriptedLeaf leaf(s.loop);
+  s.begin({member("a", leaf.listener.port(), 0)});
+  const char* part = R"({"id":1,"w":1})";
+  std::vector<std::shared_ptr<Peer>> peers;
+  for (int i = 0; i < 62; ++i) {
+    peers.push_back(s.dial());
+    CHECK(has(s.ask(*peers.back(), Stage::query("first-" + std::to_string(i), part)), "200 OK"));
+  }
+  event_loop::Millis idle_since = s.loop.now();
+  s.until([&] { return s.loop.now() > idle_since + 300; });
+  // The newcomer is accepted before the requests are read: all come in one turn of the loop.
+  for (std::size_t i = 0; i < peers.size(); ++i)
+    peers[i]->stream->write(Stage::query("second-" + std::to_string(i), part));
+  auto newcomer = s.dial();
+  for (auto& peer : peers) {
+    s.until([&] { return !peer->text.empty() || peer->over; });
+    CHECK(has(peer->text, "200 OK"));
+  }
+}
+
 TEST_CASE("a client that goes on sending after its error still reads it, and none of that is held") {
   Stage s;
   ScriptedLeaf leaf(s.loop);
