Tell why a task was free when a leaf reports another run of it

When a leaf lists a run that the leader did not expect beside one that it had ordered, or a run of a job that it does not know, it logs unexpected_run with both (at most 100 lines while it leads, none otherwise). Metrics: winchhall_runs_lost_total by reason, winchhall_unexpected_runs_total.

--- a/src/cluster/control/inspection_responses.cpp
+++ b/src/cluster/control/inspection_responses.cpp
@@ -117,6 +117,20 @@
 
 }  // namespace
 
+const char* run_loss_reason_name(RunLossReason reason) {
+  switch (reason) {
+    case RunLossReason::missing:
+      return "missing";
+    case RunLossReason::lease_expired:
+      return "lease_expired";
+    case RunLossReason::incarnation_ended:
+      return "incarnation_ended";
+    case RunLossReason::none:
+      break;
+  }
+  return "none";
+}
+
 const char* end_kind_name(wire::EndKind kind) {
   switch (kind) {
     case wire::END_DONE:
--- a/src/cluster/control/inspection_responses.hpp
+++ b/src/cluster/control/inspection_responses.hpp
@@ -11,6 +11,8 @@
 // Returns the name for how a task run ended, for example "done", or "unknown" for a kind that only a newer
 // version knows. The names are part of the API and the values of a metric label.
 const char* end_kind_name(wire::EndKind kind);
+// Returns the name of a reason in metrics and the log.
+const char* run_loss_reason_name(RunLossReason reason);
 
 // 503: this node has no contact with a majority of the members, so its state may be out of date.
 HttpResponse no_quorum_contact_response();
--- a/src/cluster/control/service_leader.cpp
+++ b/src/cluster/control/service_leader.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "cluster/common/log.hpp"
+#include "cluster/control/inspection_responses.hpp"
 #include "cluster/control/service_replies.hpp"
 #include "cluster/control/service_shard.hpp"
 
@@ -115,9 +116,33 @@
 void ServiceLeader::handle(const wire::WorkerReport& report, const ReplyCallback& reply) {
   if (!leads()) return reply(report_not_leader_reply(leader_address()));
   worker_reports_.handle(*scheduler_, report, reply);
+  log_unexpected_runs();
   schedule_planning();
 }
 
+void ServiceLeader::log_unexpected_runs() {
+  for (const UnexpectedRun& found : scheduler_->take_unexpected_runs()) {
+    log_event(LogLevel::warning, "unexpected_run",
+              {{"service", terms_.service},
+               {"epoch", static_cast<std::int64_t>(epoch_)},
+               {"task", found.task},
+               {"run", static_cast<std::int64_t>(found.run)},
+               {"leaf", found.leaf},
+               {"listed_as", found.ended ? "ended" : "running"},
+               {"job", !found.job_known     ? "unknown"
+                       : found.job_restored ? "restored"
+                                            : "submitted"},
+               {"other_run", static_cast<std::int64_t>(found.other_run)},
+               {"other_leaf", found.other_leaf},
+               {"given_up_as", run_loss_reason_name(found.loss)},
+               {"given_up_ms_ago", found.loss_age_ms},
+               {"given_up_session", std::to_string(found.loss_session)},
+               {"given_up_report", static_cast<std::int64_t>(found.loss_report)},
+               {"session", std::to_string(found.session)},
+               {"report", static_cast<std::int64_t>(found.report)}});
+  }
+}
+
 // ---------------------------------------------------------------- planning and writing
 
 void ServiceLeader::schedule_planning() {
--- a/src/cluster/control/service_leader.hpp
+++ b/src/cluster/control/service_leader.hpp
@@ -63,6 +63,8 @@
   void schedule_tick();
   void plan();
   void write_changes();
+  // Logs the runs that leaves have reported unexpectedly.
+  void log_unexpected_runs();
   void on_changes_written(ChangeBatchNumber number, ShardWriteOutcome outcome, TimePoint sent_at);
 
   Runtime& runtime_;
--- a/src/cluster/metrics/control_collector.cpp
+++ b/src/cluster/metrics/control_collector.cpp
@@ -26,8 +26,11 @@
      "Runs found on leaves that an earlier leader had ordered.",
      [](const ServiceStatus& service) { return service.stats.counters.runs_adopted; }},
     {MetricType::Counter, "winchhall_surplus_runs_total",
-     "Adopted runs found beside another run of their task.",
+     "Adopted runs ordered to stop in favour of a newer run of their task.",
      [](const ServiceStatus& service) { return service.stats.counters.surplus_runs; }},
+    {MetricType::Counter, "winchhall_unexpected_runs_total",
+     "Runs reported beside another one that this leader had ordered, or of a job that it does not know.",
+     [](const ServiceStatus& service) { return service.stats.counters.unexpected_runs; }},
     {MetricType::Counter, "winchhall_leaf_leases_expired_total",
      "Execution leases of leaves that expired under the lease held.",
      [](const ServiceStatus& service) { return service.stats.counters.leaf_leases_expired; }},
@@ -86,6 +89,20 @@
   families.push_back(ends.build());
 }
 
+void collect_lost_runs(const std::vector<ServiceStatus>& services, MetricFamilies& families) {
+  constexpr RunLossReason kReasons[] = {RunLossReason::missing, RunLossReason::lease_expired,
+                                        RunLossReason::incarnation_ended};
+  FamilyBuilder lost =
+      counter_family("winchhall_runs_lost_total", "Runs given up without a report of their end, by reason.");
+  for (const ServiceStatus& service : services) {
+    for (const RunLossReason reason : kReasons) {
+      lost.add(static_cast<double>(service.stats.counters.lost_runs[static_cast<std::size_t>(reason)]),
+               {{"service", service.service}, {"reason", run_loss_reason_name(reason)}});
+    }
+  }
+  families.push_back(lost.build());
+}
+
 void collect_write_times(const std::vector<ServiceStatus>& services, MetricFamilies& families) {
   FamilyBuilder times = histogram_family("winchhall_quorum_write_seconds",
                                          "Time until changes of records were durable on a majority.");
@@ -109,6 +126,7 @@
     collect_service_metric(metric, status.services, families);
   }
   collect_run_ends(status.services, families);
+  collect_lost_runs(status.services, families);
   collect_write_times(status.services, families);
 }
 
--- a/src/cluster/scheduler/run_end_handler.cpp
+++ b/src/cluster/scheduler/run_end_handler.cpp
@@ -28,7 +28,8 @@
   ++state_.counters.ends.at(wire::EndKind_IsValid(entry.how()) ? entry.how() : wire::END_UNKNOWN);
   TimePoint started = state_.now;
   auto found = leaf.runs.find(RunKeyView{entry.task(), entry.run()});
-  if (found != leaf.runs.end()) {
+  const bool expected = found != leaf.runs.end();
+  if (expected) {
     started = found->second.ordered_at;
     runs_.remove(found->second);
   }
@@ -40,6 +41,7 @@
     ref = state_.jobs.find_task(*name);
   }
   if (ref.job == nullptr) return 0;
+  if (!expected) runs_.record_if_unexpected({leaf, entry.task(), entry.run(), true}, ref);
   if (ref.task != nullptr) {
     update_leaf_health(leaf, ref, entry.how(), started);
     if (!ref.job->is_final()) apply_end(ref, entry, started);
@@ -89,7 +91,13 @@
   }
 }
 
-void RunEndHandler::on_run_lost(Run& run) {
+void RunEndHandler::record_loss(const Run& run, RunLossReason reason) {
+  const Leaf& leaf = *run.leaf;
+  state_.losses.add({run.name, run.number, reason, state_.now, leaf.session, leaf.report_number});
+}
+
+void RunEndHandler::on_run_lost(Run& run, RunLossReason reason) {
+  record_loss(run, reason);
   StageInstance* stage = run.stage;
   Task* task = run.task;
   RunNumber number = run.number;
@@ -136,6 +144,7 @@
     Run& run = found->second;
     StageInstance* stage = run.stage;
     Task* task = run.task;
+    if (task != nullptr) record_loss(run, RunLossReason::lease_expired);
     write_checkpoint(run);
     runs_.detach_task(run);
     runs_.stop_run(run);
@@ -151,7 +160,7 @@
     auto found = leaf.runs.find(RunKeyView(key));
     if (found == leaf.runs.end()) continue;
     write_checkpoint(found->second);
-    on_run_lost(found->second);
+    on_run_lost(found->second, RunLossReason::incarnation_ended);
   }
   remove_leaf_record(leaf);
   Node& node = state_.leaves.node(leaf.node);
--- a/src/cluster/scheduler/run_end_handler.hpp
+++ b/src/cluster/scheduler/run_end_handler.hpp
@@ -19,7 +19,7 @@
   // before the end is acknowledged to the leaf; 0: none.
   ChangeBatchNumber on_end_reported(Leaf& leaf, const wire::FinishedTask& entry);
   // Handles a run that certainly isn't on its leaf and never will be. Destroys `run`.
-  void on_run_lost(Run& run);
+  void on_run_lost(Run& run, RunLossReason reason);
   // Handles the expiry of the leaf's execution lease, with which all its runs have ended. Delivered runs are
   // detached from their tasks, but kept with their resources allocated until the leaf's reports show that
   // they have ended or its incarnation ends.
@@ -34,6 +34,7 @@
   void stop_partial_gangs();
 
  private:
+  void record_loss(const Run& run, RunLossReason reason);
   void apply_end(const TaskRef& ref, const wire::FinishedTask& entry, TimePoint started);
   void update_checkpoint(const TaskRef& ref, const std::string& text, RunNumber run);
   void update_leaf_health(Leaf& leaf, const TaskRef& ref, wire::EndKind how, TimePoint started);
--- a/src/cluster/scheduler/run_table.cpp
+++ b/src/cluster/scheduler/run_table.cpp
@@ -1,13 +1,15 @@
 #include "cluster/scheduler/run_table.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <vector>
 
 namespace winchhall::cluster::scheduling {
 namespace {
 
-constexpr std::size_t kMaxSpeculativeRuns = 2;  // runs of one speculative task at a time
+constexpr std::size_t kMaxSpeculativeRuns = 2;     // runs of one speculative task at a time
+constexpr std::uint64_t kMaxUnexpectedRuns = 100;  // kept for the log, since this node leads
 
 template <class Order>
 void erase_order(std::deque<Order>& orders, Revision revision) {
@@ -112,8 +114,38 @@
   return newest;
 }
 
+void RunTable::record_if_unexpected(const ReportedRun& reported, const TaskRef& ref) {
+  const Run* other = nullptr;
+  if (ref.task != nullptr && !ref.stage->spec->speculative()) {
+    for (const Run* run : ref.task->runs)
+      if (run->start_revision > 0) other = run;
+  }
+  if (other == nullptr && ref.job != nullptr) return;
+  if (++state_.counters.unexpected_runs > kMaxUnexpectedRuns) return;
+  UnexpectedRun& found = state_.unexpected_runs.emplace_back();
+  found.task = reported.task;
+  found.run = reported.number;
+  found.leaf = reported.leaf.id;
+  found.ended = reported.ended;
+  found.job_known = ref.job != nullptr;
+  found.job_restored = ref.job != nullptr && ref.job->restored;
+  if (other != nullptr) {
+    found.other_run = other->number;
+    found.other_leaf = other->leaf->id;
+  }
+  found.session = reported.leaf.session;
+  found.report = reported.leaf.report_number;
+  const LostRun* lost = state_.losses.find(reported.task, reported.number);
+  if (lost == nullptr) return;
+  found.loss = lost->reason;
+  found.loss_age_ms = std::chrono::duration_cast<Millis>(state_.now - lost->at).count();
+  found.loss_session = lost->session;
+  found.loss_report = lost->report_number;
+}
+
 Run& RunTable::adopt_reported_run(Leaf& leaf, const wire::RunningTask& entry, const TaskRef& ref) {
   ++state_.counters.runs_adopted;
+  record_if_unexpected({leaf, entry.task(), entry.run(), false}, ref);
   Run& run = insert(leaf, entry.task(), entry.run());
   run.start_delivered = true;
   run.job = ref.job;
--- a/src/cluster/scheduler/run_table.hpp
+++ b/src/cluster/scheduler/run_table.hpp
@@ -7,6 +7,14 @@
 
 namespace winchhall::cluster::scheduling {
 
+// A run that a leaf lists, as running or as ended.
+struct ReportedRun {
+  const Leaf& leaf;
+  const std::string& task;  // name
+  RunNumber number = 0;
+  bool ended = false;
+};
+
 // The only component that adds or removes runs. With every run it updates the leaf's allocated resources and
 // load, the counts of live runs of stage, repeat and job, the task's `runs`, the orders to the leaf that are
 // not applied yet, and the queue.
@@ -30,6 +38,9 @@
   // it to stop if the task is done or unknown. If the task then has too many runs, the earliest are ordered
   // to stop, which may include this one.
   Run& adopt_reported_run(Leaf& leaf, const wire::RunningTask& entry, const TaskRef& ref);
+  // Records a run that this leader did not expect for the log, if it has ordered another run of the task or
+  // doesn't know the job. See UnexpectedRun.
+  void record_if_unexpected(const ReportedRun& reported, const TaskRef& ref);
   // Orders a run to stop. No effect if it has already been ordered to. If the start order was never
   // delivered, it is withdrawn instead: `run` is destroyed, and its task may be enqueued again.
   void stop_run(Run& run);
--- a/src/cluster/scheduler/scheduler.cpp
+++ b/src/cluster/scheduler/scheduler.cpp
@@ -98,6 +98,10 @@
     report_handler_.on_changes_durable();
   }
 
+  std::vector<UnexpectedRun> take_unexpected_runs() override {
+    return std::exchange(state_.unexpected_runs, {});
+  }
+
   std::string summary() const override {
     const SchedulerStats current = stats();
     return "jobs=" + std::to_string(current.live_jobs) + " waiting=" + std::to_string(current.waiting_tasks) +
--- a/src/cluster/scheduler/scheduler.hpp
+++ b/src/cluster/scheduler/scheduler.hpp
@@ -108,6 +108,9 @@
   // Confirms that all batches up to `number` are durable on a majority of the shard's replicas.
   virtual void on_changes_durable(ChangeBatchNumber number) = 0;
 
+  // Returns what `UnexpectedRun` describes and was found since the last call.
+  virtual std::vector<UnexpectedRun> take_unexpected_runs() = 0;
+
   // Statistics in one line, for the log.
   virtual std::string summary() const = 0;
 
--- a/src/cluster/scheduler/scheduler_inspection.cpp
+++ b/src/cluster/scheduler/scheduler_inspection.cpp
@@ -81,6 +81,7 @@
 SchedulerStats collect_stats(const SchedulerState& state) {
   SchedulerStats stats;
   stats.counters = state.counters;
+  stats.counters.lost_runs = state.losses.counts();
   stats.live_jobs = state.jobs.live();
   for (const auto& [key, stage] : state.queue.stages()) stats.waiting_tasks += stage->waiting.size();
   for (const auto& leaf : state.leaves.all()) stats.runs += leaf->runs.size();
--- a/src/cluster/scheduler/scheduler_state.hpp
+++ b/src/cluster/scheduler/scheduler_state.hpp
@@ -8,11 +8,13 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cluster/scheduler/job_table.hpp"
 #include "cluster/scheduler/leaf_registry.hpp"
 #include "cluster/scheduler/record_write_buffer.hpp"
 #include "cluster/scheduler/run_counts_by_priority.hpp"
+#include "cluster/scheduler/run_loss_history.hpp"
 #include "cluster/scheduler/scheduler_views.hpp"
 #include "cluster/scheduler/stage_queue.hpp"
 #include "cluster/scheduler/wall_clock.hpp"
@@ -40,6 +42,8 @@
   LeafRegistry leaves;
   RunCountsByPriority run_counts;  // runs on all leaves; changed by RunTable
   RecordWriteBuffer records;
+  RunLossHistory losses;                       // changed by RunEndHandler
+  std::vector<UnexpectedRun> unexpected_runs;  // not yet taken by the owner
   SchedulerCounters counters;
   StageQueue queue;
   // IDs of leaves that may have runs ordered by an earlier leader: no report of the leaf was reconciled yet,
--- a/src/cluster/scheduler/scheduler_views.hpp
+++ b/src/cluster/scheduler/scheduler_views.hpp
@@ -14,6 +14,34 @@
 // Number of values of wire::EndKind.
 inline constexpr std::size_t kEndKindCount = wire::EndKind_MAX + 1;
 
+// Why a leader no longer expected a run whose end was not reported.
+enum class RunLossReason : std::uint8_t {
+  none,               // it expected the run, or never knew of it
+  missing,            // the leaf's lists lacked it
+  lease_expired,      // the leaf's execution lease expired
+  incarnation_ended,  // the leaf's process ended
+};
+inline constexpr std::size_t kRunLossReasonCount = 4;
+
+// A run that a leaf reported and that this leader did not expect, while it had ordered another run of the
+// task or did not know the job. Both may have existed at the same time.
+struct UnexpectedRun {
+  std::string task;  // name "ID.K.STEP.INDEX"
+  std::uint64_t run = 0;
+  std::string leaf;
+  bool ended = false;  // the leaf listed its end, not the run itself
+  bool job_known = false;
+  bool job_restored = false;    // an earlier leader had accepted the job
+  std::uint64_t other_run = 0;  // the run that this leader had ordered; 0: none
+  std::string other_leaf;
+  RunLossReason loss = RunLossReason::none;  // why the run was not expected
+  std::int64_t loss_age_ms = 0;              // time since then
+  std::uint64_t loss_session = 0;            // process of the worker-agent that had reported the leaf then
+  std::uint64_t loss_report = 0;             // number of its report
+  std::uint64_t session = 0;                 // the same for the report that lists the run
+  std::uint64_t report = 0;
+};
+
 // Counts of events since this node acquired the service's lease; they never decrease.
 struct SchedulerCounters {
   std::uint64_t jobs_accepted = 0;
@@ -22,7 +50,9 @@
   std::uint64_t runs_adopted = 0;         // runs listed by leaves that an earlier leader had ordered
   std::uint64_t surplus_runs = 0;         // adopted runs ordered to stop in favour of a newer run of the task
   std::uint64_t leaf_leases_expired = 0;  // expired execution leases of leaves
-  std::array<std::uint64_t, kEndKindCount> ends = {};  // ends of runs, by wire::EndKind
+  std::uint64_t unexpected_runs = 0;      // see UnexpectedRun
+  std::array<std::uint64_t, kEndKindCount> ends = {};             // ends of runs, by wire::EndKind
+  std::array<std::uint64_t, kRunLossReasonCount> lost_runs = {};  // runs given up, by RunLossReason
 };
 
 // Counters, and the present size of the scheduler's tables.
--- a/src/cluster/scheduler/worker_report_handler.cpp
+++ b/src/cluster/scheduler/worker_report_handler.cpp
@@ -194,7 +194,7 @@
   }
   for (const RunKey& key : missing) {
     auto found = leaf.runs.find(RunKeyView(key));
-    if (found != leaf.runs.end()) ends_.on_run_lost(found->second);
+    if (found != leaf.runs.end()) ends_.on_run_lost(found->second, RunLossReason::missing);
   }
 }
 
--- a/tests/cluster/metrics/collectors_test.cpp
+++ b/tests/cluster/metrics/collectors_test.cpp
@@ -32,6 +32,8 @@
   service.stats.counters.runs_adopted = 9;
   service.stats.counters.surplus_runs = 1;
   service.stats.counters.leaf_leases_expired = 5;
+  service.stats.counters.unexpected_runs = 11;
+  service.stats.counters.lost_runs[static_cast<std::size_t>(RunLossReason::missing)] = 2;
   service.stats.unsynchronized_leaves = 7;
   service.write_times.add(Millis(4));
   service.write_times.add(Millis(4000));
@@ -57,6 +59,8 @@
   CHECK(has_line(text, "winchhall_leaf_leases_expired_total{service=\"core\"} 5"));
   CHECK(has_line(text, "winchhall_leaves_awaited{service=\"core\"} 7"));
   CHECK(has_line(text, "winchhall_task_ends_total{service=\"core\",kind=\"failed\"} 3"));
+  CHECK(has_line(text, "winchhall_unexpected_runs_total{service=\"core\"} 11"));
+  CHECK(has_line(text, "winchhall_runs_lost_total{service=\"core\",reason=\"missing\"} 2"));
 }
 
 TEST_CASE("durations are counted in cumulative buckets") {
