--- /dev/null
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -0,0 +1,163 @@
+// Randomized simulations of a whole cluster: RuleChecker's rules hold while processes are killed, frozen and
+// cut off in series, and while all machines lose power.
+#include "tests/cluster/control/service_cluster.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "tests/cluster/support/seed_range.hpp"
+
+namespace winchhall::cluster::sim {
+namespace {
+
+using test::SeedRange;
+
+constexpr Ms kFaultPeriod = 30000;
+constexpr Ms kTimeToEnd = 120000;  // for all jobs, after the last fault
+constexpr int kJobs = 40;
+constexpr std::size_t kMinRuns = 100;
+
+wire::Stage random_stage(ServiceCluster& cluster, int number) {
+  wire::Stage stage;
+  stage.set_count(static_cast<std::uint32_t>(cluster.between(1, 8)));
+  stage.set_cpu(static_cast<std::uint32_t>(cluster.between(1, 10) * 100));
+  stage.set_mem_mb(100);
+  stage.set_estimated_ms(static_cast<std::uint32_t>(cluster.between(200, 9000)));
+  if (number > 0) stage.add_depends_on(static_cast<std::uint32_t>(number - 1));
+  stage.set_checkpoints(cluster.chance() < 0.3);
+  if (cluster.chance() < 0.2) {
+    stage.set_gang(true);
+    stage.set_count(static_cast<std::uint32_t>(cluster.between(2, 4)));
+  }
+  return stage;
+}
+
+test::SimulatedJob random_job(ServiceCluster& cluster, int number) {
+  constexpr std::size_t kIdDigits = 16;
+  test::SimulatedJob job;
+  const std::string digits = std::to_string(number);
+  job.id = std::string(kIdDigits - digits.size(), '0') + digits;
+  job.spec.set_spec("work of " + job.id);
+  const int stages = static_cast<int>(cluster.between(1, 2));
+  for (int i = 0; i < stages; ++i) *job.spec.add_stages() = random_stage(cluster, i);
+  job.terms.set_queue("r-1");
+  job.terms.set_priority(static_cast<std::uint32_t>(cluster.between(0, 2)));
+  job.terms.set_max_retries(4);
+  job.terms.set_stretch(2);
+  job.terms.set_target_latency_ms(1000);
+  return job;
+}
+
+std::size_t random_control(ServiceCluster& cluster) {
+  return static_cast<std::size_t>(cluster.between(0, static_cast<Ms>(cluster.control_nodes()) - 1));
+}
+
+std::size_t random_worker(ServiceCluster& cluster) {
+  return static_cast<std::size_t>(cluster.between(0, static_cast<Ms>(cluster.workers()) - 1));
+}
+
+void lose_all_power(ServiceCluster& cluster) {
+  const Ms down = cluster.between(300, 1500);
+  const bool loses_disk = cluster.chance() < 0.3;
+  const std::size_t lost = random_control(cluster);
+  for (std::size_t machine = 0; machine < cluster.machines(); ++machine)
+    cluster.crash(machine, down + cluster.between(0, 200));
+  if (loses_disk) cluster.lose_disk_once(lost);
+}
+
+// Cuts every third worker machine from the control nodes, as if they were in one zone.
+void cut_zone(ServiceCluster& cluster) {
+  constexpr std::size_t kZones = 3;
+  const std::size_t zone = random_worker(cluster) % kZones;
+  for (std::size_t worker = zone; worker < cluster.workers(); worker += kZones)
+    cluster.cut_from_control(cluster.worker_machine(worker), cluster.between(400, 14000));
+}
+
+void lose_leaf(ServiceCluster& cluster) {
+  // Either within the lease of the lost leaf, or after it has expired.
+  const Ms restart_after = cluster.chance() < 0.5 ? cluster.between(100, 3000) : cluster.between(8000, 16000);
+  cluster.stop_leaf(random_worker(cluster), restart_after);
+}
+
+void inject_fault(ServiceCluster& cluster) {
+  const std::size_t control = random_control(cluster);
+  const std::size_t worker = cluster.worker_machine(random_worker(cluster));
+  switch (cluster.between(0, 9)) {
+    case 0:
+      return cluster.crash(control, cluster.between(300, 3000));
+    case 1:
+    case 2:
+      return cluster.crash(worker, cluster.between(50, 1500));
+    case 3:
+      return cluster.node(control).freeze_for(Millis(cluster.between(50, 3000)));
+    case 4:
+      return cluster.node(worker).freeze_for(Millis(cluster.between(50, 3000)));
+    case 5:
+      return cluster.cut_from_control(control, cluster.between(300, 4000));
+    case 6:
+      return cut_zone(cluster);
+    case 7:
+      return lose_leaf(cluster);
+    case 8:
+      if (cluster.chance() < 0.4) lose_all_power(cluster);
+      return;
+    default:
+      cluster.node(control).hang_disk_for(Millis(cluster.between(50, 2000)));
+  }
+}
+
+// Submits jobs while faults are injected in series, and requires that no rule is violated and that all jobs
+// end.
+void run_scenario(std::uint64_t seed, const ServiceClusterOptions& options) {
+  ServiceCluster cluster(seed, options);
+  for (int number = 1; number <= kJobs; ++number) {
+    cluster.simulation().in(Millis(cluster.between(0, kFaultPeriod)),
+                            [&cluster, number] { cluster.submit(random_job(cluster, number)); });
+  }
+  const Ms faults_until = cluster.now() + kFaultPeriod;
+  while (cluster.now() < faults_until && cluster.violations().empty()) {
+    inject_fault(cluster);
+    const bool pause = cluster.chance() < 0.3;
+    cluster.simulation().run_for(Millis(pause ? cluster.between(1000, 4000) : cluster.between(20, 500)));
+  }
+  cluster.end_faults();
+  const Ms limit = cluster.now() + kTimeToEnd;
+  while (cluster.now() < limit && !cluster.all_ended() && cluster.violations().empty())
+    cluster.simulation().run_for(Millis(500));
+  cluster.check_after_run();
+  INFO("seed " << seed << ", not ended:" << cluster.open_jobs());
+  for (const std::string& violation : cluster.violations()) FAIL_CHECK(violation);
+  CHECK(cluster.all_ended());
+  CHECK(cluster.runs_started() > kMinRuns);
+}
+
+void run_scenarios(SeedRange seeds, const ServiceClusterOptions& options) {
+  SeedRange::from_environment(seeds).for_each([&](std::uint64_t seed) { run_scenario(seed, options); });
+}
+
+TEST_CASE("no task runs twice while processes fail in series and all machines lose power") {
+  run_scenarios({1, 20}, {});
+}
+
+TEST_CASE("no task runs twice while messages arrive late") {
+  ServiceClusterOptions options;
+  options.leaf_calls.late = 0.02;
+  options.network.late = 0.02;
+  options.network.late_max_us = 3000000;
+  run_scenarios({10401, 20}, options);
+}
+
+TEST_CASE("no task runs twice while reports into a partition arrive after it has healed") {
+  ServiceClusterOptions options;
+  options.network.retransmission = 0.9;
+  run_scenarios({1, 20}, options);
+}
+
+TEST_CASE("no task runs twice while heartbeats arrive after a restart of the worker-agent") {
+  ServiceClusterOptions options;
+  options.leaf_calls.late = 0.02;
+  options.leaf_calls.outlives_process = true;
+  run_scenarios({1, 20}, options);
+}
+
+}  // namespace
+}  // namespace winchhall::cluster::sim
--- a/tests/cluster/scheduler/service_simulation.hpp
+++ b/tests/cluster/scheduler/service_simulation.hpp
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "cluster/scheduler/scheduler.hpp"
+#include "tests/cluster/scheduler/leaf_executor.hpp"
 #include "tests/cluster/scheduler/record_map.hpp"
-#include "tests/cluster/scheduler/rule_checker.hpp"
 #include "tests/cluster/scheduler/simulated_worker_agent.hpp"
 
 namespace winchhall::cluster::test {
@@ -88,18 +88,12 @@
   void start_leaf(Node& node);
   // Stops the node's leaf; the next one starts after the given time.
   void stop_leaf(Node& node, Ms restart_after);
-  void step_leaf(SimulatedLeaf& leaf);
-  void step_gang(SimulatedLeaf& leaf, const std::string& task);
   // Sends the leaf's heartbeat to its worker-agent, and applies the orders in the answer.
   void heartbeat(Node& node);
   // Updates the worker-agent with the leaf's description and lists.
   void update_worker(Node& node);
   static wire::LeafDescription describe(const SimulatedLeaf& leaf, Ms now);
   static std::vector<wire::RunningTask> list_running(const SimulatedLeaf& leaf);
-  // Applies the orders in the answer to a heartbeat. `lease_until` is -1 if no lease is granted; then no run
-  // starts.
-  void apply_orders(SimulatedLeaf& leaf, const wire::WorkerOrders& orders, Ms lease_until);
-  void start_run(SimulatedLeaf& leaf, const wire::StartOrder& order);
   // Sends the worker-agent's report to the leader.
   void report(Node& node);
   // Sends the leader's answer to the node's pending report.
@@ -116,6 +110,7 @@
   std::priority_queue<Event> events_;
   std::uint64_t next_event_ = 0;
   std::vector<std::unique_ptr<SimulatedLeaf>> leaves_;
+  LeafExecutor executor_{checker_, leaves_, random_};
   std::vector<std::unique_ptr<Node>> nodes_;
   std::uint64_t next_leaf_ = 1;
   std::uint64_t epoch_ = 0;
--- a/tests/cluster/scheduler/service_simulation_impl.hpp
+++ b/tests/cluster/scheduler/service_simulation_impl.hpp
@@ -5,7 +5,6 @@
 
 namespace winchhall::cluster::test {
 
-inline constexpr Ms kStep = 5;  // by which the virtual clock advances
 inline constexpr Ms kStateCheckInterval = 100;
 
 inline ServiceSimulation::ServiceSimulation(std::uint64_t seed, std::size_t leaves, FaultRates faults)
@@ -129,7 +128,7 @@
     action();
   }
   if (now_ < faults_until) inject_faults();
-  for (auto& leaf : leaves_) step_leaf(*leaf);
+  for (auto& leaf : leaves_) executor_.step(*leaf, now_);
   for (auto& node : nodes_) {
     if (node->leaf == nullptr && now_ >= node->restart_at) start_leaf(*node);
     if (node->leaf != nullptr && now_ >= node->next_heartbeat) heartbeat(*node);
--- a/tests/cluster/support/sim_runtime.hpp
+++ b/tests/cluster/support/sim_runtime.hpp
@@ -29,6 +29,10 @@
   double duplication = 0;
   double late = 0;  // probability of a delay of up to `late_max_us`
   std::int64_t late_max_us = 900000;
+  // Fraction of the messages into a partition that arrive after it has healed, as TCP retransmits them, even
+  // if the sender has ended by then. The others are lost.
+  double retransmission = 0;
+  std::int64_t retransmission_max_us = 2000000;  // after the partition has healed
   std::int64_t sync_min_us = 2000;
   std::int64_t sync_max_us = 10000;
   double clock_drift = 0.009;  // maximum relative deviation of a steady clock's rate
@@ -259,12 +263,23 @@
   void transmit(std::size_t from, std::size_t to, const std::function<void()>& arrive) {
     const int copies = chance(options_.duplication) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
-      if (from != to && (is_cut(from, to) || chance(options_.loss))) continue;
+      if (from != to && is_cut(from, to)) {
+        if (chance(options_.retransmission)) retransmit_later(from, to, arrive);
+        continue;
+      }
+      if (from != to && chance(options_.loss)) continue;
       at(now_us_ + message_delay_us(), [this, from, to, arrive] {
         if (from == to || !is_cut(from, to)) arrive();
       });
     }
   }
+  void retransmit_later(std::size_t from, std::size_t to, const std::function<void()>& arrive) {
+    constexpr std::int64_t kRetryUs = 50000;
+    at(now_us_ + kRetryUs, [this, from, to, arrive] {
+      if (is_cut(from, to)) return retransmit_later(from, to, arrive);
+      at(now_us_ + random_between(0, options_.retransmission_max_us), arrive);
+    });
+  }
 
   SimulationOptions options_;
   std::mt19937_64 generator_;
--- a/tests/cluster/worker_agent/worker_fixture.hpp
+++ b/tests/cluster/worker_agent/worker_fixture.hpp
@@ -71,6 +71,7 @@
 struct ScriptedHeartbeat {
   std::string leaf_id = "i-1";
   std::optional<std::uint64_t> sequence;  // if empty, the next number is used
+  std::optional<std::uint64_t> clock_ms;  // the leaf's clock; if empty, the virtual clock
   std::string state = "ready";
   boost::json::array running;
   boost::json::array finished;
@@ -121,13 +122,15 @@
   }
 
   std::shared_ptr<ReceivedResponse> heartbeat(ScriptedHeartbeat heartbeat) {
-    boost::json::object body{{"backend", "core"},
-                             {"state", heartbeat.state},
-                             {"capacity", boost::json::object{{"cpu", 16000}, {"mem_mb", 32768}}},
-                             {"labels", boost::json::array{"a", "r1-3"}},
-                             {"sequence", heartbeat.sequence.value_or(++sequence_)},
-                             {"running", std::move(heartbeat.running)},
-                             {"finished", std::move(heartbeat.finished)}};
+    boost::json::object body{
+        {"backend", "core"},
+        {"state", heartbeat.state},
+        {"capacity", boost::json::object{{"cpu", 16000}, {"mem_mb", 32768}}},
+        {"labels", boost::json::array{"a", "r1-3"}},
+        {"sequence", heartbeat.sequence.value_or(++sequence_)},
+        {"clock_ms", heartbeat.clock_ms.value_or(runtime.now().time_since_epoch() / Millis(1))},
+        {"running", std::move(heartbeat.running)},
+        {"finished", std::move(heartbeat.finished)}};
     return raw_heartbeat(heartbeat.leaf_id, boost::json::serialize(body));
   }
 
