Count reports of a worker-agent process only once it has confirmed an answer

What users saw: tasks ran twice at the same time, several on one leaf, the earlier runs ordered to stop soon after. Cause: session IDs are random, so ReportDeduplicator could not tell a late report of an ended process from one of the present process. It allowed for three reports on the way; the reporter's bound starts anew whenever it turns to another leader or to the same one after a time-out, and a partition delays what was sent before. The fourth late report made the ended process the current one: its old lists lacked what had been started since, and the leader started it again. Change: challenge and response. A report of another session than the current one has no effect but that the next answer names a new revision; the session counts once a report confirms it. This proves that the process ran after the challenge, whatever arrives late, and needs neither new fields nor a further round trip: a new process had to adopt the epoch of the first answer anyway. Revisions are therefore counted per leader, not per leaf. The worker-agent of a deregistered leaf confirms answers too. is_from_live_session, the same idea for some cases, is gone. The harness and the inspection test confirm the first answer as a process does.

--- a/src/cluster/scheduler/leaf_registry.hpp
+++ b/src/cluster/scheduler/leaf_registry.hpp
@@ -8,13 +8,13 @@
 #include <vector>
 
 #include "cluster/scheduler/leaf_state.hpp"
-#include "cluster/scheduler/report_deduplicator.hpp"
+#include "cluster/scheduler/worker_session_tracker.hpp"
 
 namespace winchhall::cluster::scheduling {
 
 // A node whose worker-agent has sent a report. Nodes are never removed.
 struct Node {
-  ReportDeduplicator deduplicator;
+  WorkerSessionTracker sessions;
   std::string current_leaf_id;                 // ID of the present incarnation of its leaf; empty: none known
   std::deque<std::string> ended_incarnations;  // leaf IDs of the latest ended incarnations, newest last
 };
--- a/src/cluster/scheduler/order_responder.cpp
+++ b/src/cluster/scheduler/order_responder.cpp
@@ -24,6 +24,7 @@
   orders.set_busy(!state_.queue.empty() || state_.now - state_.last_start_at < kBusyAfterStart);
   Leaf* leaf = state_.leaves.find(leaf_id);
   if (leaf == nullptr) {
+    orders.set_revision(state_.last_revision);
     orders.set_lists_wanted(true);
     return orders;
   }
--- a/src/cluster/scheduler/run_table.cpp
+++ b/src/cluster/scheduler/run_table.cpp
@@ -57,7 +57,7 @@
   run.stage = &stage;
   run.demand = stage.demand;
   run.cost_ms = cost_ms;
-  run.start_revision = ++leaf.issued_revision;
+  run.start_revision = leaf.issued_revision = ++state_.last_revision;
   allocate(run);
   leaf.load_ms += cost_ms;
   leaf.health.on_start();
@@ -183,7 +183,7 @@
     if (task != nullptr) enqueue_if_ready(*stage, *task);
     return;
   }
-  run.stop_revision = ++leaf.issued_revision;
+  run.stop_revision = leaf.issued_revision = ++state_.last_revision;
   wire::StopOrder& order = leaf.pending_stops.emplace_back();
   order.set_task(run.name);
   order.set_run(run.number);
--- a/src/cluster/scheduler/scheduler_state.hpp
+++ b/src/cluster/scheduler/scheduler_state.hpp
@@ -42,6 +42,7 @@
   LeafRegistry leaves;
   RunCountsByPriority run_counts;  // runs on all leaves; changed by RunTable
   RecordWriteBuffer records;
+  Revision last_revision = 0;                  // newest revision given to any leaf or session
   RunLossHistory losses;                       // changed by RunEndHandler
   std::vector<UnexpectedRun> unexpected_runs;  // not yet taken by the owner
   SchedulerCounters counters;
--- a/src/cluster/scheduler/worker_report_handler.cpp
+++ b/src/cluster/scheduler/worker_report_handler.cpp
@@ -21,8 +21,9 @@
 
 void WorkerReportHandler::handle(const wire::WorkerReport& report) {
   ++state_.counters.reports;
-  Node& node = state_.leaves.node(report.node_name());
-  if (!node.deduplicator.accept(report.session(), report.report_number())) return;
+  const ReportStatus status = classify(report);
+  if (status == ReportStatus::unconfirmed) request_confirmation(report);
+  if (status != ReportStatus::current) return;
   end_previous_incarnation(report);
   Leaf* leaf = resolve_leaf(report);
   if (leaf == nullptr) return;
@@ -35,17 +36,32 @@
     write_leaf_record(*leaf);
 }
 
-bool WorkerReportHandler::is_from_live_session(const wire::WorkerReport& report, const Leaf& leaf) const {
-  // A process that has adopted this leader's epoch has had an answer of this leader.
-  return report.epoch() == state_.epoch || leaf.session == report.session();
+ReportStatus WorkerReportHandler::classify(const wire::WorkerReport& report) {
+  WorkerSessionTracker& sessions = state_.leaves.node(report.node_name()).sessions;
+  const Revision received = report.epoch() == state_.epoch ? report.orders_received() : 0;
+  const Revision next = state_.last_revision + 1;
+  const ReportStatus status = sessions.observe({report.session(), report.report_number(), received}, next);
+  if (sessions.challenge(report.session()) == next) state_.last_revision = next;
+  return status;
+}
+
+void WorkerReportHandler::request_confirmation(const wire::WorkerReport& report) {
+  Leaf* leaf = state_.leaves.find(report.leaf().leaf_id());
+  if (leaf == nullptr || leaf->node != report.node_name()) return;
+  const Revision challenge = state_.leaves.node(leaf->node).sessions.challenge(report.session());
+  leaf->issued_revision = std::max(leaf->issued_revision, challenge);
+  // If the process is a new one, it has received no orders, and this leader has none of its lists.
+  leaf->delivered_revision = 0;
+  leaf->received_revision = 0;
+  leaf->applied_revision = 0;
+  leaf->lists_requested = true;
 }
 
 void WorkerReportHandler::end_previous_incarnation(const wire::WorkerReport& report) {
   const std::string& previous_id = report.previous_leaf_id();
   if (previous_id.empty() || previous_id == report.leaf().leaf_id()) return;
   Leaf* previous = state_.leaves.find(previous_id);
-  if (previous == nullptr || previous->node != report.node_name()) return;
-  if (is_from_live_session(report, *previous)) ends_.on_incarnation_ended(*previous);
+  if (previous != nullptr && previous->node == report.node_name()) ends_.on_incarnation_ended(*previous);
 }
 
 Leaf* WorkerReportHandler::resolve_leaf(const wire::WorkerReport& report) {
@@ -60,12 +76,12 @@
   std::vector<Leaf*> earlier;
   for (const auto& other : state_.leaves.all())
     if (other->node == report.node_name() && other->id != id) earlier.push_back(other.get());
-  for (Leaf* incarnation : earlier) {
-    if (!is_from_live_session(report, *incarnation)) return nullptr;
-    ends_.on_incarnation_ended(*incarnation);
-  }
+  for (Leaf* incarnation : earlier) ends_.on_incarnation_ended(*incarnation);
   node.current_leaf_id = id;
-  return leaf != nullptr ? leaf : &state_.leaves.add(id, report.node_name());
+  if (leaf != nullptr) return leaf;
+  Leaf& added = state_.leaves.add(id, report.node_name());
+  added.issued_revision = state_.last_revision;
+  return &added;
 }
 
 void WorkerReportHandler::update_leaf(Leaf& leaf, const wire::WorkerReport& report) {
--- a/src/cluster/scheduler/worker_report_handler.hpp
+++ b/src/cluster/scheduler/worker_report_handler.hpp
@@ -13,19 +13,21 @@
   WorkerReportHandler(SchedulerState& state, RunTable& runs, JobLifecycle& jobs, RunEndHandler& ends)
       : state_(state), runs_(runs), jobs_(jobs), ends_(ends) {}
 
-  // Applies a report. A report that is outdated, or about a leaf of another service, has no effect.
+  // Applies a report. A report that is outdated, or about a leaf of another service, has no effect. The first
+  // one of a worker-agent process only causes an answer that the process has to confirm, as the process may
+  // have ended since.
   void handle(const wire::WorkerReport& report);
   // Must be called when more batches are durable: acknowledges the ends whose effects they contain.
   void on_changes_durable();
 
  private:
+  ReportStatus classify(const wire::WorkerReport& report);
+  // Makes the next answer challenge the report's session; see WorkerSessionTracker.
+  void request_confirmation(const wire::WorkerReport& report);
   void end_previous_incarnation(const wire::WorkerReport& report);
   // The leaf that the report is about; null if the report must be ignored. Registers a leaf that is new, and
   // ends earlier incarnations on its node.
   Leaf* resolve_leaf(const wire::WorkerReport& report);
-  // True if the worker-agent process that sent the report is known to be alive. Otherwise the report may be a
-  // late one of a process that has ended, and must not end an incarnation of a leaf.
-  bool is_from_live_session(const wire::WorkerReport& report, const Leaf& leaf) const;
   void update_leaf(Leaf& leaf, const wire::WorkerReport& report);
   void update_revisions(Leaf& leaf, const wire::WorkerReport& report);
   // Orders those runs to stop that the draining leaf hasn't reported as running.
--- a/src/cluster/worker_agent/leaf_session.cpp
+++ b/src/cluster/worker_agent/leaf_session.cpp
@@ -118,15 +118,15 @@
     adopt_epoch(orders.epoch());
     result.report_needed = true;
   }
-  if (!leaf_ || deregistered_ || orders.leaf_id() != leaf_->leaf_id()) return result;
+  if (!leaf_ || orders.leaf_id() != leaf_->leaf_id()) return result;
   if (report.number > newest_answered_report_) {
     newest_answered_report_ = report.number;
     leader_busy_ = orders.busy();
   }
-  extend_lease(report, orders);
+  if (!deregistered_) extend_lease(report, orders);
   last_seen_ = std::max(last_seen_, orders.last_seen());
   pending_commands_.receive(orders, lists_);
-  if (leaf_->draining()) pending_commands_.withdraw_unsent_starts();
+  if (leaf_->draining() || deregistered_) pending_commands_.withdraw_unsent_starts();
   return result;
 }
 
--- a/tests/cluster/scheduler/scheduler_inspection_test.cpp
+++ b/tests/cluster/scheduler/scheduler_inspection_test.cpp
@@ -14,6 +14,7 @@
   TimePoint now{std::chrono::hours(1)};
   std::unique_ptr<Scheduler> scheduler;
   std::uint64_t report_number = 0;
+  std::uint64_t received_revision = 0;
 
   SchedulerWithOneLeaf() {
     SchedulerOptions options;
@@ -37,7 +38,8 @@
     REQUIRE(scheduler->submit(id, spec, terms, now, kWallClockStartMs).outcome == wire::JOB_OK);
   }
 
-  // Reports a leaf with capacity for two tasks, and plans.
+  // Reports a leaf with capacity for two tasks, and plans. The first report gets an answer, which the next
+  // ones confirm.
   void report() {
     wire::WorkerReport report;
     report.set_node_name("side-1");
@@ -45,6 +47,7 @@
     report.set_report_number(++report_number);
     report.set_heartbeats(report_number);
     report.set_epoch(2);
+    report.set_orders_received(received_revision);
     report.set_lists_included(true);
     wire::LeafDescription& leaf = *report.mutable_leaf();
     leaf.set_leaf_id("leaf-1");
@@ -52,6 +55,7 @@
     leaf.set_cpu(2000);
     leaf.set_mem_mb(4000);
     scheduler->report(report, now, kWallClockStartMs);
+    if (received_revision == 0) received_revision = scheduler->make_orders("leaf-1", now).revision();
     step();
   }
 
--- a/tests/cluster/worker_agent/leaf_session_test.cpp
+++ b/tests/cluster/worker_agent/leaf_session_test.cpp
@@ -153,6 +153,15 @@
   CHECK(late->starts() == 0);
 }
 
+TEST_CASE_METHOD(WorkerAgentFixture, "the worker-agent of a deregistered leaf confirms answers") {
+  complete_first_exchange();
+  agent->on_deregister("i-1", [](const LeafResponse&) {});
+  wire::WorkerOrders orders = orders_of(5);
+  orders.set_revision(9);
+  answer_report(orders);
+  CHECK(answer_report(orders_of(5)).orders_received() == 9);
+}
+
 TEST_CASE_METHOD(WorkerAgentFixture, "an idle leaf gets a longer retry pause than a busy one") {
   complete_first_exchange();
   const auto idle = heartbeat({});
