Count a leaf's heartbeats only once it has received a response of this process

What users saw: tasks ran twice at the same time, several on one leaf. Cause: a worker-agent told late heartbeats by sequence numbers and by the earlier leaves that it remembered, and a restart lost both. The first heartbeat that a new process received was taken for the present state of the leaf; one that had been on its way for longer than the leaf waits lacked the runs that the process before had started since. A late heartbeat of a leaf that had ended replaced the present leaf for good: all its runs were started again, and its own heartbeats were ignored. Change: handshake. The heartbeat of a leaf that the process does not know gets a response without lease and orders at once; the leaf is known with a heartbeat that it sent less than 0.9 s after that one by its own clock (clock_ms, which heartbeats always had). A leaf waits a second before it gives up a call, so it has received the response, and its lists show all that earlier processes ordered. It costs one heartbeat, some 50 ms, after each start of a worker-agent or leaf. Tests: the worker-agent's fixture introduces a leaf before its first heartbeat; the HTTP test checks the response to the first one, which had been deferred.

--- a/src/cluster/worker_agent/heartbeat_json.cpp
+++ b/src/cluster/worker_agent/heartbeat_json.cpp
@@ -49,6 +49,14 @@
   return invalid(field, value, "a number that is not negative");
 }
 
+leaf::result<std::optional<std::uint64_t>> read_optional_number(const json::object& object,
+                                                                const std::string& field) {
+  const json::value* const value = find_field(object, field);
+  if (value == nullptr) return std::nullopt;
+  BOOST_LEAF_AUTO(number, read_number(value, field));
+  return number;
+}
+
 // Like `read_number`, but replaces numbers beyond 32 bits by the largest 32-bit number.
 leaf::result<std::uint32_t> read_small_number(const json::value* value, const std::string& field) {
   BOOST_LEAF_AUTO(number, read_number(value, field));
@@ -212,9 +220,8 @@
   BOOST_LEAF_CHECK(read_labels(fields, heartbeat.leaf));
   BOOST_LEAF_ASSIGN(heartbeat.running, read_tasks<wire::RunningTask>(fields, "running", read_running));
   BOOST_LEAF_ASSIGN(heartbeat.finished, read_tasks<wire::FinishedTask>(fields, "finished", read_finished));
-  if (const json::value* const sequence = find_field(fields, "sequence")) {
-    BOOST_LEAF_ASSIGN(heartbeat.sequence, read_number(sequence, "sequence"));
-  }
+  BOOST_LEAF_ASSIGN(heartbeat.sequence, read_optional_number(fields, "sequence"));
+  BOOST_LEAF_ASSIGN(heartbeat.clock_ms, read_optional_number(fields, "clock_ms"));
   return heartbeat;
 }
 
--- a/src/cluster/worker_agent/heartbeat_json.hpp
+++ b/src/cluster/worker_agent/heartbeat_json.hpp
@@ -16,6 +16,7 @@
 struct Heartbeat {
   wire::LeafDescription leaf;
   std::optional<std::uint64_t> sequence;  // increases with every call of one incarnation of the leaf
+  std::optional<std::uint64_t> clock_ms;  // the leaf's steady clock when it sent the heartbeat
   std::vector<wire::RunningTask> running;
   std::vector<wire::FinishedTask> finished;
 };
--- /dev/null
+++ b/src/cluster/worker_agent/leaf_handshake.hpp
@@ -0,0 +1,42 @@
+// Tells a leaf that runs and receives this process's responses from late heartbeats.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "cluster/worker_agent/heartbeat_json.hpp"
+
+namespace winchhall::cluster {
+
+// Makes sure that the lists of a leaf that this process doesn't know yet are the present ones. A heartbeat
+// may arrive seconds late: since it was sent, an earlier process of the worker-agent may have given the leaf
+// orders, or the leaf may have ended. The process can't see that, as sequence numbers and earlier leaves are
+// lost with the process that knew them.
+//
+// Handshake: the leaf's heartbeat gets a response without lease and orders at once. The leaf is known with a
+// heartbeat that it sent shortly after the one that was responded to. A leaf sends one heartbeat at a time
+// and waits for longer than that before it gives up, so it has received the response, and the second
+// heartbeat shows all that earlier processes have ordered. Not thread-safe.
+class LeafHandshake {
+ public:
+  // Observes a heartbeat of a leaf that isn't known. Returns true if it completes the handshake; otherwise
+  // the heartbeat must be responded to at once.
+  bool observe(const Heartbeat& heartbeat, TimePoint now);
+
+ private:
+  // The newest heartbeat that was responded to.
+  struct Opening {
+    std::string leaf_id;
+    std::optional<std::uint64_t> sequence;
+    std::optional<std::uint64_t> leaf_clock_ms;
+    TimePoint received_at{};
+  };
+
+  // True if the leaf sent the heartbeat after it had received the response to the opening.
+  static bool is_prompt_successor(const Opening& opening, const Heartbeat& heartbeat, TimePoint now);
+
+  std::optional<Opening> opening_;
+};
+
+}  // namespace winchhall::cluster
--- a/src/cluster/worker_agent/leaf_session.cpp
+++ b/src/cluster/worker_agent/leaf_session.cpp
@@ -36,6 +36,8 @@
 
 HeartbeatOutcome LeafSession::process_heartbeat(Heartbeat heartbeat, TimePoint now) {
   if (is_stale(heartbeat)) return HeartbeatOutcome::stale;
+  if (!is_current_incarnation(heartbeat.leaf.leaf_id()) && !handshake_.observe(heartbeat, now))
+    return HeartbeatOutcome::unconfirmed;
   const bool description_changed = update_description(heartbeat);
   const std::uint64_t acknowledged_before = pending_commands_.acknowledged_revision();
   last_sequence_ = heartbeat.sequence.value_or(last_sequence_);
@@ -57,13 +59,12 @@
   const bool ended =
       std::find(ended_incarnations_.begin(), ended_incarnations_.end(), leaf_id) != ended_incarnations_.end();
   if (ended) return true;
-  const bool same_incarnation = leaf_ && leaf_->leaf_id() == leaf_id;
-  if (!same_incarnation) return false;
+  if (!is_current_incarnation(leaf_id)) return false;
   return deregistered_ || (heartbeat.sequence && *heartbeat.sequence <= last_sequence_);
 }
 
 bool LeafSession::update_description(const Heartbeat& heartbeat) {
-  const bool new_incarnation = !leaf_ || leaf_->leaf_id() != heartbeat.leaf.leaf_id();
+  const bool new_incarnation = !is_current_incarnation(heartbeat.leaf.leaf_id());
   if (new_incarnation) begin_incarnation(heartbeat.leaf.leaf_id());
   const bool changed = new_incarnation || has_urgent_change(*leaf_, heartbeat.leaf);
   leaf_ = heartbeat.leaf;
@@ -103,7 +104,7 @@
 }
 
 bool LeafSession::deregister(const std::string& leaf_id) {
-  if (!leaf_ || leaf_->leaf_id() != leaf_id) return false;
+  if (!is_current_incarnation(leaf_id)) return false;
   deregistered_ = true;
   pending_commands_.withdraw_unsent_starts();
   lease_expires_at_.reset();
@@ -174,6 +175,13 @@
   return std::min(remaining, max_lease_);
 }
 
+HeartbeatResponse LeafSession::make_unconfirmed_response() const {
+  HeartbeatResponse response;
+  response.fence_token = epoch_;
+  response.retry_after = kBusyRetry;
+  return response;
+}
+
 HeartbeatResponse LeafSession::make_response(TimePoint now, bool with_orders) {
   HeartbeatResponse response;
   response.lease = remaining_lease(now);
--- a/src/cluster/worker_agent/leaf_session.hpp
+++ b/src/cluster/worker_agent/leaf_session.hpp
@@ -9,6 +9,7 @@
 #include "cluster/common/runtime.hpp"
 #include "cluster/common/settings.hpp"
 #include "cluster/worker_agent/heartbeat_json.hpp"
+#include "cluster/worker_agent/leaf_handshake.hpp"
 #include "cluster/worker_agent/leaf_task_lists.hpp"
 #include "cluster/worker_agent/pending_command_table.hpp"
 
@@ -17,6 +18,7 @@
 // Result of the processing of a heartbeat.
 enum class HeartbeatOutcome {
   stale,          // ignored: of an ended incarnation, or not newer than the newest heartbeat
+  unconfirmed,    // of a leaf that has yet to show that it receives responses; to be responded to at once
   unchanged,      // accepted; the next periodic report is soon enough
   report_needed,  // accepted; the leader needs a report at once
 };
@@ -44,8 +46,9 @@
 // I/O: its input is heartbeats and the leader's answers, its output heartbeat responses and reports. Not
 // thread-safe.
 //
-// Incarnations: a leaf that restarts has another id. The session of the earlier incarnation is discarded, and
-// its late heartbeats are ignored.
+// Incarnations: a leaf that restarts has another id. Its session begins with its second heartbeat in quick
+// succession (see LeafHandshake). The session of the earlier incarnation is discarded, and its late
+// heartbeats are ignored.
 //
 // Epochs: a higher epoch is adopted at once, and the orders of older epochs are dropped. Reports continue to
 // name the older epoch until a heartbeat has shown the result of every order sent under it. A report that
@@ -61,6 +64,9 @@
 
   // Updates task lists, pending orders and epoch from a heartbeat, unless it is stale.
   HeartbeatOutcome process_heartbeat(Heartbeat heartbeat, TimePoint now);
+  // The response to an unconfirmed heartbeat: no lease and no orders, and the next heartbeat is to follow
+  // soon.
+  HeartbeatResponse make_unconfirmed_response() const;
   // Handles the leaf's announcement of its end: it gets no further starts and no lease. Returns false if
   // `leaf_id` isn't the current incarnation.
   bool deregister(const std::string& leaf_id);
@@ -90,6 +96,9 @@
 
  private:
   bool is_stale(const Heartbeat& heartbeat) const;
+  bool is_current_incarnation(const std::string& leaf_id) const {
+    return leaf_ && leaf_->leaf_id() == leaf_id;
+  }
   void begin_incarnation(const std::string& leaf_id);
   // Both return true if the leader must be told of the change at once.
   bool update_description(const Heartbeat& heartbeat);
@@ -111,6 +120,7 @@
   const Millis max_lease_;
   const bool orders_by_heartbeat_;
 
+  LeafHandshake handshake_;  // with a leaf that isn't the current incarnation
   std::optional<wire::LeafDescription> leaf_;
   std::deque<std::string> ended_incarnations_;  // leaf ids, oldest first
   std::string previous_leaf_id_;
--- a/src/cluster/worker_agent/worker_agent.cpp
+++ b/src/cluster/worker_agent/worker_agent.cpp
@@ -40,6 +40,8 @@
 void WorkerAgent::process_heartbeat(Heartbeat heartbeat, LeafReplyCallback reply) {
   const HeartbeatOutcome outcome = session_.process_heartbeat(std::move(heartbeat), runtime_.now());
   if (outcome == HeartbeatOutcome::stale) return reply(LeafResponse{200, "{}"});
+  if (outcome == HeartbeatOutcome::unconfirmed)
+    return reply(LeafResponse{200, heartbeat_response_json(session_.make_unconfirmed_response())});
   defer_response(std::move(reply));
   if (shutting_down_) return send_deferred_response();
   if (outcome == HeartbeatOutcome::report_needed) reporter_.report_now();
--- a/testbed/cluster/fake_leaf.cpp
+++ b/testbed/cluster/fake_leaf.cpp
@@ -121,6 +121,7 @@
   body["capacity"] = json::object{{"cpu", options_.cpu}, {"mem_mb", options_.mem_mb}, {"gpu", 0}};
   body["labels"] = json::array{"a", "r1-1"};
   body["sequence"] = ++sequence_;
+  body["clock_ms"] = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
   body["running"] = std::move(running);
   body["finished"] = std::move(finished);
   return json::serialize(body);
--- a/tests/cluster/worker_agent/heartbeat_json_test.cpp
+++ b/tests/cluster/worker_agent/heartbeat_json_test.cpp
@@ -37,6 +37,7 @@
   CHECK(heartbeat.leaf.gpu() == 2);
   CHECK(heartbeat.leaf.labels_size() == 2);
   CHECK(heartbeat.sequence == 4);
+  CHECK(heartbeat.clock_ms == 482113);
   REQUIRE(heartbeat.running.size() == 1);
   CHECK(heartbeat.running[0].percent() == 41);
   REQUIRE(heartbeat.finished.size() == 1);
@@ -58,6 +59,7 @@
   CHECK(rejected_field("i-1", R"({"backend":7})") == "backend");
   CHECK(rejected_field("i-1", R"({"slots":-1})") == "slots");
   CHECK(rejected_field("i-1", R"({"sequence":"4"})") == "sequence");
+  CHECK(rejected_field("i-1", R"({"clock_ms":"x"})") == "clock_ms");
   CHECK(rejected_field("i-1", R"({"capacity":[]})") == "capacity");
   CHECK(rejected_field("i-1", R"({"capacity":{"cpu":"a"}})") == "capacity.cpu");
   CHECK(rejected_field("i-1", R"({"running":{}})") == "running");
--- a/tests/cluster/worker_agent/late_heartbeat_test.cpp
+++ b/tests/cluster/worker_agent/late_heartbeat_test.cpp
@@ -45,11 +45,12 @@
 TEST_CASE_METHOD(WorkerAgentFixture,
                  "a heartbeat that was sent before the process started does not declare a later run ended") {
   start();
-  heartbeat(heartbeat_at(7, kLeafClockMs));  // late: the leaf has sent three more since, and started a task
+  lone_heartbeat(
+      heartbeat_at(7, kLeafClockMs));  // late: the leaf has sent three more since, and started a task
   CHECK_FALSE(declares_ended(exchange_reports(*this)));
-  heartbeat(heartbeat_at(11, kLeafClockMs + 3000).runs(kTask, 1));
+  lone_heartbeat(heartbeat_at(11, kLeafClockMs + 3000).runs(kTask, 1));
   runtime.advance(Millis(50));
-  heartbeat(heartbeat_at(12, kLeafClockMs + 3050).runs(kTask, 1));
+  lone_heartbeat(heartbeat_at(12, kLeafClockMs + 3050).runs(kTask, 1));
   const std::vector<wire::WorkerReport> reports = exchange_reports(*this);
   CHECK_FALSE(declares_ended(reports));
   REQUIRE_FALSE(reports.empty());
@@ -59,18 +60,18 @@
 
 TEST_CASE_METHOD(WorkerAgentFixture, "a late heartbeat of an ended leaf does not end the present one") {
   start();
-  heartbeat(heartbeat_at(7, kLeafClockMs));
+  lone_heartbeat(heartbeat_at(7, kLeafClockMs));
   runtime.advance(Millis(50));
-  heartbeat(heartbeat_at(8, kLeafClockMs + 50));
+  lone_heartbeat(heartbeat_at(8, kLeafClockMs + 50));
   exchange_reports(*this);
   ScriptedHeartbeat late = heartbeat_at(3, 90'000);
   late.leaf_id = "i-0";
-  heartbeat(late);
+  lone_heartbeat(late);
   for (const wire::WorkerReport& report : exchange_reports(*this)) {
     CHECK(report.leaf().leaf_id() == "i-1");
     CHECK(report.previous_leaf_id() != "i-1");
   }
-  const auto next = heartbeat(heartbeat_at(9, kLeafClockMs + 100));
+  const auto next = lone_heartbeat(heartbeat_at(9, kLeafClockMs + 100));
   runtime.advance(Millis(300));
   REQUIRE(next->answered);
   CHECK(next->has("hold_ms"));
--- a/tests/cluster/worker_agent/simulated_leaf.hpp
+++ b/tests/cluster/worker_agent/simulated_leaf.hpp
@@ -81,6 +81,7 @@
     boost::json::object body{{"backend", "core"},
                              {"state", draining_ ? "draining" : "ready"},
                              {"sequence", *heartbeat.sequence},
+                             {"clock_ms", runtime_.now().time_since_epoch() / Millis(1)},
                              {"running", heartbeat.running},
                              {"finished", heartbeat.finished}};
     awaiting_response_ = true;
--- a/tests/cluster/worker_agent/worker_fixture.hpp
+++ b/tests/cluster/worker_agent/worker_fixture.hpp
@@ -117,11 +117,20 @@
 
   // Starts the agent and lets it find the leader.
   void start() {
+    introduced_leaf_.clear();
     agent->start();
     answer_probe();
   }
 
+  // Sends a heartbeat. If the agent doesn't know the leaf, another one precedes it, which the agent responds
+  // to at once, so that this one counts.
   std::shared_ptr<ReceivedResponse> heartbeat(ScriptedHeartbeat heartbeat) {
+    if (std::exchange(introduced_leaf_, heartbeat.leaf_id) != heartbeat.leaf_id) introduce(heartbeat);
+    return lone_heartbeat(std::move(heartbeat));
+  }
+
+  // Sends a heartbeat, whether or not the agent knows the leaf.
+  std::shared_ptr<ReceivedResponse> lone_heartbeat(ScriptedHeartbeat heartbeat) {
     boost::json::object body{
         {"backend", "core"},
         {"state", heartbeat.state},
@@ -226,7 +235,17 @@
   std::unique_ptr<WorkerAgent> agent;
 
  private:
+  void introduce(const ScriptedHeartbeat& heartbeat) {
+    constexpr Millis kResponseTime{1};
+    ScriptedHeartbeat first;
+    first.leaf_id = heartbeat.leaf_id;
+    if (heartbeat.sequence) first.sequence = *heartbeat.sequence - 1;
+    lone_heartbeat(first);
+    runtime.advance(kResponseTime);
+  }
+
   std::uint64_t sequence_ = 0;
+  std::string introduced_leaf_;
 };
 
 }  // namespace winchhall::cluster::worker_test
--- a/tests/cluster/worker_agent/worker_http_server_test.cpp
+++ b/tests/cluster/worker_agent/worker_http_server_test.cpp
@@ -26,8 +26,11 @@
 
 TEST_CASE_METHOD(WorkerAgentFixture, "heartbeats and deregistrations reach the agent") {
   start();
+  CHECK(*call(*agent, http::verb::post, "/v1/Instances.Heartbeat/i-7",
+              R"({"backend":"core","sequence":1})") == 200);
+  CHECK_FALSE(agent->session().has_leaf());
   const auto heartbeat =
-      call(*agent, http::verb::post, "/v1/Instances.Heartbeat/i-7?x=1", R"({"backend":"core","sequence":1})");
+      call(*agent, http::verb::post, "/v1/Instances.Heartbeat/i-7?x=1", R"({"backend":"core","sequence":2})");
   CHECK(*heartbeat == 0);  // deferred
   runtime.advance(Millis(250));
   CHECK(*heartbeat == 200);
