Deliver heartbeats late in the soak, and let several clusters run at once

Cause: in the soak every heartbeat arrived at once or never, so that no process received one from before its start. Change: one heartbeat in fifty is delivered 1 to 5 s after it was sent, on a connection of its own, also to the next process of the worker-agent and after the leaf has ended; the leaf gives it up after a second. Each cluster of the testbed has internal ports of its own, so that soaks can run side by side.

--- a/testbed/cluster/fake_leaf.cpp
+++ b/testbed/cluster/fake_leaf.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <utility>
 
 namespace winchhall::testbed::cluster {
 
@@ -14,6 +15,7 @@
 constexpr milliseconds kHeartbeatDelayAfterEnd{50};
 constexpr milliseconds kPollInterval{5};
 constexpr milliseconds kCallTimeout{1000};
+constexpr milliseconds kMaxLateness{5000};  // of a late heartbeat
 constexpr std::int64_t kMaxPercent = 100;
 constexpr std::chrono::steady_clock::duration kTick{1};
 
@@ -53,25 +55,41 @@
 
 void FakeLeaf::run() {
   Clock::time_point next = Clock::now();
+  Clock::time_point waits_until = next;  // for the response to a heartbeat that is late
   while (!stopping_) {
     const Clock::time_point now = Clock::now();
     const std::size_t ended_before = ended_.size();
     end_due_tasks(now);
-    if (ended_.size() > ended_before) next = std::min(next, now + kHeartbeatDelayAfterEnd);
+    if (ended_.size() > ended_before)
+      next = std::max(waits_until, std::min(next, now + kHeartbeatDelayAfterEnd));
     if (now < next) {
       std::this_thread::sleep_for(kPollInterval);
       continue;
     }
-    HttpCall call;
-    call.address = options_.agent;
-    call.method = "POST";
-    call.target = "/v1/Instances.Heartbeat/" + options_.id;
-    call.body = heartbeat_body();
-    call.timeout = kCallTimeout;
+    HttpCall call = make_heartbeat_call();
+    if (draw_late()) {
+      options_.late_heartbeats->hold(std::move(call), random_time(kCallTimeout, kMaxLateness));
+      next = waits_until = now + kCallTimeout;
+      continue;
+    }
     next = Clock::now() + apply_heartbeat_response(testbed::cluster::send_http_call(call), now);
   }
 }
 
+HttpCall FakeLeaf::make_heartbeat_call() {
+  HttpCall call;
+  call.address = options_.agent;
+  call.method = "POST";
+  call.target = "/v1/Instances.Heartbeat/" + options_.id;
+  call.body = heartbeat_body();
+  call.timeout = kCallTimeout;
+  return call;
+}
+
+bool FakeLeaf::draw_late() {
+  return options_.late_heartbeats != nullptr && std::bernoulli_distribution(options_.late_share)(random_);
+}
+
 void FakeLeaf::end_due_tasks(Clock::time_point now) {
   std::vector<std::string> due;
   const bool lease_expired = now >= lease_expires_at_;
--- a/testbed/cluster/fake_leaf.hpp
+++ b/testbed/cluster/fake_leaf.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "testbed/cluster/http_call.hpp"
+#include "testbed/cluster/late_heartbeats.hpp"
 
 namespace winchhall::testbed::cluster {
 
@@ -28,6 +29,8 @@
   std::chrono::milliseconds max_task_time{0};  // above task_time: each task takes a random time up to this
   std::chrono::milliseconds max_stop_time{0};  // a stop takes a random time up to this
   std::uint64_t seed = 1;                      // of the random times
+  LateHeartbeats* late_heartbeats = nullptr;   // delivers some heartbeats late; must outlive the leaf
+  double late_share = 0;                       // fraction of the heartbeats that are late
 };
 
 // One run of a task that the leaf started.
@@ -77,6 +80,9 @@
   };
 
   void run();
+  HttpCall make_heartbeat_call();
+  // Whether the next heartbeat is late.
+  bool draw_late();
   void end_due_tasks(Clock::time_point now);
   void end_task(const std::string& task, const std::string& outcome, Clock::time_point now);
   std::string heartbeat_body();
--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "testbed/cluster/fake_leaf.hpp"
+#include "testbed/cluster/late_heartbeats.hpp"
 #include "testbed/cluster/local_cluster.hpp"
 #include "testbed/cluster/process_faults.hpp"
 #include "testbed/cluster/records_service.hpp"
@@ -28,6 +29,7 @@
 constexpr milliseconds kMinTaskTime{100};
 constexpr milliseconds kMaxTaskTime{6000};
 constexpr milliseconds kMaxStopTime{300};
+constexpr double kLateHeartbeats = 0.02;  // fraction of all heartbeats
 
 // The current leaf of one worker-agent, and the number of leaves that it has had.
 struct LeafSlot {
@@ -88,6 +90,8 @@
     options.max_task_time = kMaxTaskTime;
     options.max_stop_time = kMaxStopTime;
     options.seed = random_();
+    options.late_heartbeats = &late_heartbeats_;
+    options.late_share = kLateHeartbeats;
     slot.leaf = std::make_unique<FakeLeaf>(options);
   }
 
@@ -192,9 +196,10 @@
   void report(const ProcessFaults& processes, const SoakClients& clients) {
     std::size_t runs = 0;
     for (const LeafHistory& history : histories_) runs += history.starts.size();
-    std::printf("seed %llu: %zu jobs, %zu runs, configuration %llu; lost leaves %u",
+    std::printf("seed %llu: %zu jobs, %zu runs, configuration %llu; lost leaves %u, late heartbeats %u",
                 static_cast<unsigned long long>(options_.seed), clients.accepted_jobs().size(), runs,
-                static_cast<unsigned long long>(clients.acknowledged_change().version), lost_leaves_);
+                static_cast<unsigned long long>(clients.acknowledged_change().version), lost_leaves_,
+                late_heartbeats_.delivered());
     for (const auto& [kind, count] : processes.counts()) std::printf(", %s %u", kind.c_str(), count);
     std::printf("; faults found: %zu\n", faults_.size());
     for (const std::string& fault : faults_) std::printf("FAULT: %s\n", fault.c_str());
@@ -204,6 +209,7 @@
   const FaultSoakOptions options_;
   std::mt19937_64 random_;
   LocalCluster cluster_;
+  LateHeartbeats late_heartbeats_;
   std::vector<LeafSlot> slots_;
   std::vector<LeafHistory> histories_;  // of the lost leaves; at the end, of all leaves
   unsigned lost_leaves_ = 0;
--- a/testbed/cluster/local_cluster.cpp
+++ b/testbed/cluster/local_cluster.cpp
@@ -18,6 +18,9 @@
 constexpr unsigned kControlPort = 8144;
 constexpr unsigned kFrontPort = 8149;
 constexpr unsigned kReadyPort = 8141;
+// Internal ports of the first network. Each network has its own, as agents listen on 127.0.0.1 as well.
+constexpr unsigned kFirstInternalPort = 9000;
+constexpr unsigned kInternalPorts = 16;
 constexpr unsigned kFirstEdge = 20;
 constexpr unsigned kFirstWorker = 30;
 constexpr const char* kSettingsVariable = "WINCHHALL_NODE_FILE";
@@ -69,9 +72,11 @@
 }
 
 std::string LocalCluster::settings_text(const LocalProcess& process) const {
+  const unsigned first_port = kFirstInternalPort + network_ * kInternalPorts;
   std::ostringstream text;
   text << "node_name = \"" << process.name << "\"\nrole = \"" << process.command << "\"\nip = \""
-       << process.ip << "\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [7380,7395]\nseeds = [";
+       << process.ip << "\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [" << first_port << ','
+       << first_port + kInternalPorts - 1 << "]\nseeds = [";
   for (unsigned i = 0; i < control_nodes_; ++i) text << (i ? "," : "") << '"' << control_address(i) << '"';
   text << "]\nbootstrap = " << (first_start_ ? "true" : "false")
        << "\ncounts_for_quorum = " << (process.control ? "true" : "false") << "\nheartbeat_ms = 1500\n";
