--- a/src/cluster/scheduler/run_loss_history.hpp
+++ b/src/cluster/scheduler/run_loss_history.hpp
@@ -31,7 +31,7 @@
   void add(LostRun lost) {
     ++counts_[static_cast<std::size_t>(lost.reason)];
     latest_.push_back(std::move(lost));
-    if (latest_.size() > kMaxKept) latest_.pop_front();
+    if (latest_.size() > kMaxRetained) latest_.pop_front();
   }
   // The latest loss of this run; null if none is kept.
   const LostRun* find(std::string_view task, RunNumber run) const {
@@ -44,7 +44,7 @@
   const std::array<std::uint64_t, kRunLossReasonCount>& counts() const { return counts_; }
 
  private:
-  static constexpr std::size_t kMaxKept = 1000;
+  static constexpr std::size_t kMaxRetained = 1000;
 
   std::deque<LostRun> latest_;  // newest last
   std::array<std::uint64_t, kRunLossReasonCount> counts_ = {};
--- a/testbed/cluster/fake_leaf.cpp
+++ b/testbed/cluster/fake_leaf.cpp
@@ -68,7 +68,7 @@
     }
     HttpCall call = make_heartbeat_call();
     if (draw_late()) {
-      options_.late_heartbeats->hold(std::move(call), random_time(kCallTimeout, kMaxLateness));
+      options_.late_heartbeats->deliver_later(std::move(call), random_time(kCallTimeout, kMaxLateness));
       next = waits_until = now + kCallTimeout;
       continue;
     }
--- a/testbed/cluster/late_heartbeats.cpp
+++ b/testbed/cluster/late_heartbeats.cpp
@@ -22,11 +22,11 @@
   thread_.join();
 }
 
-void LateHeartbeats::hold(HttpCall call, std::chrono::milliseconds delay) {
+void LateHeartbeats::deliver_later(HttpCall call, std::chrono::milliseconds delay) {
   call.timeout = kDeliveryTimeout;
   {
     const std::lock_guard lock(mutex_);
-    held_.emplace(Clock::now() + delay, std::move(call));
+    pending_.emplace(Clock::now() + delay, std::move(call));
   }
   changed_.notify_all();
 }
@@ -39,17 +39,17 @@
 void LateHeartbeats::run() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    if (held_.empty()) {
+    if (pending_.empty()) {
       changed_.wait(lock);
       continue;
     }
-    const auto next = held_.begin();
+    const auto next = pending_.begin();
     if (Clock::now() < next->first) {
       changed_.wait_until(lock, next->first);
       continue;
     }
     const HttpCall call = std::move(next->second);
-    held_.erase(next);
+    pending_.erase(next);
     ++delivered_;
     lock.unlock();
     send_http_call(call);
--- a/testbed/cluster/late_heartbeats.hpp
+++ b/testbed/cluster/late_heartbeats.hpp
@@ -13,7 +13,7 @@
 
 // Delivers heartbeats late, each on a connection of its own, also if their leaf has ended meanwhile or the
 // worker-agent has been replaced by another process. The responses are dropped, as the leaf has given up on
-// these calls. Runs a thread of its own; `hold` is thread-safe.
+// these calls. Runs a thread of its own; `deliver_later` is thread-safe.
 class LateHeartbeats {
  public:
   LateHeartbeats();
@@ -23,7 +23,7 @@
   LateHeartbeats& operator=(const LateHeartbeats&) = delete;
 
   // Delivers the call after this time.
-  void hold(HttpCall call, std::chrono::milliseconds delay);
+  void deliver_later(HttpCall call, std::chrono::milliseconds delay);
   // Number of calls delivered so far.
   unsigned delivered() const;
 
@@ -34,7 +34,7 @@
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
-  std::multimap<Clock::time_point, HttpCall> held_;  // by the time of delivery
+  std::multimap<Clock::time_point, HttpCall> pending_;  // by the time of delivery
   unsigned delivered_ = 0;
   bool stopping_ = false;
   std::thread thread_;
--- a/tests/cluster/control/service_cluster.hpp
+++ b/tests/cluster/control/service_cluster.hpp
@@ -102,7 +102,7 @@
     node(machine).lose_disk();
   }
   // Cuts a machine from all control nodes.
-  void cut_from_control(std::size_t machine, Ms duration) {
+  void partition_from_control(std::size_t machine, Ms duration) {
     for (std::size_t control = 0; control < options_.control_nodes; ++control)
       if (control != machine) simulation_.cut_both(machine, control);
     simulation_.in(Millis(duration), [this, machine] {
@@ -308,8 +308,8 @@
         });
       }));
     });
-    constexpr std::size_t kMaxKeptDeliveries = 2000;
-    if (deliveries_.size() > kMaxKeptDeliveries) deliveries_.pop_front();
+    constexpr std::size_t kMaxPendingDeliveries = 2000;
+    if (deliveries_.size() > kMaxPendingDeliveries) deliveries_.pop_front();
   }
 
   static std::uint64_t number_in(const boost::json::object& object, const char* field) {
--- a/tests/cluster/control/service_cluster_test.cpp
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -65,11 +65,11 @@
 }
 
 // Cuts every third worker machine from the control nodes, as if they were in one zone.
-void cut_zone(ServiceCluster& cluster) {
+void partition_zone(ServiceCluster& cluster) {
   constexpr std::size_t kZones = 3;
   const std::size_t zone = random_worker(cluster) % kZones;
   for (std::size_t worker = zone; worker < cluster.workers(); worker += kZones)
-    cluster.cut_from_control(cluster.worker_machine(worker), cluster.between(400, 14000));
+    cluster.partition_from_control(cluster.worker_machine(worker), cluster.between(400, 14000));
 }
 
 void lose_leaf(ServiceCluster& cluster) {
@@ -92,9 +92,9 @@
     case 4:
       return cluster.node(worker).freeze_for(Millis(cluster.between(50, 3000)));
     case 5:
-      return cluster.cut_from_control(control, cluster.between(300, 4000));
+      return cluster.partition_from_control(control, cluster.between(300, 4000));
     case 6:
-      return cut_zone(cluster);
+      return partition_zone(cluster);
     case 7:
       return lose_leaf(cluster);
     case 8:
--- a/tests/cluster/scheduler/late_report_test.cpp
+++ b/tests/cluster/scheduler/late_report_test.cpp
@@ -40,43 +40,43 @@
   }
 };
 
-TEST_CASE("a late report of an ended worker-agent process does not start a running task again") {
+// A job whose only task was ordered by way of the present process, and a report of the process before it that
+// has not arrived yet.
+struct RestartedAgent {
   SchedulerHarness harness;
   AgentProcess earlier{harness, 1};
-  for (int i = 0; i < 3; ++i) earlier.exchange({});
-  earlier.number += kLostReports;
-  const wire::WorkerReport late = earlier.make_report({});
   AgentProcess present{harness, 2};
-  for (int i = 0; i < 3; ++i) present.exchange({});
-  harness.submit("job", single_stage_job(1));
-  harness.make_durable_and_plan();
-  const wire::WorkerOrders ordered = present.exchange({});
-  REQUIRE(ordered.starts_size() == 1);
-  const std::vector<wire::StartOrder> running(ordered.starts().begin(), ordered.starts().end());
-  present.exchange(running);
+  wire::WorkerReport late;
+  std::vector<wire::StartOrder> starts;
 
+  RestartedAgent() {
+    for (int i = 0; i < 3; ++i) earlier.exchange({});
+    earlier.number += kLostReports;
+    late = earlier.make_report({});
+    for (int i = 0; i < 3; ++i) present.exchange({});
+    harness.submit("job", single_stage_job(1));
+    harness.make_durable_and_plan();
+    const wire::WorkerOrders ordered = present.exchange({});
+    starts.assign(ordered.starts().begin(), ordered.starts().end());
+  }
+};
+
+TEST_CASE_METHOD(RestartedAgent,
+                 "a late report of an ended worker-agent process does not start a running task again") {
+  REQUIRE(starts.size() == 1);
+  present.exchange(starts);
   present.send(late);
   CHECK(harness.scheduler->stats().counters.tasks_started == 1);
-  CHECK(present.exchange(running).starts_size() == 0);
+  CHECK(present.exchange(starts).starts_size() == 0);
   CHECK(harness.scheduler->stats().runs == 1);
 }
 
-TEST_CASE("reports of the present worker-agent process count after a late one of an ended process") {
-  SchedulerHarness harness;
-  AgentProcess earlier{harness, 1};
-  for (int i = 0; i < 3; ++i) earlier.exchange({});
-  earlier.number += kLostReports;
-  const wire::WorkerReport late = earlier.make_report({});
-  AgentProcess present{harness, 2};
-  for (int i = 0; i < 3; ++i) present.exchange({});
-  harness.submit("job", single_stage_job(1));
-  harness.make_durable_and_plan();
-  const wire::WorkerOrders ordered = present.exchange({});
-  REQUIRE(ordered.starts_size() == 1);
-
+TEST_CASE_METHOD(RestartedAgent,
+                 "reports of the present worker-agent process count after a late one of an ended process") {
+  REQUIRE(starts.size() == 1);
   present.send(late);
   wire::WorkerReport done = present.make_report({});
-  add_end(done, 1, ordered.starts(0), wire::END_DONE);
+  add_end(done, 1, starts[0], wire::END_DONE);
   present.send(done);
   CHECK(harness.scheduler->state("job") == wire::JOB_COMPLETED);
 }
