Wait for the lease of a leaf that a leader finds without a record

What users would see: a task that runs twice for the rest of a lease. Nobody has seen it. Cause: a leaf that a leader learns of by a report alone had no lease time, so it was found expired at the next check if its newest heartbeat was older than 3 s, whatever an earlier leader had granted it. No course was found that leaves runs on a leaf without a record, so this closes a gap that was read in the sources and is not the incident's cause. Change: the lease is counted from the newest heartbeat, as a lease is only granted in the answer to one. A leaf that has been silent for longer than a lease is found expired at once, as before.

--- a/src/cluster/scheduler/worker_report_handler.cpp
+++ b/src/cluster/scheduler/worker_report_handler.cpp
@@ -81,6 +81,8 @@
   if (leaf != nullptr) return leaf;
   Leaf& added = state_.leaves.add(id, report.node_name());
   added.issued_revision = state_.last_revision;
+  // An earlier leader may have granted a lease in the answer to the newest heartbeat.
+  added.lease_expires_at = state_.now + state_.max_lease_duration() - Millis(report.heartbeat_age_ms());
   return &added;
 }
 
