Let no leaf ignore the handshake, and answer an unconfirmed session promptly only once

Cause: the response to the first heartbeat had no fencing token until a report had been answered. Change: the response carries the epoch of the leader that control nodes name, and waits for it up to 0.6 s; a leaf that ignores the responses all the same is known after 5 s. Read while looking for the cause: every unconfirmed report of a session was answered at once with a request for lists, so that a worker-agent whose leaf was lost with orders in flight, and which therefore can't name the new epoch, would have reported every few milliseconds; only the first one is answered at once now, the others with the usual long poll. Tests: two cases in late_heartbeat_test, one in leaf_handshake_test; the simulated leaves of the whole-cluster simulation ignore a response with a lower token. The worker-agent's property test named the leader's epoch as 1000000, which no control node does; it names the present leader's.

--- a/src/cluster/scheduler/leaf_registry.hpp
+++ b/src/cluster/scheduler/leaf_registry.hpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,11 @@
   Leaf* find(const std::string& id) const;
   // Destroys the leaf; its runs must have been removed.
   void erase(const std::string& id);
+  // Notes that a leaf that isn't registered was reported and that the report should be answered at once.
+  void announce(const std::string& id) { announced_.insert(id); }
+  // True from `announce` until `on_answered`.
+  bool is_announced(const std::string& id) const { return announced_.contains(id); }
+  void on_answered(const std::string& id) { announced_.erase(id); }
   // Returns the node of this name; creates it if it isn't known.
   Node& node(const std::string& name) { return nodes_[name]; }
   // In the order of registration.
@@ -38,6 +44,7 @@
  private:
   Leaves leaves_;
   std::unordered_map<std::string, Leaf*> by_id_;
+  std::set<std::string> announced_;              // IDs
   std::unordered_map<std::string, Node> nodes_;  // by name
 };
 
--- a/src/cluster/scheduler/order_responder.cpp
+++ b/src/cluster/scheduler/order_responder.cpp
@@ -22,6 +22,7 @@
   orders.set_epoch(state_.epoch);
   orders.set_leaf_id(leaf_id);
   orders.set_busy(!state_.queue.empty() || state_.now - state_.last_start_at < kBusyAfterStart);
+  state_.leaves.on_answered(leaf_id);
   Leaf* leaf = state_.leaves.find(leaf_id);
   if (leaf == nullptr) {
     orders.set_revision(state_.last_revision);
@@ -59,7 +60,7 @@
 
 bool OrderResponder::has_undelivered_orders(const std::string& leaf_id) const {
   const Leaf* leaf = state_.leaves.find(leaf_id);
-  if (leaf == nullptr) return true;
+  if (leaf == nullptr) return state_.leaves.is_announced(leaf_id);
   return has_order_above(leaf->pending_starts, leaf->delivered_revision) ||
          has_order_above(leaf->pending_stops, leaf->delivered_revision) ||
          leaf->acknowledged_end > leaf->delivered_acknowledged_end || leaf->lists_requested ||
--- a/src/cluster/scheduler/worker_report_handler.cpp
+++ b/src/cluster/scheduler/worker_report_handler.cpp
@@ -21,9 +21,7 @@
 
 void WorkerReportHandler::handle(const wire::WorkerReport& report) {
   ++state_.counters.reports;
-  const ReportStatus status = classify(report);
-  if (status == ReportStatus::unconfirmed) request_confirmation(report);
-  if (status != ReportStatus::current) return;
+  if (classify(report) != ReportStatus::current) return;
   end_previous_incarnation(report);
   Leaf* leaf = resolve_leaf(report);
   if (leaf == nullptr) return;
@@ -41,15 +39,20 @@
   const Revision received = report.epoch() == state_.epoch ? report.orders_received() : 0;
   const Revision next = state_.last_revision + 1;
   const ReportStatus status = sessions.observe({report.session(), report.report_number(), received}, next);
-  if (sessions.challenge(report.session()) == next) state_.last_revision = next;
+  if (status != ReportStatus::unconfirmed) return status;
+  const Revision challenge = sessions.challenge(report.session());
+  Leaf* leaf = state_.leaves.find(report.leaf().leaf_id());
+  if (leaf != nullptr) leaf->issued_revision = std::max(leaf->issued_revision, challenge);
+  if (challenge == next) request_confirmation(report, leaf);
   return status;
 }
 
-void WorkerReportHandler::request_confirmation(const wire::WorkerReport& report) {
-  Leaf* leaf = state_.leaves.find(report.leaf().leaf_id());
-  if (leaf == nullptr || leaf->node != report.node_name()) return;
-  const Revision challenge = state_.leaves.node(leaf->node).sessions.challenge(report.session());
-  leaf->issued_revision = std::max(leaf->issued_revision, challenge);
+void WorkerReportHandler::request_confirmation(const wire::WorkerReport& report, Leaf* leaf) {
+  ++state_.last_revision;
+  if (leaf == nullptr) {
+    state_.leaves.announce(report.leaf().leaf_id());
+    return;
+  }
   // If the process is a new one, it has received no orders, and this leader has none of its lists.
   leaf->delivered_revision = 0;
   leaf->received_revision = 0;
--- a/src/cluster/scheduler/worker_report_handler.hpp
+++ b/src/cluster/scheduler/worker_report_handler.hpp
@@ -21,9 +21,11 @@
   void on_changes_durable();
 
  private:
+  // See WorkerSessionTracker. The answers to an unconfirmed report challenge its session, the first one at
+  // once.
   ReportStatus classify(const wire::WorkerReport& report);
-  // Makes the next answer challenge the report's session; see WorkerSessionTracker.
-  void request_confirmation(const wire::WorkerReport& report);
+  // `leaf`: the leaf that the report is about; null: it isn't registered.
+  void request_confirmation(const wire::WorkerReport& report, Leaf* leaf);
   void end_previous_incarnation(const wire::WorkerReport& report);
   // The leaf that the report is about; null if the report must be ignored. Registers a leaf that is new, and
   // ends earlier incarnations on its node.
--- a/src/cluster/worker_agent/leader_reporter.cpp
+++ b/src/cluster/worker_agent/leader_reporter.cpp
@@ -17,12 +17,12 @@
 }  // namespace
 
 LeaderReporter::LeaderReporter(Runtime& runtime, const NodeSettings& settings, LeafSession& session,
-                               std::function<void()> on_orders_accepted)
+                               std::function<void()> on_session_changed)
     : runtime_(runtime),
       settings_(settings),
       session_(session),
-      on_orders_accepted_(std::move(on_orders_accepted)),
-      finder_(runtime, settings, [this](const FoundLeader& leader) { switch_to(leader.address); }),
+      on_session_changed_(std::move(on_session_changed)),
+      finder_(runtime, settings, [this](const FoundLeader& leader) { on_leader_found(leader); }),
       alive_(std::make_shared<bool>(true)) {}
 
 LeaderReporter::~LeaderReporter() { *alive_ = false; }
@@ -119,7 +119,7 @@
   if (processed.outcome != OrdersOutcome::accepted) return on_orders_refused(in_flight, orders);
   if (is_at_target(in_flight)) record_leader_response(in_flight, orders);
   if (processed.report_needed) has_unsent_changes_ = true;
-  on_orders_accepted_();
+  on_session_changed_();
 }
 
 void LeaderReporter::record_leader_response(const ReportInFlight& in_flight,
@@ -151,6 +151,12 @@
   search();
 }
 
+void LeaderReporter::on_leader_found(const FoundLeader& leader) {
+  session_.observe_epoch(leader.epoch);
+  switch_to(leader.address);
+  on_session_changed_();
+}
+
 void LeaderReporter::switch_to(const Address& leader) {
   if (stopped_) return;
   const bool changed = leader != target_;
--- a/src/cluster/worker_agent/leader_reporter.hpp
+++ b/src/cluster/worker_agent/leader_reporter.hpp
@@ -23,14 +23,17 @@
 // are recognized. Not thread-safe; calls back on the runtime's thread.
 class LeaderReporter {
  public:
-  // Reports are made from `session`, which also processes the orders; `on_orders_accepted` is called each
-  // time that it has accepted an answer. All references must outlive the reporter.
+  // Reports are made from `session`, which also processes the orders; `on_session_changed` is called each
+  // time that it has accepted an answer or observed the epoch of a leader. All references must outlive the
+  // reporter.
   LeaderReporter(Runtime& runtime, const NodeSettings& settings, LeafSession& session,
-                 std::function<void()> on_orders_accepted);
+                 std::function<void()> on_session_changed);
   ~LeaderReporter();
 
   // Starts the search for the leader. No report is sent before the first heartbeat.
   void start();
+  // Searches for the leader if it isn't being searched for.
+  void search();
   // Sends a report as soon as the bounds allow. Called after a change that the leader must know.
   void report_now();
   // Stops reports and search. Late answers are ignored.
@@ -65,14 +68,14 @@
   void record_leader_response(const ReportInFlight& in_flight, const wire::WorkerOrders& orders);
   // Sends all further reports to `leader`.
   void switch_to(const Address& leader);
-  void search();
+  void on_leader_found(const FoundLeader& leader);
   // Searches for another leader if the present one does not respond in time. Reschedules itself.
   void check_response_timeout();
 
   Runtime& runtime_;
   const NodeSettings& settings_;
   LeafSession& session_;
-  const std::function<void()> on_orders_accepted_;
+  const std::function<void()> on_session_changed_;
   LeaderFinder finder_;
   bool stopped_ = true;
 
--- a/src/cluster/worker_agent/leaf_handshake.hpp
+++ b/src/cluster/worker_agent/leaf_handshake.hpp
@@ -17,7 +17,9 @@
 // Handshake: the leaf's heartbeat gets a response without lease and orders at once. The leaf is known with a
 // heartbeat that it sent shortly after the one that was responded to. A leaf sends one heartbeat at a time
 // and waits for longer than that before it gives up, so it has received the response, and the second
-// heartbeat shows all that earlier processes have ordered. Not thread-safe.
+// heartbeat shows all that earlier processes have ordered. A leaf that ignores the responses, because their
+// fencing token is too low, is known once it has sent heartbeats for longer than any of them is late. Not
+// thread-safe.
 class LeafHandshake {
  public:
   // Observes a heartbeat of a leaf that isn't known. Returns true if it completes the handshake; otherwise
@@ -31,10 +33,12 @@
     std::optional<std::uint64_t> sequence;
     std::optional<std::uint64_t> leaf_clock_ms;
     TimePoint received_at{};
+    TimePoint first_received_at{};  // of the heartbeats of this leaf in a row
   };
 
-  // True if the leaf sent the heartbeat after it had received the response to the opening.
-  static bool is_prompt_successor(const Opening& opening, const Heartbeat& heartbeat, TimePoint now);
+  static bool is_successor(const Opening& opening, const Heartbeat& heartbeat);
+  // True if the leaf sent this successor after it had received the response to the opening.
+  static bool is_prompt(const Opening& opening, const Heartbeat& heartbeat, TimePoint now);
 
   std::optional<Opening> opening_;
 };
--- a/src/cluster/worker_agent/leaf_session.cpp
+++ b/src/cluster/worker_agent/leaf_session.cpp
@@ -177,7 +177,7 @@
 
 HeartbeatResponse LeafSession::make_unconfirmed_response() const {
   HeartbeatResponse response;
-  response.fence_token = epoch_;
+  response.fence_token = std::max(named_epoch_, epoch_);
   response.retry_after = kBusyRetry;
   return response;
 }
--- a/src/cluster/worker_agent/leaf_session.hpp
+++ b/src/cluster/worker_agent/leaf_session.hpp
@@ -1,6 +1,7 @@
 // The worker-agent's state machine between its leaf and the leader of the leaf's service.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -65,8 +66,12 @@
   // Updates task lists, pending orders and epoch from a heartbeat, unless it is stale.
   HeartbeatOutcome process_heartbeat(Heartbeat heartbeat, TimePoint now);
   // The response to an unconfirmed heartbeat: no lease and no orders, and the next heartbeat is to follow
-  // soon.
+  // soon. A leaf ignores it if an earlier process has given it a higher fencing token.
   HeartbeatResponse make_unconfirmed_response() const;
+  // Notes the epoch of a leader that a control node has named, as fencing token for unconfirmed heartbeats.
+  void observe_epoch(std::uint64_t epoch) { named_epoch_ = std::max(named_epoch_, epoch); }
+  // Returns true if the epoch of any leader is known.
+  bool knows_epoch() const { return std::max(named_epoch_, epoch_) > 0; }
   // Handles the leaf's announcement of its end: it gets no further starts and no lease. Returns false if
   // `leaf_id` isn't the current incarnation.
   bool deregister(const std::string& leaf_id);
@@ -134,6 +139,7 @@
   TimePoint lists_versioned_at_{};
 
   PendingCommandTable pending_commands_;
+  std::uint64_t named_epoch_ = 0;             // highest that a control node has named
   std::uint64_t epoch_ = 0;                   // highest seen
   std::uint64_t reported_epoch_ = 0;          // named by reports
   bool orders_in_flight_ = false;             // sent, and no heartbeat has come since
--- a/src/cluster/worker_agent/worker_agent.cpp
+++ b/src/cluster/worker_agent/worker_agent.cpp
@@ -12,6 +12,9 @@
 // A leaf drops a response that arrives after its timeout, so a response later than this carries no orders.
 constexpr Millis kMaxDelayWithOrders{700};
 constexpr Millis kShutdownFlushTime{100};
+// How long the response to an unconfirmed heartbeat waits for the epoch of a leader. Together with the pause
+// before the next heartbeat it stays below the gap that LeafHandshake allows.
+constexpr Millis kMaxUnconfirmedDelay{600};
 
 LeafResponse error_response(const InvalidInput& error) { return LeafResponse{400, error_json(error)}; }
 
@@ -40,8 +43,7 @@
 void WorkerAgent::process_heartbeat(Heartbeat heartbeat, LeafReplyCallback reply) {
   const HeartbeatOutcome outcome = session_.process_heartbeat(std::move(heartbeat), runtime_.now());
   if (outcome == HeartbeatOutcome::stale) return reply(LeafResponse{200, "{}"});
-  if (outcome == HeartbeatOutcome::unconfirmed)
-    return reply(LeafResponse{200, heartbeat_response_json(session_.make_unconfirmed_response())});
+  if (outcome == HeartbeatOutcome::unconfirmed) return respond_to_unconfirmed(std::move(reply));
   defer_response(std::move(reply));
   if (shutting_down_) return send_deferred_response();
   if (outcome == HeartbeatOutcome::report_needed) reporter_.report_now();
@@ -57,7 +59,21 @@
   response_delay_timer_ = runtime_.after(delay, [this] { send_deferred_response(); });
 }
 
+void WorkerAgent::respond_to_unconfirmed(LeafReplyCallback reply) {
+  unconfirmed_reply_ = std::move(reply);
+  if (session_.knows_epoch() || shutting_down_) return send_unconfirmed_response();
+  unconfirmed_timer_ = runtime_.after(kMaxUnconfirmedDelay, [this] { send_unconfirmed_response(); });
+  reporter_.search();
+}
+
+void WorkerAgent::send_unconfirmed_response() {
+  unconfirmed_timer_.reset();
+  const LeafReplyCallback reply = std::exchange(unconfirmed_reply_, nullptr);
+  reply(LeafResponse{200, heartbeat_response_json(session_.make_unconfirmed_response())});
+}
+
 void WorkerAgent::respond_if_urgent() {
+  if (unconfirmed_reply_ && session_.knows_epoch()) send_unconfirmed_response();
   if (deferred_reply_ && session_.needs_prompt_response(runtime_.now())) send_deferred_response();
 }
 
@@ -78,6 +94,7 @@
 
 void WorkerAgent::shut_down(std::function<void()> done) {
   shutting_down_ = true;
+  if (unconfirmed_reply_) send_unconfirmed_response();
   send_deferred_response();
   reporter_.stop();
   shutdown_timer_ = runtime_.after(kShutdownFlushTime, std::move(done));
--- a/src/cluster/worker_agent/worker_agent.hpp
+++ b/src/cluster/worker_agent/worker_agent.hpp
@@ -52,6 +52,9 @@
  private:
   void process_heartbeat(Heartbeat heartbeat, LeafReplyCallback reply);
   void defer_response(LeafReplyCallback reply);
+  // Responds to a heartbeat of a leaf that isn't known yet, as soon as the epoch of a leader is known.
+  void respond_to_unconfirmed(LeafReplyCallback reply);
+  void send_unconfirmed_response();
   void respond_if_urgent();
   void send_deferred_response();
 
@@ -61,6 +64,8 @@
   LeafReplyCallback deferred_reply_;  // to the newest heartbeat; empty once it was sent
   TimePoint deferred_at_{};
   std::unique_ptr<Timer> response_delay_timer_;
+  LeafReplyCallback unconfirmed_reply_;  // to the newest unconfirmed heartbeat; empty once it was sent
+  std::unique_ptr<Timer> unconfirmed_timer_;
   bool shutting_down_ = false;
   std::unique_ptr<Timer> shutdown_timer_;
 };
--- a/tests/cluster/control/service_cluster.hpp
+++ b/tests/cluster/control/service_cluster.hpp
@@ -325,6 +325,10 @@
     slot.next_at = now() + static_cast<Ms>(number_in(body, "retry_after_ms"));
     wire::WorkerOrders orders;
     orders.set_epoch(number_in(body, "fence_token"));
+    if (orders.epoch() < slot.leaf->fencing_epoch) {  // the leaf ignores the response
+      slot.next_at = now() + between(1300, 1600);
+      return;
+    }
     orders.set_last_seen(number_in(body, "last_seen"));
     if (body.contains("started_at")) {
       for (const boost::json::value& entry : body.at("started_at").as_array()) {
--- a/tests/cluster/worker_agent/late_heartbeat_test.cpp
+++ b/tests/cluster/worker_agent/late_heartbeat_test.cpp
@@ -76,3 +76,30 @@
   REQUIRE(next->answered);
   CHECK(next->has("hold_ms"));
 }
+
+TEST_CASE_METHOD(WorkerAgentFixture,
+                 "a leaf that has seen a leader's epoch does not ignore the first response") {
+  start();
+  const auto first = lone_heartbeat({});
+  REQUIRE(first->answered);
+  CHECK(first->number("fence_token") == 5);
+  CHECK(first->number("retry_after_ms") > 0);
+  CHECK_FALSE(first->has("hold_ms"));
+}
+
+TEST_CASE_METHOD(WorkerAgentFixture, "the first response waits for the epoch of a leader, but not for long") {
+  agent->start();
+  const auto first = lone_heartbeat({});
+  runtime.advance(Millis(300));
+  CHECK_FALSE(first->answered);
+  answer_probe();
+  REQUIRE(first->answered);
+  CHECK(first->number("fence_token") == 5);
+
+  agent = std::make_unique<WorkerAgent>(runtime, settings);
+  runtime.calls.clear();
+  agent->start();
+  const auto unnamed = lone_heartbeat({});
+  runtime.advance(Millis(700));
+  CHECK(unnamed->answered);
+}
--- a/tests/cluster/worker_agent/leaf_handshake_test.cpp
+++ b/tests/cluster/worker_agent/leaf_handshake_test.cpp
@@ -50,6 +50,14 @@
   CHECK_FALSE(handshake.observe(heartbeat(6, 50), at(2000)));
 }
 
+TEST_CASE("a leaf that ignores the responses is known after 5 s") {
+  LeafHandshake handshake;
+  for (std::uint64_t number = 0; number < 4; ++number)
+    CHECK_FALSE(handshake.observe(heartbeat(5 + number, number * 1500),
+                                  at(static_cast<std::int64_t>(number) * 1500)));
+  CHECK(handshake.observe(heartbeat(9, 6000), at(6000)));
+}
+
 TEST_CASE("without a leaf's clock the time of arrival counts") {
   LeafHandshake handshake;
   Heartbeat first = heartbeat(5, 0);
--- a/tests/cluster/worker_agent/property_test.cpp
+++ b/tests/cluster/worker_agent/property_test.cpp
@@ -87,12 +87,12 @@
     }
   }
 
-  static void answer_probe(const ScriptedRuntime::Call& call) {
+  void answer_probe(const ScriptedRuntime::Call& call) const {
     wire::Envelope answer;
     wire::ShardLeader& entry = *answer.mutable_configuration_update()->add_leaders();
     entry.set_shard("service/core");
     entry.set_address(kLeader);
-    entry.set_epoch(1'000'000);
+    entry.set_epoch(leaders_.epoch());
     call.done(CallResult{std::move(answer), CallError::timed_out});
   }
 
--- a/tests/cluster/worker_agent/simulated_leaders.hpp
+++ b/tests/cluster/worker_agent/simulated_leaders.hpp
@@ -53,6 +53,8 @@
     WorkerAgentFixture::answer_orders(call, orders);
   }
 
+  // Epoch of the newest leader.
+  std::uint64_t epoch() const { return epoch_; }
   void next_epoch() {
     ++epoch_;
     revision_ = 0;
