--- a/src/cluster/worker_agent/leaf_handshake.hpp
+++ b/src/cluster/worker_agent/leaf_handshake.hpp
@@ -14,7 +14,7 @@
 // orders, or the leaf may have ended. The process can't see that, as sequence numbers and earlier leaves are
 // lost with the process that knew them.
 //
-// Handshake: the leaf's heartbeat gets a response without lease and orders at once. The leaf is known with a
+// Handshake: the leaf's heartbeat soon gets a response without lease and orders. The leaf is known with a
 // heartbeat that it sent shortly after the one that was responded to. A leaf sends one heartbeat at a time
 // and waits for longer than that before it gives up, so it has received the response, and the second
 // heartbeat shows all that earlier processes have ordered. A leaf that ignores the responses, because their
@@ -23,7 +23,7 @@
 class LeafHandshake {
  public:
   // Observes a heartbeat of a leaf that isn't known. Returns true if it completes the handshake; otherwise
-  // the heartbeat must be responded to at once.
+  // the heartbeat must be responded to within less than the time that the leaf waits.
   bool observe(const Heartbeat& heartbeat, TimePoint now);
 
  private:
--- a/src/cluster/worker_agent/leaf_session.hpp
+++ b/src/cluster/worker_agent/leaf_session.hpp
@@ -19,7 +19,7 @@
 // Result of the processing of a heartbeat.
 enum class HeartbeatOutcome {
   stale,          // ignored: of an ended incarnation, or not newer than the newest heartbeat
-  unconfirmed,    // of a leaf that has yet to show that it receives responses; to be responded to at once
+  unconfirmed,    // of a leaf that has yet to show that it receives responses; to be responded to soon
   unchanged,      // accepted; the next periodic report is soon enough
   report_needed,  // accepted; the leader needs a report at once
 };
