--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -99,20 +99,19 @@
 int leaf_deregisters_first(Record& record) {
   constexpr milliseconds kTaskTime{9000};
   constexpr milliseconds kServesOn{7500};  // drain_timeout_ms (2,000) and 5.5 s longer
-  const std::vector<std::string> backends(4, "giro-core");
+  const std::vector<std::string> backends(8, "fraude-ia");
   Deployment deployment(record, backends);
   deployment.start_all();
   std::vector<std::unique_ptr<Leaf>> leaves;
   for (unsigned i = 0; i < backends.size(); ++i)
     leaves.push_back(make_leaf(deployment, i, backends[i], kTaskTime));
   CaseSetting setting(record, deployment);
-  setting.put_configuration("/v1/Config.Put", "0", configuration(1, route("recon", "giro-core")));
+  setting.put_configuration("/v1/Config.Put", "0", configuration(1, route("score", "fraude-ia")));
   setting.wait_until_ready();
   sleep_for(milliseconds(2000));  // all leaves are known
-  setting.submit(
-      "/recon/5c0e7a21d94b36f8",
-      R"({"spec":"reconcile","stages":[{"count":4,"cpu":500,"mem_mb":1024,"estimated_ms":9000}]})");
-  wait_for_starts(leaves, 4);
+  setting.submit("/score/5c0e7a21d94b36f8",
+                 R"({"spec":"score","stages":[{"count":8,"cpu":500,"mem_mb":1024,"estimated_ms":9000}]})");
+  wait_for_starts(leaves, 8);
   sleep_for(milliseconds(1000));
   if (with_trouble()) {
     HttpCall leave;
@@ -131,7 +130,7 @@
     record.line("leaf i-0 ends");
   }
   sleep_for(milliseconds(2000));
-  setting.client("GET", "/recon/5c0e7a21d94b36f8");
+  setting.client("GET", "/score/5c0e7a21d94b36f8");
   record_unexpected_ends(deployment, record);
   return count_double_runs(record, judged(leaves, backends), end) > 0 ? kBroken : kHeld;
 }
