--- a/review/stand_ins/case_setting.cpp
+++ b/review/case_setting.cpp
@@ -1,4 +1,4 @@
-#include "stand_ins/case_setting.hpp"
+#include "review/case_setting.hpp"
 
 #include <thread>
 
--- a/review/stand_ins/case_setting.hpp
+++ b/review/case_setting.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "stand_ins/deployment.hpp"
-#include "stand_ins/record.hpp"
+#include "review/deployment.hpp"
+#include "review/record.hpp"
 #include "testbed/cluster/http_call.hpp"
 
 namespace winchhall::review {
--- a/review/stand_ins/deployment.cpp
+++ b/review/deployment.cpp
@@ -1,4 +1,4 @@
-#include "stand_ins/deployment.hpp"
+#include "review/deployment.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/stand_ins/deployment.hpp
+++ b/review/deployment.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "stand_ins/record.hpp"
+#include "review/record.hpp"
 
 namespace winchhall::review {
 
--- a/review/stand_ins/judge.cpp
+++ b/review/judge.cpp
@@ -1,4 +1,4 @@
-#include "stand_ins/judge.hpp"
+#include "review/judge.hpp"
 
 #include <algorithm>
 #include <cstdio>
--- a/review/stand_ins/judge.hpp
+++ b/review/judge.hpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "stand_ins/leaf.hpp"
-#include "stand_ins/record.hpp"
+#include "review/leaf.hpp"
+#include "review/record.hpp"
 
 namespace winchhall::review {
 
--- a/review/stand_ins/leaf.cpp
+++ b/review/leaf.cpp
@@ -1,4 +1,4 @@
-#include "stand_ins/leaf.hpp"
+#include "review/leaf.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/review/stand_ins/leaf.hpp
+++ b/review/leaf.hpp
@@ -13,7 +13,7 @@
 #include <thread>
 #include <vector>
 
-#include "stand_ins/record.hpp"
+#include "review/record.hpp"
 #include "testbed/cluster/http_call.hpp"
 
 namespace winchhall::review {
--- a/review/stand_ins/main.cpp
+++ b/review/main.cpp
@@ -12,11 +12,11 @@
 #include <thread>
 #include <vector>
 
-#include "stand_ins/case_setting.hpp"
-#include "stand_ins/deployment.hpp"
-#include "stand_ins/judge.hpp"
-#include "stand_ins/leaf.hpp"
-#include "stand_ins/record.hpp"
+#include "review/case_setting.hpp"
+#include "review/deployment.hpp"
+#include "review/judge.hpp"
+#include "review/leaf.hpp"
+#include "review/record.hpp"
 
 namespace {
 
--- a/review/stand_ins/record.cpp
+++ b/review/record.cpp
@@ -1,4 +1,4 @@
-#include "stand_ins/record.hpp"
+#include "review/record.hpp"
 
 #include <cstdio>
 
