Keep former routes in the replicated configuration, so that no second service takes a job

Cause: which services a queue was routed to before, each agent knew from the changes that it had seen itself. One that had just started knew none, and submitted to the present service at once. A submit was also relayed before a new agent had any configuration. Change: former routes stand in the record of the register "configuration" and are delivered as items in the same difference as the change; an agent heeds them for 60 s from when it learns of them. An ingress names the version that it has routed a request by, and the agent holds the request until it has that one. Why this works: an agent can't know the new route without its former ones, whenever it started.

--- a/src/cluster/agent/cluster_view.cpp
+++ b/src/cluster/agent/cluster_view.cpp
@@ -43,6 +43,7 @@
 
 void ClusterView::on_difference_applied(TimePoint now) {
   history_.record_changes(replica_.last_route_changes(), now);
+  history_.record_former_routes(replica_.last_former_routes(), now);
 }
 
 bool ClusterView::apply_leader(const wire::ShardLeader& leader) {
--- a/src/cluster/agent/edge_agent.cpp
+++ b/src/cluster/agent/edge_agent.cpp
@@ -64,6 +64,7 @@
   if (changes.configuration) {
     log_event(LogLevel::info, "configuration", {{"version", static_cast<std::int64_t>(view_.version())}});
     watch_server_.on_newer_configuration();
+    relay_.on_configuration_changed();
   }
   if (changes.leaders) relay_.on_leaders_changed();
 }
--- a/src/cluster/agent/job_relay.hpp
+++ b/src/cluster/agent/job_relay.hpp
@@ -23,6 +23,8 @@
   void handle(const wire::JobRequest& request, const ReplyCallback& reply);
   // Must be called when the view has newer leaders.
   void on_leaders_changed() { router_.on_leaders_changed(); }
+  // Must be called when the view has a newer configuration.
+  void on_configuration_changed() { router_.on_configuration_changed(); }
   // True while a request has not been replied to.
   bool has_open_requests() const { return !open_requests_.empty(); }
 
--- a/src/cluster/agent/job_router.cpp
+++ b/src/cluster/agent/job_router.cpp
@@ -6,9 +6,63 @@
 
 namespace winchhall::cluster {
 
+namespace {
+
+// A submit that has waited this long for the configuration is rejected, so that its client retries later.
+constexpr Millis kMaxConfigurationWait{2000};
+constexpr std::uint32_t kConfigurationRetryAfterMs = 500;
+
+wire::JobReply configuration_missing_reply(wire::JobVerb verb) {
+  wire::JobReply reply;
+  const bool rejected = verb == wire::JOB_SUBMIT;
+  reply.set_outcome(rejected ? wire::JOB_REJECTED : wire::JOB_IN_DOUBT);
+  if (rejected) reply.set_retry_after_ms(kConfigurationRetryAfterMs);
+  return reply;
+}
+
+}  // namespace
+
 JobRouter::JobRouter(const LeaderCallContext& context) : context_(context) {}
 
 void JobRouter::route(const wire::JobRequest& request, TimePoint deadline, const Done& done) {
+  const bool may_wait = request.verb() != wire::JOB_COUNT;
+  if (may_wait && !knows_configuration_of(request)) return wait_for_configuration(request, deadline, done);
+  route_now(request, deadline, done);
+}
+
+// An ingress of an earlier version doesn't name its configuration, but has one.
+bool JobRouter::knows_configuration_of(const wire::JobRequest& request) const {
+  return context_.view.version() >= std::max<std::uint64_t>(request.configuration_version(), 1);
+}
+
+void JobRouter::wait_for_configuration(const wire::JobRequest& request, TimePoint deadline,
+                                       const Done& done) {
+  const TimePoint now = context_.runtime.now();
+  const auto time_left = std::chrono::duration_cast<Millis>(deadline - now);
+  const Millis wait =
+      request.verb() == wire::JOB_SUBMIT ? std::min(time_left, kMaxConfigurationWait) : time_left;
+  const auto waiting = waiting_.insert(waiting_.end(), {request, deadline, done, nullptr});
+  waiting->timer =
+      context_.runtime.after(std::max(wait, Millis(1)), [this, waiting] { give_up_waiting(waiting); });
+}
+
+void JobRouter::give_up_waiting(std::list<WaitingRequest>::iterator waiting) {
+  const auto done = std::move(waiting->done);
+  const wire::JobReply reply = configuration_missing_reply(waiting->request.verb());
+  waiting_.erase(waiting);
+  done(reply);
+}
+
+void JobRouter::on_configuration_changed() {
+  std::list<WaitingRequest> ready;
+  for (auto next = waiting_.begin(); next != waiting_.end();) {
+    const auto waiting = next++;
+    if (knows_configuration_of(waiting->request)) ready.splice(ready.end(), waiting_, waiting);
+  }
+  for (const WaitingRequest& waiting : ready) route_now(waiting.request, waiting.deadline, waiting.done);
+}
+
+void JobRouter::route_now(const wire::JobRequest& request, TimePoint deadline, const Done& done) {
   switch (request.verb()) {
     case wire::JOB_SUBMIT:
       return submit(request, deadline, done);
--- a/src/cluster/agent/job_router.hpp
+++ b/src/cluster/agent/job_router.hpp
@@ -11,6 +11,8 @@
 namespace winchhall::cluster {
 
 // A job belongs to the service that accepted it, also after its queue has moved to another service. So
+// - a submit, a query or a cancellation waits until this process knows the configuration that the ingress has
+//   routed it by, since only then the services that may know the job are known;
 // - a submit first queries the services that the queue was routed to until recently: a job that one of them
 //   accepted must not be accepted by a second one;
 // - a query or a cancellation of a job that the queue's current service does not know goes to all other
@@ -18,7 +20,8 @@
 // - a count goes only to the service that it names.
 //
 // The result is the leader's reply; JOB_IN_DOUBT if a service that may know the job gave no definite reply;
-// JOB_INVALID for any other verb. Owns the calls to leaders that are in progress. Not thread-safe.
+// JOB_REJECTED or JOB_IN_DOUBT if the configuration did not arrive in time; JOB_INVALID for any other verb.
+// Owns the calls to leaders that are in progress. Not thread-safe.
 class JobRouter {
  public:
   using Done = LeaderCall::Done;
@@ -30,8 +33,22 @@
   void route(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   // Must be called when the view has newer leaders. Notifies all calls in progress.
   void on_leaders_changed();
+  // Must be called when the view has a newer configuration. Routes the requests that have waited for it.
+  void on_configuration_changed();
 
  private:
+  // A request whose configuration this process does not know yet.
+  struct WaitingRequest {
+    wire::JobRequest request;
+    TimePoint deadline;
+    Done done;
+    std::unique_ptr<Timer> timer;
+  };
+
+  bool knows_configuration_of(const wire::JobRequest& request) const;
+  void wait_for_configuration(const wire::JobRequest& request, TimePoint deadline, const Done& done);
+  void give_up_waiting(std::list<WaitingRequest>::iterator waiting);
+  void route_now(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   void submit(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   void search_services(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   // Services in force, other than the request's, that its queue was routed to until recently.
@@ -45,6 +62,7 @@
 
   LeaderCallContext context_;
   std::list<std::shared_ptr<LeaderCall>> calls_;  // in progress
+  std::list<WaitingRequest> waiting_;             // in order of arrival
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/agent/route_history.cpp
+++ b/src/cluster/agent/route_history.cpp
@@ -22,13 +22,20 @@
   std::vector<std::string> services;
   const auto key = route_keys_.find(queue);
   if (key == route_keys_.end()) return services;
-  const auto uses = uses_.find(key->second);
-  if (uses == uses_.end()) return services;
+  append_recent_other_services(key->second, service, now, services);
+  append_recent_other_services(RouteKey(), service, now, services);
+  return services;
+}
+
+void RouteHistory::append_recent_other_services(const RouteKey& key, const std::string& service,
+                                                TimePoint now, std::vector<std::string>& services) const {
+  const auto uses = uses_.find(key);
+  if (uses == uses_.end()) return;
   for (const ServiceUse& use : uses->second) {
     const bool recent = use.ended_at == TimePoint::max() || now - use.ended_at <= kRetention;
-    if (recent && use.service != service) services.push_back(use.service);
+    const bool listed = std::find(services.begin(), services.end(), use.service) != services.end();
+    if (recent && use.service != service && !listed) services.push_back(use.service);
   }
-  return services;
 }
 
 void RouteHistory::end_use(const Route& route, TimePoint now) {
@@ -36,7 +43,18 @@
   for (ServiceUse& use : uses_[key]) {
     if (use.service == route.backend) use.ended_at = std::min(use.ended_at, now);
   }
-  ended_.push_back({now, key, route.name});
+  ended_.push_back({now, key});
+}
+
+void RouteHistory::record_former_routes(const std::vector<FormerRoute>& former_routes, TimePoint now) {
+  for (const FormerRoute& former : former_routes) {
+    const RouteKey key{former.hostname, former.path_prefix};
+    auto& uses = uses_[key];
+    const auto is_same = [&](const ServiceUse& use) { return use.service == former.service; };
+    if (std::any_of(uses.begin(), uses.end(), is_same)) continue;
+    uses.push_back({former.service, now});
+    ended_.push_back({now, key});
+  }
 }
 
 void RouteHistory::begin_use(const Route& route) {
@@ -67,8 +85,7 @@
   std::erase_if(uses->second, [&](const ServiceUse& use) { return use.ended_at <= ended.at; });
   if (!uses->second.empty()) return;
   uses_.erase(uses);
-  const auto key = route_keys_.find(ended.queue);
-  if (key != route_keys_.end() && key->second == ended.key) route_keys_.erase(key);
+  std::erase_if(route_keys_, [&](const auto& entry) { return entry.second == ended.key; });
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/agent/route_history.hpp
+++ b/src/cluster/agent/route_history.hpp
@@ -13,7 +13,8 @@
 namespace winchhall::cluster {
 
 // Remembers the former services of a queue after its route has changed: a job that a client submits again may
-// already be known to one of them. Entries expire after `kRetention`. Not thread-safe.
+// already be known to one of them. Entries expire after `kRetention`; those of before this process knew the
+// configuration come with it and expire `kRetention` later. Not thread-safe.
 class RouteHistory {
  public:
   // Longer than any client retries a submit.
@@ -21,13 +22,16 @@
 
   // Records the route changes of a configuration that takes effect.
   void record_changes(const std::vector<RouteChange>& changes, TimePoint now);
+  // Records the former routes that a configuration which takes effect names. Must follow `record_changes` for
+  // the same configuration.
+  void record_former_routes(const std::vector<FormerRoute>& former_routes, TimePoint now);
   // The services other than `service` to which the queue named `queue`, or any queue with its host and path
   // prefix, was routed within the retention time.
   std::vector<std::string> recent_other_services(const std::string& queue, const std::string& service,
                                                  TimePoint now) const;
 
  private:
-  // Hostname and path prefix.
+  // Hostname in lower case and path prefix; both are empty for entries that stand for any route.
   using RouteKey = std::pair<std::string, std::string>;
   // A service that a hostname and path prefix is or was routed to.
   struct ServiceUse {
@@ -38,10 +42,13 @@
   struct EndedRoute {
     TimePoint at;
     RouteKey key;
-    std::string queue;
   };
 
-  static RouteKey route_key_of(const Route& route) { return {route.hostname, route.path_prefix}; }
+  static RouteKey route_key_of(const Route& route) {
+    return {lower_case_hostname(route.hostname), route.path_prefix};
+  }
+  void append_recent_other_services(const RouteKey& key, const std::string& service, TimePoint now,
+                                    std::vector<std::string>& services) const;
   void end_use(const Route& route, TimePoint now);
   void begin_use(const Route& route);
   void remove_expired(TimePoint now);
--- a/src/cluster/config/configuration_document.cpp
+++ b/src/cluster/config/configuration_document.cpp
@@ -177,7 +177,8 @@
   return {};
 }
 
-void ConfigurationDocument::apply(const ConfigurationPatch& patch, ConfigurationEdit edit) {
+std::vector<RouteChange> ConfigurationDocument::apply(const ConfigurationPatch& patch,
+                                                      ConfigurationEdit edit) {
   original_.clear();
   values_["version"] = write_json(Json::UInt64{patch.version});
   if (!patch.limits.isNull()) values_["limits"] = write_json(patch.limits);
@@ -189,7 +190,7 @@
     values_.erase(list);
     for (const Json::Value& item : patch.upsert[list]) lists_[list].put(name_of(item), write_json(item));
   }
-  editable_.apply(std::move(edit), patch.version);
+  return editable_.apply(std::move(edit), patch.version);
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/config/configuration_document.hpp
+++ b/src/cluster/config/configuration_document.hpp
@@ -28,8 +28,9 @@
   // Validates a patch against this document and returns its effect. Changes nothing.
   // Errors: InvalidInput, if the patch cannot be applied or its result is not a valid configuration.
   leaf::result<ConfigurationEdit> check(const ConfigurationPatch& patch, std::string_view source) const;
-  // Applies a patch. `edit` must be the result of `check` for it on this state of the document.
-  void apply(const ConfigurationPatch& patch, ConfigurationEdit edit);
+  // Applies a patch and returns the changes of the routes. `edit` must be the result of `check` for it on
+  // this state of the document.
+  std::vector<RouteChange> apply(const ConfigurationPatch& patch, ConfigurationEdit edit);
 
  private:
   // An item of a list, as JSON text.
--- a/src/cluster/config/editable_configuration.cpp
+++ b/src/cluster/config/editable_configuration.cpp
@@ -6,6 +6,21 @@
 
 namespace winchhall::cluster {
 
+std::vector<RouteChange> route_moves_between(const Configuration& before, const Configuration& after) {
+  const auto same_route_in = [](const Configuration& configuration, const Route& route) {
+    const auto position = configuration.route_index.position_of(route.hostname, route.path_prefix);
+    return position && configuration.routes[*position].backend == route.backend;
+  };
+  std::vector<RouteChange> moves;
+  for (const Route& route : before.routes) {
+    if (!same_route_in(after, route)) moves.push_back({route, std::nullopt});
+  }
+  for (const Route& route : after.routes) {
+    if (!same_route_in(before, route)) moves.push_back({std::nullopt, route});
+  }
+  return moves;
+}
+
 EditableConfiguration::EditableConfiguration(Configuration configuration)
     : configuration_(std::move(configuration)) {
   for (std::size_t position = 0; position < configuration_.routes.size(); ++position) {
--- a/src/cluster/config/editable_configuration.hpp
+++ b/src/cluster/config/editable_configuration.hpp
@@ -26,6 +26,10 @@
   std::optional<Route> after;
 };
 
+// The changes that turn the routes of one configuration into those of another, without the routes that keep
+// hostname, path prefix and service.
+std::vector<RouteChange> route_moves_between(const Configuration& before, const Configuration& after);
+
 // Owns a configuration and edits it in place, in time proportional to the edit. Not thread-safe.
 class EditableConfiguration {
  public:
--- a/src/cluster/config/route_index.cpp
+++ b/src/cluster/config/route_index.cpp
@@ -14,6 +14,12 @@
 
 }  // namespace
 
+std::string lower_case_hostname(std::string_view hostname) {
+  std::string lower(hostname);
+  std::transform(lower.begin(), lower.end(), lower.begin(), to_lower);
+  return lower;
+}
+
 std::size_t HostnameHash::operator()(std::string_view hostname) const {
   Digest digest;
   for (const char character : hostname) digest.add_char(to_lower(character));
--- a/src/cluster/config/route_index.hpp
+++ b/src/cluster/config/route_index.hpp
@@ -11,6 +11,9 @@
 
 namespace winchhall::cluster {
 
+// The hostname with its ASCII letters in lower case.
+std::string lower_case_hostname(std::string_view hostname);
+
 // Hash and equality of hostnames, ignoring the case of ASCII letters. Transparent, so that lookups copy no
 // strings.
 struct HostnameHash {
--- a/src/cluster/control/configuration_change.cpp
+++ b/src/cluster/control/configuration_change.cpp
@@ -6,6 +6,7 @@
 
 #include "cluster/control/applied_changes.hpp"
 #include "cluster/control/configuration_snapshots.hpp"
+#include "cluster/control/former_route_records.hpp"
 
 namespace winchhall::cluster {
 namespace {
@@ -56,16 +57,28 @@
   return (base == nullptr ? empty : *base).check(change.patch, kPatchSource);
 }
 
-// Returns the text of the complete configuration that a change creates. A patch of an existing configuration
-// was validated together with it; without one, the patch must be a valid configuration by itself.
-leaf::result<std::string> complete_text(const ConfigurationChange& change, const ConfigurationDocument* base,
-                                        const ConfigurationEdit& edit) {
-  if (change.kind == ConfigurationChangeKind::put) return change.body;
+// The complete configuration that a change creates.
+struct CompleteConfiguration {
+  std::string json;
+  std::vector<RouteChange> route_changes;
+};
+
+// A patch of an existing configuration was validated together with it; without one, the patch must be a valid
+// configuration by itself.
+leaf::result<CompleteConfiguration> complete_configuration(const ConfigurationChange& change,
+                                                           const ConfigurationDocument* base,
+                                                           const ConfigurationEdit& edit) {
+  if (change.kind == ConfigurationChangeKind::put) {
+    const Configuration empty;
+    const Configuration& before = base == nullptr ? empty : base->configuration();
+    return CompleteConfiguration{change.body, route_moves_between(before, change.put)};
+  }
   ConfigurationDocument next = base == nullptr ? ConfigurationDocument() : *base;
-  next.apply(change.patch, edit);
-  std::string json = next.json();
-  if (base == nullptr) BOOST_LEAF_CHECK(parse_configuration(json, kPatchSource));
-  return json;
+  CompleteConfiguration complete;
+  complete.route_changes = next.apply(change.patch, edit);
+  complete.json = next.json();
+  if (base == nullptr) BOOST_LEAF_CHECK(parse_configuration(complete.json, kPatchSource));
+  return complete;
 }
 
 // Returns true if a change can be appended to the record as a patch of its snapshot.
@@ -80,6 +93,7 @@
   wire::ConfigurationPatchEntry& entry = *record.add_patches();
   entry.set_version(change.version);
   entry.set_body(change.body);
+  entry.set_received_wall_ms(change.received_wall_ms);
 }
 
 // Stores a complete configuration in the record: as the id of a snapshot, or as text if a member may be
@@ -100,10 +114,10 @@
 }
 
 leaf::result<ChangeResult> make_next_record(const ConfigurationChange& change,
-                                            const wire::ConfigurationRecord& current,
-                                            const ConfigurationDocument* base, bool snapshots_allowed) {
+                                            const wire::ConfigurationRecord& current, const ChangeBase& base,
+                                            bool snapshots_allowed) {
   BOOST_LEAF_CHECK(check_version_rises(change, current.version()));
-  BOOST_LEAF_AUTO(edit, check_patch(change, base));
+  BOOST_LEAF_AUTO(edit, check_patch(change, base.document));
   ChangeResult result;
   result.outcome = {ConfigurationOutcomeKind::applied, change.version, {}};
   result.record = current;
@@ -113,8 +127,11 @@
     append_patch(change, *result.record);
     return result;
   }
-  BOOST_LEAF_AUTO(json, complete_text(change, base, edit));
-  replace_content(change.version, std::move(json), snapshots_allowed, result);
+  BOOST_LEAF_AUTO(complete, complete_configuration(change, base.document, edit));
+  FormerRoutes former_routes = base.former_routes;
+  former_routes.record(complete.route_changes, change.received_wall_ms);
+  write_former_routes(former_routes, *result.record);
+  replace_content(change.version, std::move(complete.json), snapshots_allowed, result);
   return result;
 }
 
@@ -125,13 +142,15 @@
 }  // namespace
 
 leaf::result<ConfigurationChange> parse_change(ConfigurationChangeKind kind,
-                                               const std::optional<std::string>& base, std::string body) {
+                                               const std::optional<std::string>& base, std::string body,
+                                               std::int64_t received_wall_ms) {
   ConfigurationChange change;
+  change.received_wall_ms = received_wall_ms;
   change.kind = kind;
   BOOST_LEAF_ASSIGN(change.base, parse_base_version(kind, base));
   if (kind == ConfigurationChangeKind::put) {
-    BOOST_LEAF_AUTO(configuration, parse_configuration(body, kPutSource));
-    change.version = configuration.version;
+    BOOST_LEAF_ASSIGN(change.put, parse_configuration(body, kPutSource));
+    change.version = change.put.version;
   } else {
     BOOST_LEAF_ASSIGN(change.patch, parse_patch(body, kPatchSource));
     change.version = change.patch.version;
@@ -152,7 +171,7 @@
 }
 
 ChangeResult apply_change(const ConfigurationChange& change, const wire::ConfigurationRecord& current,
-                          const ConfigurationDocument* base, bool snapshots_allowed) {
+                          const ChangeBase& base, bool snapshots_allowed) {
   return leaf::try_handle_all(
       [&] { return make_next_record(change, current, base, snapshots_allowed); },
       [](const InvalidInput& error) { return rejected(error); },
--- a/src/cluster/control/configuration_change.hpp
+++ b/src/cluster/control/configuration_change.hpp
@@ -9,6 +9,7 @@
 
 #include "cluster/common/errors.hpp"
 #include "cluster/config/configuration_document.hpp"
+#include "cluster/config/former_routes.hpp"
 #include "cluster/wire/cluster.pb.h"
 
 namespace winchhall::cluster {
@@ -43,12 +44,22 @@
   std::string digest;         // 16 bytes, computed from kind and body
   std::string body;           // exactly as received
   ConfigurationPatch patch;   // parsed body of a `patch`; empty for a `put`
+  Configuration put;          // parsed body of a `put`; empty for a `patch`
+  // When it was received, in milliseconds since 1970, by this node's clock.
+  std::int64_t received_wall_ms = 0;
+};
+
+// The configuration that a change is based on.
+struct ChangeBase {
+  const ConfigurationDocument* document = nullptr;  // null: there is none
+  const FormerRoutes& former_routes;
 };
 
 // Parses and validates a change. `base` is the text of the header X-Winchhall-Base-Version; a missing header
 // counts as version 0. Fails with InvalidInput.
 leaf::result<ConfigurationChange> parse_change(ConfigurationChangeKind kind,
-                                               const std::optional<std::string>& base, std::string body);
+                                               const std::optional<std::string>& base, std::string body,
+                                               std::int64_t received_wall_ms);
 
 // Result of the application of a change to a record.
 struct ChangeResult {
@@ -65,10 +76,10 @@
 std::optional<ConfigurationOutcome> outcome_independent_of_base(const ConfigurationChange& change,
                                                                 const wire::ConfigurationRecord& current);
 
-// Applies a change that is based on `current`. `base` is the configuration of `current`, or null if none was
-// ever applied. `snapshots_allowed` is true if every member can read records that name snapshots. A change
-// that cannot be applied has the outcome `invalid`.
+// Applies a change that is based on `current`. `base` is the configuration of `current`. `snapshots_allowed`
+// is true if every member can read records that name snapshots. A change that cannot be applied has the
+// outcome `invalid`.
 ChangeResult apply_change(const ConfigurationChange& change, const wire::ConfigurationRecord& current,
-                          const ConfigurationDocument* base, bool snapshots_allowed);
+                          const ChangeBase& base, bool snapshots_allowed);
 
 }  // namespace winchhall::cluster
--- a/src/cluster/control/configuration_proposer.cpp
+++ b/src/cluster/control/configuration_proposer.cpp
@@ -45,8 +45,8 @@
     attempt.missing = MissingPrerequisite::base;
     return std::nullopt;
   }
-  ChangeResult result = apply_change(attempt.change, attempt.current, first ? nullptr : &state.document(),
-                                     all_members_read_snapshots_());
+  const ChangeBase base{first ? nullptr : &state.document(), state.former_routes()};
+  ChangeResult result = apply_change(attempt.change, attempt.current, base, all_members_read_snapshots_());
   attempt.outcome = result.outcome;
   if (!result.record) return std::nullopt;
   if (result.snapshot && !attempt.durable_snapshots.contains(result.record->snapshot().digest())) {
--- a/src/cluster/control/configuration_service.cpp
+++ b/src/cluster/control/configuration_service.cpp
@@ -38,7 +38,7 @@
   };
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(parsed, parse_change(kind, base, std::move(body)));
+        BOOST_LEAF_AUTO(parsed, parse_change(kind, base, std::move(body), runtime_.wall_clock_ms()));
         proposer_.propose(std::move(parsed), std::move(done));
         return {};
       },
--- a/src/cluster/control/configuration_state.cpp
+++ b/src/cluster/control/configuration_state.cpp
@@ -1,7 +1,11 @@
 #include "cluster/control/configuration_state.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
+#include <vector>
 
+#include "cluster/control/former_route_records.hpp"
 #include "cluster/delivery/configuration_items.hpp"
 
 namespace winchhall::cluster {
@@ -18,6 +22,10 @@
   return record.applied_size() == 0 ? std::string() : record.applied(record.applied_size() - 1).digest();
 }
 
+void append_items(std::vector<wire::ConfigurationItem> added, std::vector<wire::ConfigurationItem>& items) {
+  std::move(added.begin(), added.end(), std::back_inserter(items));
+}
+
 }  // namespace
 
 const Configuration* ConfigurationState::configuration() const {
@@ -56,13 +64,15 @@
   return leaf::try_handle_all(
       [&]() -> leaf::result<RecordOutcome> {
         BOOST_LEAF_AUTO(document, ConfigurationDocument::read(json, kSource));
+        FormerRoutes former_routes = read_former_routes(record);
         for (const wire::ConfigurationPatchEntry& entry : record.patches()) {
           BOOST_LEAF_AUTO(patch, parse_patch(entry.body(), kSource));
           BOOST_LEAF_AUTO(edit, document.check(patch, kSource));
-          document.apply(patch, std::move(edit));
+          former_routes.record(document.apply(patch, std::move(edit)), entry.received_wall_ms());
         }
         document_ = std::move(document);
-        items_.apply(items_.difference_to_items(record.version(), items_of(document_->configuration())));
+        former_routes_ = std::move(former_routes);
+        items_.apply(items_.difference_to_items(record.version(), all_items()));
         record_applied(record);
         return RecordOutcome::applied;
       },
@@ -81,12 +91,21 @@
 leaf::result<void> ConfigurationState::apply_patch(const wire::ConfigurationPatchEntry& entry) {
   BOOST_LEAF_AUTO(patch, parse_patch(entry.body(), kSource));
   BOOST_LEAF_AUTO(edit, document_->check(patch, kSource));
-  items_.apply(items_.difference_with_changes(entry.version(), items_of(edit)));
-  document_->apply(patch, std::move(edit));
+  std::vector<wire::ConfigurationItem> changes = items_of(edit);
+  const FormerRoutes before = former_routes_;
+  former_routes_.record(document_->apply(patch, std::move(edit)), entry.received_wall_ms());
+  append_items(item_changes_between(before, former_routes_), changes);
+  items_.apply(items_.difference_with_changes(entry.version(), std::move(changes)));
   version_ = entry.version();
   return {};
 }
 
+std::vector<wire::ConfigurationItem> ConfigurationState::all_items() const {
+  std::vector<wire::ConfigurationItem> items = items_of(document_->configuration());
+  append_items(items_of(former_routes_), items);
+  return items;
+}
+
 void ConfigurationState::record_applied(const wire::ConfigurationRecord& record) {
   version_ = record.version();
   last_change_ = last_change_of(record);
--- a/src/cluster/control/configuration_state.hpp
+++ b/src/cluster/control/configuration_state.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cluster/config/configuration_document.hpp"
+#include "cluster/config/former_routes.hpp"
 #include "cluster/delivery/configuration_item_table.hpp"
 #include "cluster/wire/cluster.pb.h"
 
@@ -35,8 +36,10 @@
   std::string json() const { return document_ ? document_->json() : std::string(); }
   // Must not be called before the first record.
   const ConfigurationDocument& document() const { return *document_; }
-  // The same configuration as items, with the differences between the versions that this state has had. The
-  // table lives as long as the state.
+  // The routes that were in force before recent changes.
+  const FormerRoutes& former_routes() const { return former_routes_; }
+  // Configuration and former routes as items, with the differences between the versions that this state has
+  // had. The table lives as long as the state.
   const ConfigurationItemTable& items() const { return items_; }
   // Returns true if both the version and the last change of the state are those of `record`. Equal versions
   // alone do not suffice.
@@ -51,12 +54,14 @@
   RecordOutcome load_complete(const wire::ConfigurationRecord& record, const std::string& json);
   bool extends_current_state(const wire::ConfigurationRecord& record) const;
   leaf::result<void> apply_patch(const wire::ConfigurationPatchEntry& entry);
+  std::vector<wire::ConfigurationItem> all_items() const;
   void record_applied(const wire::ConfigurationRecord& record);
   void require_snapshot();
 
   std::uint64_t version_ = 0;
   std::string last_change_;  // digest of the change that created this version; empty if unknown
   std::optional<ConfigurationDocument> document_;
+  FormerRoutes former_routes_;
   wire::ConfigurationSnapshotId snapshot_;  // that the state is based on; empty if there is none to rely on
   ConfigurationItemTable items_;
 };
--- a/src/cluster/delivery/configuration_items.cpp
+++ b/src/cluster/delivery/configuration_items.cpp
@@ -1,5 +1,8 @@
 #include "cluster/delivery/configuration_items.hpp"
 
+#include <map>
+#include <utility>
+
 namespace winchhall::cluster {
 
 namespace {
@@ -78,6 +81,36 @@
   return items;
 }
 
+std::vector<wire::ConfigurationItem> items_of(const FormerRoutes& former_routes) {
+  std::map<std::string, wire::FormerRouteItem> contents;  // by name
+  for (const FormerRoute& entry : former_routes.entries()) {
+    wire::FormerRouteItem& content = contents[entry.hostname + entry.path_prefix];
+    content.set_hostname(entry.hostname);
+    content.set_path_prefix(entry.path_prefix);
+    content.add_services(entry.service);
+  }
+  std::vector<wire::ConfigurationItem> items;
+  for (const auto& [name, content] : contents)
+    items.push_back(item_of(wire::CONFIGURATION_FORMER_ROUTE, name, content));
+  return items;
+}
+
+std::vector<wire::ConfigurationItem> item_changes_between(const FormerRoutes& before,
+                                                          const FormerRoutes& after) {
+  std::map<std::string, std::string> outdated;  // encoded items by name
+  for (wire::ConfigurationItem& item : items_of(before))
+    outdated.emplace(item.name(), std::move(*item.mutable_encoded()));
+  std::vector<wire::ConfigurationItem> changes;
+  for (wire::ConfigurationItem& item : items_of(after)) {
+    const auto previous = outdated.extract(item.name());
+    const bool unchanged = !previous.empty() && previous.mapped() == item.encoded();
+    if (!unchanged) changes.push_back(std::move(item));
+  }
+  for (const auto& [name, encoded] : outdated)
+    changes.push_back(removed_item(wire::CONFIGURATION_FORMER_ROUTE, name));
+  return changes;
+}
+
 wire::ConfigurationItem removed_item(wire::ConfigurationItemKind kind, const std::string& name) {
   wire::ConfigurationItem item;
   item.set_kind(kind);
@@ -112,6 +145,14 @@
   return service;
 }
 
+leaf::result<std::vector<FormerRoute>> read_former_route_item(const wire::ConfigurationItem& item) {
+  BOOST_LEAF_AUTO(content, read_content<wire::FormerRouteItem>(item));
+  std::vector<FormerRoute> entries;
+  for (const std::string& service : content.services())
+    entries.push_back({content.hostname(), content.path_prefix(), service, 0});
+  return entries;
+}
+
 leaf::result<RequestLimits> read_limits_item(const wire::ConfigurationItem& item) {
   BOOST_LEAF_AUTO(content, read_content<wire::LimitsItem>(item));
   RequestLimits limits;
--- a/src/cluster/delivery/configuration_replica.cpp
+++ b/src/cluster/delivery/configuration_replica.cpp
@@ -37,24 +37,27 @@
 ApplyOutcome ConfigurationReplica::apply_checked(const wire::ConfigurationDifference& difference) {
   return leaf::try_handle_all(
       [&]() -> leaf::result<ApplyOutcome> {
-        BOOST_LEAF_AUTO(edit, read(difference));
-        if (configuration_.first_conflict(edit)) return ApplyOutcome::rejected;
-        last_route_changes_ = configuration_.apply(std::move(edit), difference.version());
+        BOOST_LEAF_AUTO(decoded, read(difference));
+        if (configuration_.first_conflict(decoded.edit)) return ApplyOutcome::rejected;
+        last_route_changes_ = configuration_.apply(std::move(decoded.edit), difference.version());
+        last_former_routes_ = std::move(decoded.former_routes);
         table_.apply(difference);
         return ApplyOutcome::applied;
       },
       [] { return ApplyOutcome::rejected; });
 }
 
-leaf::result<ConfigurationEdit> ConfigurationReplica::read(const wire::ConfigurationDifference& difference) {
-  ConfigurationEdit edit;
-  for (const wire::ConfigurationItem& item : difference.items()) BOOST_LEAF_CHECK(read_item(item, edit));
-  return edit;
+leaf::result<ConfigurationReplica::DecodedDifference> ConfigurationReplica::read(
+    const wire::ConfigurationDifference& difference) {
+  DecodedDifference decoded;
+  for (const wire::ConfigurationItem& item : difference.items()) BOOST_LEAF_CHECK(read_item(item, decoded));
+  return decoded;
 }
 
 // Items of unknown kinds, from newer versions of the program, are kept in the item table only.
 leaf::result<void> ConfigurationReplica::read_item(const wire::ConfigurationItem& item,
-                                                   ConfigurationEdit& edit) {
+                                                   DecodedDifference& decoded) {
+  ConfigurationEdit& edit = decoded.edit;
   switch (item.kind()) {
     case wire::CONFIGURATION_ROUTE: {
       if (item.removed()) {
@@ -79,6 +82,12 @@
       edit.limits = limits;
       return {};
     }
+    case wire::CONFIGURATION_FORMER_ROUTE: {
+      if (item.removed()) return {};
+      BOOST_LEAF_AUTO(entries, read_former_route_item(item));
+      decoded.former_routes.insert(decoded.former_routes.end(), entries.begin(), entries.end());
+      return {};
+    }
     default:
       return {};
   }
--- a/src/cluster/delivery/configuration_replica.hpp
+++ b/src/cluster/delivery/configuration_replica.hpp
@@ -6,6 +6,7 @@
 
 #include "cluster/common/errors.hpp"
 #include "cluster/config/editable_configuration.hpp"
+#include "cluster/config/former_routes.hpp"
 #include "cluster/delivery/configuration_item_table.hpp"
 
 namespace winchhall::cluster {
@@ -37,16 +38,24 @@
   }
   // The routes that the last applied difference changed.
   const std::vector<RouteChange>& last_route_changes() const { return last_route_changes_; }
+  // The former routes that the last applied difference added or changed, without their times.
+  const std::vector<FormerRoute>& last_former_routes() const { return last_former_routes_; }
 
  private:
+  struct DecodedDifference {
+    ConfigurationEdit edit;
+    std::vector<FormerRoute> former_routes;
+  };
+
   // Applies a difference whose base and digest have been checked.
   ApplyOutcome apply_checked(const wire::ConfigurationDifference& difference);
-  static leaf::result<ConfigurationEdit> read(const wire::ConfigurationDifference& difference);
-  static leaf::result<void> read_item(const wire::ConfigurationItem& item, ConfigurationEdit& edit);
+  static leaf::result<DecodedDifference> read(const wire::ConfigurationDifference& difference);
+  static leaf::result<void> read_item(const wire::ConfigurationItem& item, DecodedDifference& decoded);
 
   ConfigurationItemTable table_;
   EditableConfiguration configuration_;
   std::vector<RouteChange> last_route_changes_;
+  std::vector<FormerRoute> last_former_routes_;
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/ingress/job_gateway.cpp
+++ b/src/cluster/ingress/job_gateway.cpp
@@ -104,6 +104,7 @@
   call.request.set_verb(target.verb);
   call.request.set_origin(origin_);
   call.request.set_number(call_number);
+  call.request.set_configuration_version(target.configuration_version);
   call.request.set_service(target.route->backend);
   call.request.set_id(target.id);
   *call.request.mutable_terms() = queue_terms(*target.route);
--- a/src/cluster/ingress/request_target.cpp
+++ b/src/cluster/ingress/request_target.cpp
@@ -60,6 +60,7 @@
 
 RequestTarget resolve_target(const Configuration& configuration, const HttpRequest& request) {
   RequestTarget target;
+  target.configuration_version = configuration.version;
   const std::string_view path = path_of(request);
   target.route = configuration.find_route(host_of(request), path);
   if (target.route == nullptr) {
--- a/src/cluster/ingress/request_target.hpp
+++ b/src/cluster/ingress/request_target.hpp
@@ -1,6 +1,7 @@
 // Interpretation of a client's HTTP request: its queue, the job and the client's deadline.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -21,7 +22,8 @@
 // The operation that a request asks for, and the queue and the job that it refers to.
 struct RequestTarget {
   TargetError error = TargetError::none;
-  const Route* route = nullptr;  // points into the configuration that was searched
+  std::uint64_t configuration_version = 0;  // of the configuration that was searched
+  const Route* route = nullptr;             // points into the configuration that was searched
   wire::JobVerb verb = wire::JOB_VERB_NONE;
   std::string id;  // of the job; empty for JOB_COUNT
 };
--- /dev/null
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -0,0 +1,222 @@
+// A job belongs to the service that accepted it, also when its queue moves to another service and agents and
+// control nodes restart.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "cluster/agent/edge_agent.hpp"
+#include "tests/cluster/support/configuration_fixture.hpp"
+#include "tests/cluster/support/fake_runtime.hpp"
+
+using namespace winchhall::cluster;
+using winchhall::cluster::configuration_test::SharedRegisters;
+using winchhall::cluster::testing::configuration_json;
+using winchhall::cluster::testing::FakeRuntime;
+
+namespace {
+
+constexpr const char* kControlAddress = "10.0.0.1:7380";
+constexpr const char* kJob = "5c0e7a21d94b36f8";
+constexpr const char* kQueue = "queue/a/";
+
+std::string remove_queue(std::uint64_t version) {
+  return R"({"version":)" + std::to_string(version) + R"(,"delete":{"routes":["queue/a/"]}})";
+}
+
+std::string add_queue(std::uint64_t version, const std::string& service,
+                      const std::string& hostname = "jobs.example") {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"upsert":{"routes":[{"name":"queue/a/","hostname":")" + hostname +
+         R"(","path_prefix":"/a/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,)"
+         R"("priority":1,"backend":")" +
+         service + R"(","max_retries":2,"stretch":2.0}]}})";
+}
+
+// A patch of another route that is large enough for a new snapshot.
+std::string large_patch(std::uint64_t version) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"upsert":{"routes":[{"name":"large","hostname":"jobs.example","path_prefix":"/large/",)"
+         R"("route_type":")" +
+         std::string(40000, 'x') +
+         R"(","timeout_ms":3000,"target_latency_ms":800,"priority":1,"backend":"first","max_retries":2,)"
+         R"("stretch":2.0}]}})";
+}
+
+// A control node with the real configuration service, whose registers outlive it, and which leads the
+// services "first" and "second". An agent that follows it.
+struct MovedQueueFixture {
+  FakeRuntime runtime;
+  SharedRegisters registers;
+  bool members_read_snapshots = true;
+  std::unique_ptr<ConfigurationService> configuration;
+  std::set<std::string> accepted_by;  // services that know the job
+  // The last one is in use. The others are kept, since calls of theirs are in flight.
+  std::vector<std::unique_ptr<EdgeAgent>> agents;
+
+  MovedQueueFixture() {
+    runtime.peers[kControlAddress] = [this](const wire::Envelope& request, const ReplyCallback& reply) {
+      if (request.has_job_request()) return reply(lead(request.job_request()));
+      if (configuration) configuration->handle(request, reply);
+    };
+  }
+
+  wire::Envelope lead(const wire::JobRequest& request) {
+    if (request.verb() == wire::JOB_SUBMIT) accepted_by.insert(request.service());
+    const bool known = accepted_by.count(request.service()) > 0;
+    wire::Envelope envelope;
+    envelope.mutable_job_reply()->set_outcome(known ? wire::JOB_OK : wire::JOB_NOT_FOUND);
+    return envelope;
+  }
+
+  static std::vector<wire::ShardLeader> leaders() {
+    std::vector<wire::ShardLeader> leaders;
+    for (const std::string service : {"first", "second"}) {
+      wire::ShardLeader& leader = leaders.emplace_back();
+      leader.set_shard("service/" + service);
+      leader.set_epoch(1);
+      leader.set_address(kControlAddress);
+    }
+    return leaders;
+  }
+
+  void start_control() {
+    ConfigurationDependencies dependencies{&MovedQueueFixture::leaders,
+                                           [] { return std::vector<wire::Member>(); }, [] { return true; }};
+    dependencies.members_read_snapshots = [this] { return members_read_snapshots; };
+    configuration = std::make_unique<ConfigurationService>(runtime, registers, dependencies);
+    configuration->on_register_value(registers.value());
+    registers.run_all();
+  }
+  void start_agent() {
+    NodeSettings settings;
+    settings.zone = "near";
+    settings.ip = "10.0.1.1";
+    settings.internal_port_first = 7380;
+    settings.internal_port_last = 7395;
+    settings.seeds = {"10.0.0.1:8144"};
+    agents.push_back(std::make_unique<EdgeAgent>(runtime, settings));
+    agents.back()->start();
+  }
+  void restart_all() {
+    start_control();
+    start_agent();
+    runtime.run_for(Millis(1500));
+  }
+
+  void put(std::uint64_t base, const std::string& body) { change(base, body, &ConfigurationService::put); }
+  void patch(std::uint64_t base, const std::string& body) {
+    change(base, body, &ConfigurationService::patch);
+  }
+
+  wire::JobOutcome call(wire::JobVerb verb, const std::string& service, std::uint64_t version,
+                        Millis patience = Millis(1000)) {
+    wire::Envelope envelope;
+    auto& request = *envelope.mutable_job_request();
+    request.set_verb(verb);
+    request.set_service(service);
+    request.set_id(kJob);
+    request.mutable_terms()->set_queue(kQueue);
+    request.set_deadline_ms(2800);
+    request.set_configuration_version(version);
+    const auto outcome = std::make_shared<wire::JobOutcome>(wire::JOB_OUTCOME_NONE);
+    agents.back()->handle(envelope,
+                          [outcome](const wire::Envelope& reply) { *outcome = reply.job_reply().outcome(); });
+    runtime.run_for(patience);
+    return *outcome;
+  }
+
+ private:
+  using Change = void (ConfigurationService::*)(const std::optional<std::string>&, std::string,
+                                                ConfigurationService::ChangeCallback);
+  void change(std::uint64_t base, const std::string& body, Change apply) {
+    auto kind = ConfigurationOutcomeKind::unavailable;
+    (configuration.get()->*apply)(std::to_string(base), body,
+                                  [&](const ConfigurationOutcome& outcome) { kind = outcome.kind; });
+    registers.run_all();
+    REQUIRE(kind == ConfigurationOutcomeKind::applied);
+    runtime.run_for(Millis(500));
+  }
+};
+
+const std::map<std::string, std::string> kBeforeMove{{"/a/", "first"}, {"/b/", "second"}};
+const std::map<std::string, std::string> kAfterMove{{"/a/", "second"}, {"/b/", "first"}};
+
+// A job has been accepted by the service "first".
+struct AcceptedJobFixture : MovedQueueFixture {
+  void accept_job() {
+    start_control();
+    put(0, configuration_json(1, kBeforeMove));
+    start_agent();
+    runtime.run_for(Millis(500));
+    REQUIRE(call(wire::JOB_SUBMIT, "first", 1) == wire::JOB_OK);
+  }
+};
+
+}  // namespace
+
+// Guards against a second run: agents that started after a queue had moved didn't know of its former service.
+TEST_CASE_METHOD(AcceptedJobFixture,
+                 "a job stays with its service when all restart after its queue has moved") {
+  members_read_snapshots = GENERATE(true, false);
+  accept_job();
+  SECTION("by a removal and an addition") {
+    patch(1, remove_queue(3));
+    patch(3, add_queue(5, "second"));
+  }
+  SECTION("by an addition with the hostname in another case") {
+    patch(1, remove_queue(3));
+    patch(3, add_queue(5, "second", "Jobs.Example"));
+  }
+  SECTION("by a change of the route") { patch(1, add_queue(5, "second")); }
+  SECTION("by a new configuration") { put(1, configuration_json(5, kAfterMove)); }
+  SECTION("before a new snapshot") {
+    patch(1, remove_queue(3));
+    patch(3, add_queue(4, "second"));
+    patch(4, large_patch(5));
+  }
+  SECTION("after a restart between removal and addition") {
+    patch(1, remove_queue(3));
+    restart_all();
+    patch(3, add_queue(5, "second"));
+  }
+  restart_all();
+  CHECK(call(wire::JOB_SUBMIT, "second", 5) == wire::JOB_OK);
+  CHECK(accepted_by == std::set<std::string>{"first"});
+}
+
+TEST_CASE_METHOD(AcceptedJobFixture, "a queue that has moved back is not searched elsewhere") {
+  accept_job();
+  patch(1, remove_queue(3));
+  patch(3, add_queue(5, "first"));
+  restart_all();
+  accepted_by = {"second"};
+  CHECK(call(wire::JOB_SUBMIT, "first", 5) == wire::JOB_OK);
+  CHECK(accepted_by == std::set<std::string>{"first", "second"});
+}
+
+// Guards against a second run: an agent that had just started submitted before it knew the configuration.
+TEST_CASE_METHOD(AcceptedJobFixture, "a submit waits for the configuration that its ingress has") {
+  const std::uint64_t ingress_version = GENERATE(0, 5);
+  accept_job();
+  patch(1, remove_queue(3));
+  patch(3, add_queue(5, "second"));
+  start_agent();
+  CHECK(call(wire::JOB_SUBMIT, "second", ingress_version) == wire::JOB_OK);
+  CHECK(accepted_by == std::set<std::string>{"first"});
+}
+
+TEST_CASE_METHOD(AcceptedJobFixture, "a submit whose configuration does not arrive is rejected") {
+  accept_job();
+  CHECK(call(wire::JOB_SUBMIT, "second", 5, Millis(1900)) == wire::JOB_OUTCOME_NONE);
+  runtime.run_for(Millis(200));
+  CHECK(call(wire::JOB_SUBMIT, "second", 5, Millis(2100)) == wire::JOB_REJECTED);
+  CHECK(accepted_by == std::set<std::string>{"first"});
+}
+
+TEST_CASE_METHOD(AcceptedJobFixture, "a query without a configuration does not say that the job is unknown") {
+  accept_job();
+  configuration.reset();
+  start_agent();
+  CHECK(call(wire::JOB_QUERY, "second", 1, Millis(2900)) == wire::JOB_IN_DOUBT);
+  start_control();
+  CHECK(call(wire::JOB_QUERY, "second", 1) == wire::JOB_OK);
+}
--- a/tests/cluster/agent/route_history_test.cpp
+++ b/tests/cluster/agent/route_history_test.cpp
@@ -52,3 +52,32 @@
   history.record_changes(apply(3, {{"/a/", "second"}, {"/b/", "second"}}), now + Millis(2000));
   CHECK(history.recent_other_services("queue/a/", "second", now + Millis(3000)) == Names{"first"});
 }
+
+TEST_CASE_METHOD(ReplicaFixture, "a former route that comes with the configuration is kept from then on") {
+  RouteHistory history;
+  const TimePoint now{std::chrono::hours(1)};
+  history.record_changes(apply(5, {{"/a/", "second"}, {"/b/", "second"}}), now);
+  history.record_former_routes({{"jobs.example", "/a/", "first", 0}}, now);
+  CHECK(history.recent_other_services("queue/a/", "second", now + Millis(60000)) == Names{"first"});
+  CHECK(history.recent_other_services("queue/b/", "second", now).empty());
+  CHECK(history.recent_other_services("queue/a/", "second", now + Millis(60001)).empty());
+}
+
+TEST_CASE_METHOD(ReplicaFixture, "a former route that stands for any route counts for every queue") {
+  RouteHistory history;
+  const TimePoint now{std::chrono::hours(1)};
+  history.record_changes(apply(5, {{"/a/", "second"}, {"/b/", "first"}}), now);
+  history.record_former_routes({{"", "", "first", 0}}, now);
+  CHECK(history.recent_other_services("queue/a/", "second", now) == Names{"first"});
+  CHECK(history.recent_other_services("queue/b/", "first", now).empty());
+}
+
+TEST_CASE_METHOD(ReplicaFixture, "a former route does not prolong what the agent has seen itself") {
+  RouteHistory history;
+  const TimePoint now{std::chrono::hours(1)};
+  history.record_changes(apply(1, {{"/a/", "first"}}), now);
+  history.record_changes(apply(2, {{"/a/", "second"}}), now);
+  history.record_former_routes({{"jobs.example", "/a/", "first", 0}}, now + Millis(30000));
+  CHECK(history.recent_other_services("queue/a/", "second", now + Millis(60000)) == Names{"first"});
+  CHECK(history.recent_other_services("queue/a/", "second", now + Millis(60001)).empty());
+}
