Take a leaf for synchronized only with lists that are not truncated

Cause: the tasks of restored jobs wait until all leaves are synchronized. A leaf counted as such after its first lists, also if its list of ends was full (500) and further ends were still to come. Change: a full list is reconciled and acknowledged as before, but the leaf is synchronized only with the first list that is not full. The limit stands once, in common/leaf_protocol.hpp. Why this works: a list that is not full holds all ends that are not acknowledged, and the acknowledged ones are durable, so that with the running tasks every earlier run is known.

--- a/src/cluster/scheduler/leaf_state.hpp
+++ b/src/cluster/scheduler/leaf_state.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/common/leaf_protocol.hpp"
 #include "cluster/scheduler/leaf_health.hpp"
 #include "cluster/scheduler/run.hpp"
 
@@ -19,6 +20,9 @@
   std::uint64_t report_number = 0;  // number of that report
   std::vector<wire::RunningTask> running;
   std::vector<wire::FinishedTask> finished;
+
+  // True if runs may have ended without being listed: a run that is in neither list isn't lost.
+  bool may_lack_ends() const { return finished.size() >= kMaxFinishedListed; }
 };
 
 // A reported end that the leaf must continue to list, because its effects may not be durable yet.
@@ -51,7 +55,7 @@
   std::uint64_t session = 0;           // worker-agent process that sent the newest report
   std::uint64_t report_number = 0;     // number of the newest report
   ReportedTaskLists task_lists;
-  bool synchronized = false;  // its lists were reconciled in this epoch, so its runs are known
+  bool synchronized = false;  // complete lists were reconciled in this epoch, so its runs are known
 
   Revision issued_revision = 0;                 // newest order
   Revision delivered_revision = 0;              // newest order contained in an answer to the worker-agent
--- a/src/cluster/scheduler/worker_report_handler.cpp
+++ b/src/cluster/scheduler/worker_report_handler.cpp
@@ -8,10 +8,6 @@
 namespace winchhall::cluster::scheduling {
 namespace {
 
-// Largest number of ends that a leaf lists at once. If the list is full, a run that isn't listed may have
-// ended without being lost.
-constexpr std::size_t kMaxListedEnds = 500;
-
 template <class Order>
 void drop_orders_up_to(std::deque<Order>& orders, Revision revision) {
   while (!orders.empty() && orders.front().revision() <= revision) orders.pop_front();
@@ -161,15 +157,19 @@
   for (const wire::RunningTask& entry : leaf.task_lists.running) process_running(leaf, entry);
   remove_missing_runs(leaf);
   drop_applied_orders(leaf);
-  if (!leaf.synchronized) state_.replan_needed = true;
-  leaf.synchronized = true;
-  if (state_.unsynchronized_leaves.erase(leaf.id) > 0 && state_.unsynchronized_leaves.empty()) {
-    ends_.stop_partial_gangs();
-    state_.replan_needed = true;
-  }
+  if (!leaf.task_lists.may_lack_ends()) mark_synchronized(leaf);
   acknowledge_durable_ends(leaf);
 }
 
+void WorkerReportHandler::mark_synchronized(Leaf& leaf) {
+  if (leaf.synchronized) return;
+  leaf.synchronized = true;
+  state_.replan_needed = true;
+  const bool was_last =
+      state_.unsynchronized_leaves.erase(leaf.id) > 0 && state_.unsynchronized_leaves.empty();
+  if (was_last) ends_.stop_partial_gangs();
+}
+
 void WorkerReportHandler::process_running(Leaf& leaf, const wire::RunningTask& entry) {
   auto found = leaf.runs.find(RunKeyView{entry.task(), entry.run()});
   Run& run = found == leaf.runs.end() ? adopt_run(leaf, entry) : found->second;
@@ -207,7 +207,7 @@
 }
 
 void WorkerReportHandler::remove_missing_runs(Leaf& leaf) {
-  if (leaf.task_lists.finished.size() >= kMaxListedEnds) return;
+  if (leaf.task_lists.may_lack_ends()) return;
   std::vector<RunKey> missing;
   for (const auto& [key, run] : leaf.runs) {
     const bool was_there = run.reported || run.start_revision <= leaf.applied_revision;
--- a/src/cluster/scheduler/worker_report_handler.hpp
+++ b/src/cluster/scheduler/worker_report_handler.hpp
@@ -42,6 +42,8 @@
 
   // Updates `leaf.runs` and the pending orders to agree with `leaf.task_lists`.
   void reconcile(Leaf& leaf);
+  // Must be called once the leaf's complete lists are reconciled.
+  void mark_synchronized(Leaf& leaf);
   void process_ends(Leaf& leaf);
   void process_running(Leaf& leaf, const wire::RunningTask& entry);
   // Adds a run that the leaf lists and this leader didn't order.
--- a/src/cluster/worker_agent/leaf_task_lists.hpp
+++ b/src/cluster/worker_agent/leaf_task_lists.hpp
@@ -7,13 +7,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cluster/common/leaf_protocol.hpp"
 #include "cluster/wire/cluster.pb.h"
 
 namespace winchhall::cluster {
 
-// A heartbeat lists at most this many finished tasks; a list of this length may be truncated.
-inline constexpr std::size_t kMaxFinishedListed = 500;
-
 // The change that a heartbeat makes in the lists, in ascending order; the greatest one counts.
 enum class TaskListsChange {
   none,
--- a/tests/cluster/control/service_cluster_test.cpp
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -13,7 +13,6 @@
 
 constexpr Ms kFaultPeriod = 30000;
 constexpr Ms kTimeToEnd = 120000;  // for all jobs, after the last fault
-constexpr int kJobs = 40;
 constexpr std::size_t kMinRuns = 100;
 
 wire::Stage random_stage(ServiceCluster& cluster, int number) {
@@ -31,22 +30,46 @@
   return stage;
 }
 
-test::SimulatedJob random_job(ServiceCluster& cluster, int number) {
+// Together more than 500 tasks on each leaf, so that no leaf lists all its ends at once.
+wire::Stage wide_stage(ServiceCluster& cluster) {
+  constexpr Ms kMinTasksPerLeaf = 550;
+  constexpr Ms kMaxTasksPerLeaf = 780;
+  const auto leaves = static_cast<Ms>(cluster.workers());
+  wire::Stage stage;
+  stage.set_count(static_cast<std::uint32_t>(cluster.between(kMinTasksPerLeaf, kMaxTasksPerLeaf) * leaves));
+  stage.set_cpu(10);
+  stage.set_mem_mb(1);
+  stage.set_estimated_ms(static_cast<std::uint32_t>(cluster.between(1000, 6000)));
+  return stage;
+}
+
+test::SimulatedJob empty_job(int number) {
   constexpr std::size_t kIdDigits = 16;
   test::SimulatedJob job;
   const std::string digits = std::to_string(number);
   job.id = std::string(kIdDigits - digits.size(), '0') + digits;
   job.spec.set_spec("work of " + job.id);
-  const int stages = static_cast<int>(cluster.between(1, 2));
-  for (int i = 0; i < stages; ++i) *job.spec.add_stages() = random_stage(cluster, i);
   job.terms.set_queue("r-1");
-  job.terms.set_priority(static_cast<std::uint32_t>(cluster.between(0, 2)));
   job.terms.set_max_retries(4);
   job.terms.set_stretch(2);
   job.terms.set_target_latency_ms(1000);
   return job;
 }
 
+test::SimulatedJob wide_job(ServiceCluster& cluster, int number) {
+  test::SimulatedJob job = empty_job(number);
+  *job.spec.add_stages() = wide_stage(cluster);
+  return job;
+}
+
+test::SimulatedJob random_job(ServiceCluster& cluster, int number) {
+  test::SimulatedJob job = empty_job(number);
+  const int stages = static_cast<int>(cluster.between(1, 2));
+  for (int i = 0; i < stages; ++i) *job.spec.add_stages() = random_stage(cluster, i);
+  job.terms.set_priority(static_cast<std::uint32_t>(cluster.between(0, 2)));
+  return job;
+}
+
 std::size_t random_control(ServiceCluster& cluster) {
   return static_cast<std::size_t>(cluster.between(0, static_cast<Ms>(cluster.control_nodes()) - 1));
 }
@@ -78,7 +101,7 @@
   cluster.stop_leaf(random_worker(cluster), restart_after);
 }
 
-void inject_fault(ServiceCluster& cluster) {
+void inject_fault(ServiceCluster& cluster, double power_loss) {
   const std::size_t control = random_control(cluster);
   const std::size_t worker = cluster.worker_machine(random_worker(cluster));
   switch (cluster.between(0, 9)) {
@@ -98,24 +121,33 @@
     case 7:
       return lose_leaf(cluster);
     case 8:
-      if (cluster.chance() < 0.4) lose_all_power(cluster);
+      if (cluster.chance() < power_loss) lose_all_power(cluster);
       return;
     default:
       cluster.node(control).hang_disk_for(Millis(cluster.between(50, 2000)));
   }
 }
 
+struct Scenario {
+  ServiceClusterOptions options;
+  int jobs = 40;
+  int wide_jobs = 0;        // the first ones of `jobs`
+  double power_loss = 0.4;  // probability that all machines lose power, for each tenth fault
+};
+
 // Submits jobs while faults are injected in series, and requires that no rule is violated and that all jobs
 // end.
-void run_scenario(std::uint64_t seed, const ServiceClusterOptions& options) {
-  ServiceCluster cluster(seed, options);
-  for (int number = 1; number <= kJobs; ++number) {
-    cluster.simulation().in(Millis(cluster.between(0, kFaultPeriod)),
-                            [&cluster, number] { cluster.submit(random_job(cluster, number)); });
+void run_scenario(std::uint64_t seed, const Scenario& scenario) {
+  ServiceCluster cluster(seed, scenario.options);
+  for (int number = 1; number <= scenario.jobs; ++number) {
+    const bool wide = number <= scenario.wide_jobs;
+    cluster.simulation().in(Millis(cluster.between(0, kFaultPeriod)), [&cluster, number, wide] {
+      cluster.submit(wide ? wide_job(cluster, number) : random_job(cluster, number));
+    });
   }
   const Ms faults_until = cluster.now() + kFaultPeriod;
   while (cluster.now() < faults_until && cluster.violations().empty()) {
-    inject_fault(cluster);
+    inject_fault(cluster, scenario.power_loss);
     const bool pause = cluster.chance() < 0.3;
     cluster.simulation().run_for(Millis(pause ? cluster.between(1000, 4000) : cluster.between(20, 500)));
   }
@@ -130,8 +162,8 @@
   CHECK(cluster.runs_started() > kMinRuns);
 }
 
-void run_scenarios(SeedRange seeds, const ServiceClusterOptions& options) {
-  SeedRange::from_environment(seeds).for_each([&](std::uint64_t seed) { run_scenario(seed, options); });
+void run_scenarios(SeedRange seeds, const Scenario& scenario) {
+  SeedRange::from_environment(seeds).for_each([&](std::uint64_t seed) { run_scenario(seed, scenario); });
 }
 
 TEST_CASE("no task runs twice while processes fail in series and all machines lose power") {
@@ -143,20 +175,29 @@
   options.leaf_calls.late = 0.02;
   options.network.late = 0.02;
   options.network.late_max_us = 3000000;
-  run_scenarios({21481, 20}, options);
+  run_scenarios({21481, 20}, {options});
 }
 
 TEST_CASE("no task runs twice while reports into a partition arrive after it has healed") {
   ServiceClusterOptions options;
   options.network.retransmission = 0.9;
-  run_scenarios({1, 20}, options);
+  run_scenarios({1, 20}, {options});
 }
 
 TEST_CASE("no task runs twice while heartbeats arrive after a restart of the worker-agent") {
   ServiceClusterOptions options;
   options.leaf_calls.late = 0.02;
   options.leaf_calls.outlives_process = true;
-  run_scenarios({1, 20}, options);
+  run_scenarios({1, 20}, {options});
+}
+
+TEST_CASE("no task runs twice while leaves have more ends than they list at once") {
+  Scenario scenario;
+  scenario.options.workers = 3;
+  scenario.jobs = 12;
+  scenario.wide_jobs = 4;
+  scenario.power_loss = 1;
+  run_scenarios({20, 3}, scenario);
 }
 
 }  // namespace
--- a/tests/cluster/scheduler/scheduler_test.cpp
+++ b/tests/cluster/scheduler/scheduler_test.cpp
@@ -1,6 +1,7 @@
 // The scheduler with all its components: single jobs step by step, with reports made by the test.
 #include <catch2/catch.hpp>
 
+#include "cluster/common/leaf_protocol.hpp"
 #include "tests/cluster/scheduler/scheduler_harness.hpp"
 
 namespace winchhall::cluster {
@@ -102,6 +103,69 @@
   CHECK(starts == 2);
 }
 
+// More small tasks on one leaf than it lists ends at once.
+constexpr int kEndsBeyondOneList = 100;
+constexpr int kSmallTasks = static_cast<int>(kMaxFinishedListed) + kEndsBeyondOneList;
+
+// Orders all small tasks of a job to start on the leaf "i-1".
+std::vector<wire::StartOrder> start_small_tasks(SchedulerHarness& harness) {
+  wire::JobSpec spec = single_stage_job(kSmallTasks);
+  spec.mutable_stages(0)->set_cpu(10);
+  harness.submit("a", spec);
+  harness.make_durable_and_plan();
+  std::vector<wire::StartOrder> starts;
+  wire::WorkerReport report = harness.make_report("i-1");
+  while (static_cast<int>(starts.size()) < kSmallTasks) {
+    const wire::WorkerOrders orders = harness.orders("i-1");
+    REQUIRE(orders.starts_size() > 0);
+    starts.insert(starts.end(), orders.starts().begin(), orders.starts().end());
+    report.set_orders_received(orders.revision());
+    report.set_orders_settled(orders.revision());
+    for (const wire::StartOrder& start : orders.starts()) add_running(report, start);
+    harness.deliver(report);
+    report.set_report_number(report.report_number() + 1);
+  }
+  harness.report_numbers["i-1"] = report.report_number();
+  return starts;
+}
+
+// The list of ends that a leaf sends once all these runs are done and the first `acknowledged` are forgotten.
+void list_ends(wire::WorkerReport& report, const std::vector<wire::StartOrder>& starts,
+               std::size_t acknowledged) {
+  const std::size_t until = std::min(starts.size(), acknowledged + kMaxFinishedListed);
+  for (std::size_t index = acknowledged; index < until; ++index)
+    add_end(report, index + 1, starts[index], wire::END_DONE);
+}
+
+// Guards against a second run: a new leader took a leaf for synchronized whose list of ends was full.
+TEST_CASE("a task whose end does not fit into a leaf's first list does not start again") {
+  SchedulerHarness first;
+  first.deliver(first.make_report("i-1"));
+  const std::vector<wire::StartOrder> starts = start_small_tasks(first);
+  REQUIRE(starts.size() == static_cast<std::size_t>(kSmallTasks));
+  first.deliver(first.make_report("i-2"));
+
+  SchedulerHarness second(2, first.entries());
+  second.deliver(second.make_report("i-2"));
+  wire::WorkerReport report = second.make_report("i-1");
+  list_ends(report, starts, 0);
+  second.deliver(report);
+  CHECK(second.orders("i-2").starts_size() == 0);
+  const wire::WorkerOrders acknowledgement = second.orders("i-1");
+  CHECK(acknowledgement.starts_size() == 0);
+  CHECK(acknowledgement.last_seen() == kMaxFinishedListed);
+  CHECK(second.scheduler->state("a") != wire::JOB_COMPLETED);
+
+  wire::WorkerReport next = second.make_report("i-1");
+  list_ends(next, starts, kMaxFinishedListed);
+  second.deliver(next);
+  CHECK(second.orders("i-1").starts_size() + second.orders("i-2").starts_size() == 0);
+  CHECK(second.scheduler->state("a") == wire::JOB_COMPLETED);
+  second.submit("b", single_stage_job(1));
+  second.make_durable_and_plan();
+  CHECK(second.orders("i-1").starts_size() + second.orders("i-2").starts_size() == 1);
+}
+
 TEST_CASE("a cancel withdraws an undelivered start and stops a delivered one") {
   SchedulerHarness harness;
   harness.deliver(harness.make_report("i-1"));
