Ask services for their jobs also after they were removed from the configuration

Cause: the agent asked only services of the present configuration. A removed one still has its leader, its jobs and its leaves. Change: former services are asked without regard to the configuration; a search goes to all services that are in force or have a known leader. Why this works: control nodes never stop leading a service, and after a restart lead all that they store.

--- a/src/cluster/agent/cluster_view.cpp
+++ b/src/cluster/agent/cluster_view.cpp
@@ -1,12 +1,13 @@
 #include "cluster/agent/cluster_view.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace winchhall::cluster {
 
 namespace {
 
-constexpr char kServiceShardPrefix[] = "service/";
+constexpr std::string_view kServiceShardPrefix = "service/";
 constexpr char kControlSource[] = "control";
 
 bool is_same_member(const wire::Member& left, const wire::Member& right) {
@@ -27,10 +28,22 @@
 }
 
 Address ClusterView::leader_of(const std::string& service) const {
-  const auto found = leaders_.find(kServiceShardPrefix + service);
+  const auto found = leaders_.find(std::string(kServiceShardPrefix) + service);
   return found == leaders_.end() ? Address() : found->second.address();
 }
 
+std::set<std::string> ClusterView::services() const {
+  std::set<std::string> services;
+  if (configuration() != nullptr) {
+    for (const Service& service : configuration()->services) services.insert(service.name);
+  }
+  for (const auto& [shard, leader] : leaders_) {
+    const bool led = shard.starts_with(kServiceShardPrefix) && !leader.address().empty();
+    if (led) services.insert(shard.substr(kServiceShardPrefix.size()));
+  }
+  return services;
+}
+
 bool ClusterView::apply_configuration(const wire::ConfigurationUpdate& update, TimePoint now,
                                       bool& rejected) {
   if (update.version() <= version() || update.configuration().empty()) return false;
--- a/src/cluster/agent/cluster_view.hpp
+++ b/src/cluster/agent/cluster_view.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
   const ConfigurationReplica& replica() const { return replica_; }
   // Address of the control node that leads a service; empty if none is known.
   Address leader_of(const std::string& service) const;
+  // The services in force, and those with a known leader: a service that is removed from the configuration
+  // still has one, and owns the jobs that it accepted.
+  std::set<std::string> services() const;
   const std::vector<wire::Member>& members() const { return members_; }
   const RouteHistory& history() const { return history_; }
 
--- a/src/cluster/agent/job_router.cpp
+++ b/src/cluster/agent/job_router.cpp
@@ -1,6 +1,7 @@
 #include "cluster/agent/job_router.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include "cluster/agent/reply_aggregator.hpp"
 
@@ -108,23 +109,14 @@
 }
 
 std::vector<std::string> JobRouter::previous_services(const wire::JobRequest& request) const {
-  const Configuration* configuration = context_.view.configuration();
-  if (configuration == nullptr) return {};
-  auto services = context_.view.history().recent_other_services(request.terms().queue(), request.service(),
-                                                                context_.runtime.now());
-  std::erase_if(services,
-                [&](const std::string& name) { return configuration->find_service(name) == nullptr; });
-  return services;
+  return context_.view.history().recent_other_services(request.terms().queue(), request.service(),
+                                                       context_.runtime.now());
 }
 
 std::vector<std::string> JobRouter::all_other_services(const wire::JobRequest& request) const {
-  std::vector<std::string> services;
-  const Configuration* configuration = context_.view.configuration();
-  if (configuration == nullptr) return services;
-  for (const Service& service : configuration->services) {
-    if (service.name != request.service()) services.push_back(service.name);
-  }
-  return services;
+  std::set<std::string> services = context_.view.services();
+  services.erase(request.service());
+  return {services.begin(), services.end()};
 }
 
 void JobRouter::call_leaders(const std::vector<std::string>& services, const wire::JobRequest& request,
--- a/src/cluster/agent/job_router.hpp
+++ b/src/cluster/agent/job_router.hpp
@@ -51,9 +51,10 @@
   void route_now(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   void submit(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   void search_services(const wire::JobRequest& request, TimePoint deadline, const Done& done);
-  // Services in force, other than the request's, that its queue was routed to until recently.
+  // Services other than the request's that its queue was routed to until recently. They may have been removed
+  // from the configuration since: their leaders remain.
   std::vector<std::string> previous_services(const wire::JobRequest& request) const;
-  // Services in force other than the request's.
+  // Services other than the request's, also those that were removed from the configuration.
   std::vector<std::string> all_other_services(const wire::JobRequest& request) const;
   // Sends the request to several services at once and aggregates their replies.
   void call_leaders(const std::vector<std::string>& services, const wire::JobRequest& request,
--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -31,6 +31,13 @@
          service + R"(","max_retries":2,"stretch":2.0}]}})";
 }
 
+// Moves the queue to the service "second" and removes the service "first".
+std::string move_queue_and_remove_service(std::uint64_t version) {
+  std::string patch = add_queue(version, "second");
+  patch.insert(patch.size() - 1, R"(,"delete":{"services":["first"]})");
+  return patch;
+}
+
 // A patch of another route that is large enough for a new snapshot.
 std::string large_patch(std::uint64_t version) {
   return R"({"version":)" + std::to_string(version) +
@@ -193,6 +200,20 @@
   CHECK(accepted_by == std::set<std::string>{"first", "second"});
 }
 
+// Guards against a lost job and a second run: agents knew only the services of the present configuration.
+TEST_CASE_METHOD(AcceptedJobFixture,
+                 "a job of a service that is removed from the configuration stays known") {
+  const bool restarted = GENERATE(false, true);
+  accept_job();
+  patch(1, move_queue_and_remove_service(5));
+  if (restarted) restart_all();
+  CHECK(call(wire::JOB_QUERY, "second", 5) == wire::JOB_OK);
+  CHECK(call(wire::JOB_SUBMIT, "second", 5) == wire::JOB_OK);
+  CHECK(accepted_by == std::set<std::string>{"first"});
+  accepted_by.clear();
+  CHECK(call(wire::JOB_QUERY, "second", 5) == wire::JOB_NOT_FOUND);
+}
+
 // Guards against a second run: an agent that had just started submitted before it knew the configuration.
 TEST_CASE_METHOD(AcceptedJobFixture, "a submit waits for the configuration that its ingress has") {
   const std::uint64_t ingress_version = GENERATE(0, 5);
