Relay submits of one job to different services one after another

What callers would see: an accepted job runs in two services. Cause: an agent retries a submit until its deadline. If the queue moves meanwhile and the client sends the job again, the former service is asked, doesn't know the job yet, and the next one accepts it; then the retry reaches the former service. Found by reading; no run of real processes shows it. Change: the relay holds the second submit until the first has its result; at its own deadline it is in doubt. Why this works: the query that precedes the second submit then comes after all attempts of the first.

--- a/src/cluster/agent/job_relay.cpp
+++ b/src/cluster/agent/job_relay.cpp
@@ -1,5 +1,9 @@
 #include "cluster/agent/job_relay.hpp"
 
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
 namespace winchhall::cluster {
 
 namespace {
@@ -38,18 +42,53 @@
   const Millis timeout = request.deadline_ms() == 0 ? kDefaultDeadline : Millis(request.deadline_ms());
   const TimePoint deadline = context_.runtime.now() + timeout;
   const std::string key = request_key(request);
+  if (must_hold(request, key)) return hold(request, deadline, reply);
   const auto [entry, is_new] = open_requests_.try_emplace(key);
   entry->second.waiters.push_back({deadline, reply, identity_of(request)});
   if (!is_new) return;
+  if (request.verb() == wire::JOB_SUBMIT) open_submits_[request.id()] = key;
   entry->second.request = request;
   entry->second.started = context_.runtime.now();
   entry->second.deadline = deadline;
   router_.route(request, deadline, [this, key](const wire::JobReply& result) { finish(key, result); });
 }
 
+bool JobRelay::must_hold(const wire::JobRequest& request, const std::string& key) const {
+  if (request.verb() != wire::JOB_SUBMIT) return false;
+  const auto open = open_submits_.find(request.id());
+  return open != open_submits_.end() && open->second != key;
+}
+
+void JobRelay::hold(const wire::JobRequest& request, TimePoint deadline, const ReplyCallback& reply) {
+  const auto held = held_submits_.insert(held_submits_.end(), {request, deadline, reply, nullptr});
+  const auto wait = std::chrono::duration_cast<Millis>(deadline - context_.runtime.now());
+  held->timer = context_.runtime.after(std::max(wait, Millis(1)), [this, held] {
+    const ReplyCallback answer = std::move(held->reply);
+    held_submits_.erase(held);
+    wire::JobReply in_doubt;
+    in_doubt.set_outcome(wire::JOB_IN_DOUBT);
+    answer(to_envelope(std::move(in_doubt), Millis(0)));
+  });
+}
+
+void JobRelay::release_held(const std::string& job) {
+  std::list<HeldSubmit> released;
+  for (auto next = held_submits_.begin(); next != held_submits_.end();) {
+    const auto held = next++;
+    if (held->request.id() == job) released.splice(released.end(), held_submits_, held);
+  }
+  for (HeldSubmit& held : released) {
+    const auto time_left = std::chrono::duration_cast<Millis>(held.deadline - context_.runtime.now());
+    held.request.set_deadline_ms(static_cast<std::uint32_t>(std::max(time_left, Millis(1)).count()));
+    handle(held.request, held.reply);
+  }
+}
+
 void JobRelay::finish(const std::string& key, const wire::JobReply& result) {
   const auto node = open_requests_.extract(key);
   const OpenRequest& finished = node.mapped();
+  const bool was_submit = finished.request.verb() == wire::JOB_SUBMIT;
+  if (was_submit) open_submits_.erase(finished.request.id());
   const TimePoint now = context_.runtime.now();
   const bool deadline_reached = result.outcome() == wire::JOB_IN_DOUBT && now >= finished.deadline;
   for (const Waiter& waiter : finished.waiters) {
@@ -64,6 +103,7 @@
       reply_to(waiter, result, std::chrono::duration_cast<Millis>(now - finished.started));
     }
   }
+  if (was_submit) release_held(finished.request.id());
 }
 
 void JobRelay::reply_to(const Waiter& waiter, const wire::JobReply& result, Millis relayed) {
--- a/src/cluster/agent/job_relay.hpp
+++ b/src/cluster/agent/job_relay.hpp
@@ -1,7 +1,9 @@
 // Relays an ingress's job requests to the leaders of the services.
 #pragma once
 
+#include <list>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -11,7 +13,9 @@
 namespace winchhall::cluster {
 
 // Coalesces equal requests: an ingress may repeat a request while the first one is still being relayed, and
-// one relay then serves all of them. A rejected submission stays rejected, however late a duplicate of its
+// one relay then serves all of them. Submits of one job to different services, as its queue has moved, are
+// relayed one after another: the later one must find the job at the service that has accepted the earlier
+// one. A rejected submission stays rejected, however late a duplicate of its
 // message arrives, because the leader at that time may be one that never received the submission. Not
 // thread-safe.
 class JobRelay {
@@ -26,7 +30,7 @@
   // Must be called when the view has a newer configuration.
   void on_configuration_changed() { router_.on_configuration_changed(); }
   // True while a request has not been replied to.
-  bool has_open_requests() const { return !open_requests_.empty(); }
+  bool has_open_requests() const { return !open_requests_.empty() || !held_submits_.empty(); }
 
  private:
   // A request that waits for the result of a relay.
@@ -43,6 +47,19 @@
     std::vector<Waiter> waiters;
   };
 
+  // A submit that waits for the end of one of the same job to another service.
+  struct HeldSubmit {
+    wire::JobRequest request;
+    TimePoint deadline;
+    ReplyCallback reply;
+    std::unique_ptr<Timer> timer;  // of the deadline
+  };
+
+  // True if a submit of the same job to another service or queue is being relayed.
+  bool must_hold(const wire::JobRequest& request, const std::string& key) const;
+  void hold(const wire::JobRequest& request, TimePoint deadline, const ReplyCallback& reply);
+  // Relays the held submits of a job.
+  void release_held(const std::string& job);
   void finish(const std::string& key, const wire::JobReply& result);
   void reply_to(const Waiter& waiter, const wire::JobReply& result, Millis relayed);
   // Replies to a submission that was rejected before with another rejection. Returns false if it was not.
@@ -52,6 +69,8 @@
   JobRouter router_;
   RejectedSubmissions rejected_;
   std::map<std::string, OpenRequest> open_requests_;  // by verb, service, queue and job id
+  std::map<std::string, std::string> open_submits_;   // keys of `open_requests_` by job id
+  std::list<HeldSubmit> held_submits_;                // in order of arrival
 };
 
 }  // namespace winchhall::cluster
--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -56,6 +56,7 @@
   bool members_read_snapshots = true;
   std::unique_ptr<ConfigurationService> configuration;
   std::set<std::string> accepted_by;  // services that know the job
+  unsigned unled_submits = 0;         // so many submits more reach no leader
   // The last one is in use. The others are kept, since calls of theirs are in flight.
   std::vector<std::unique_ptr<EdgeAgent>> agents;
 
@@ -67,6 +68,12 @@
   }
 
   wire::Envelope lead(const wire::JobRequest& request) {
+    if (request.verb() == wire::JOB_SUBMIT && unled_submits > 0) {
+      --unled_submits;
+      wire::Envelope not_leader;
+      not_leader.mutable_job_reply()->set_outcome(wire::JOB_NOT_LEADER);
+      return not_leader;
+    }
     if (request.verb() == wire::JOB_SUBMIT) accepted_by.insert(request.service());
     const bool known = accepted_by.count(request.service()) > 0;
     wire::Envelope envelope;
@@ -113,16 +120,20 @@
   void patch(std::uint64_t base, const std::string& body) {
     change(base, body, &ConfigurationService::patch);
   }
+  // Without time for the agents to follow.
+  void patch_at_once(std::uint64_t base, const std::string& body) {
+    change(base, body, &ConfigurationService::patch, Millis(0));
+  }
 
   wire::JobOutcome call(wire::JobVerb verb, const std::string& service, std::uint64_t version,
-                        Millis patience = Millis(1000)) {
+                        Millis patience = Millis(1000), Millis deadline = Millis(2800)) {
     wire::Envelope envelope;
     auto& request = *envelope.mutable_job_request();
     request.set_verb(verb);
     request.set_service(service);
     request.set_id(kJob);
     request.mutable_terms()->set_queue(kQueue);
-    request.set_deadline_ms(2800);
+    request.set_deadline_ms(static_cast<std::uint32_t>(deadline.count()));
     request.set_configuration_version(version);
     const auto outcome = std::make_shared<wire::JobOutcome>(wire::JOB_OUTCOME_NONE);
     agents.back()->handle(envelope,
@@ -134,13 +145,14 @@
  private:
   using Change = void (ConfigurationService::*)(const std::optional<std::string>&, std::string,
                                                 ConfigurationService::ChangeCallback);
-  void change(std::uint64_t base, const std::string& body, Change apply) {
+  void change(std::uint64_t base, const std::string& body, Change apply,
+              Millis time_to_follow = Millis(500)) {
     auto kind = ConfigurationOutcomeKind::unavailable;
     (configuration.get()->*apply)(std::to_string(base), body,
                                   [&](const ConfigurationOutcome& outcome) { kind = outcome.kind; });
     registers.run_all();
     REQUIRE(kind == ConfigurationOutcomeKind::applied);
-    runtime.run_for(Millis(500));
+    runtime.run_for(time_to_follow);
   }
 };
 
@@ -241,3 +253,27 @@
   start_control();
   CHECK(call(wire::JOB_QUERY, "second", 1) == wire::JOB_OK);
 }
+
+// Guards against a second run: a submit that the agent still retried was accepted after the job had been
+// accepted by its queue's next service.
+TEST_CASE_METHOD(MovedQueueFixture, "a submit waits for one of the same job to the queue's former service") {
+  start_control();
+  put(0, configuration_json(1, kBeforeMove));
+  start_agent();
+  runtime.run_for(Millis(500));
+  unled_submits = 5;
+  REQUIRE(call(wire::JOB_SUBMIT, "first", 1, Millis(10)) == wire::JOB_OUTCOME_NONE);
+  patch_at_once(1, add_queue(5, "second"));
+  CHECK(call(wire::JOB_SUBMIT, "second", 5) == wire::JOB_OK);
+  CHECK(accepted_by == std::set<std::string>{"first"});
+}
+
+TEST_CASE_METHOD(MovedQueueFixture, "a submit that waits for another one is in doubt at its deadline") {
+  start_control();
+  put(0, configuration_json(1, kBeforeMove));
+  start_agent();
+  runtime.run_for(Millis(500));
+  unled_submits = 1000;
+  REQUIRE(call(wire::JOB_SUBMIT, "first", 1, Millis(100)) == wire::JOB_OUTCOME_NONE);
+  CHECK(call(wire::JOB_SUBMIT, "second", 1, Millis(310), Millis(300)) == wire::JOB_IN_DOUBT);
+}
