Name the services' shards in one place

Cause: the prefix of their names stood in the control node, the agent and the worker-agent. Change: service_shard moves to common/ and also tells the service of a shard.

--- a/src/cluster/agent/cluster_view.cpp
+++ b/src/cluster/agent/cluster_view.cpp
@@ -1,13 +1,13 @@
 #include "cluster/agent/cluster_view.hpp"
 
 #include <algorithm>
-#include <string_view>
+
+#include "cluster/common/service_shard.hpp"
 
 namespace winchhall::cluster {
 
 namespace {
 
-constexpr std::string_view kServiceShardPrefix = "service/";
 constexpr char kControlSource[] = "control";
 
 bool is_same_member(const wire::Member& left, const wire::Member& right) {
@@ -28,7 +28,7 @@
 }
 
 Address ClusterView::leader_of(const std::string& service) const {
-  const auto found = leaders_.find(std::string(kServiceShardPrefix) + service);
+  const auto found = leaders_.find(shard_of_service(service));
   return found == leaders_.end() ? Address() : found->second.address();
 }
 
@@ -38,8 +38,8 @@
     for (const Service& service : configuration()->services) services.insert(service.name);
   }
   for (const auto& [shard, leader] : leaders_) {
-    const bool led = shard.starts_with(kServiceShardPrefix) && !leader.address().empty();
-    if (led) services.insert(shard.substr(kServiceShardPrefix.size()));
+    const auto service = service_of_shard(shard);
+    if (service && !leader.address().empty()) services.insert(*service);
   }
   return services;
 }
--- a/src/cluster/control/service_shard.cpp
+++ b/src/cluster/common/service_shard.cpp
@@ -1,4 +1,4 @@
-#include "cluster/control/service_shard.hpp"
+#include "cluster/common/service_shard.hpp"
 
 #include <string_view>
 
@@ -11,10 +11,15 @@
 
 std::string shard_of_service(const std::string& service) { return std::string(kShardPrefix) + service; }
 
+std::optional<std::string> service_of_shard(const std::string& shard) {
+  if (!shard.starts_with(kShardPrefix)) return std::nullopt;
+  return shard.substr(kShardPrefix.size());
+}
+
 std::vector<std::string> services_of(const std::vector<std::string>& shards) {
   std::vector<std::string> services;
   for (const std::string& shard : shards) {
-    if (shard.starts_with(kShardPrefix)) services.push_back(shard.substr(kShardPrefix.size()));
+    if (const auto service = service_of_shard(shard)) services.push_back(*service);
   }
   return services;
 }
--- a/src/cluster/control/service_shard.hpp
+++ b/src/cluster/common/service_shard.hpp
@@ -2,6 +2,7 @@
 // data.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,8 @@
 
 // Returns the name of the shard that stores a service's records: "service/NAME".
 std::string shard_of_service(const std::string& service);
+// Returns the service whose records the shard stores; none for any other shard.
+std::optional<std::string> service_of_shard(const std::string& shard);
 // Returns the services whose shards are among `shards`, and ignores other shards.
 std::vector<std::string> services_of(const std::vector<std::string>& shards);
 
--- a/src/cluster/control/control_inspection.cpp
+++ b/src/cluster/control/control_inspection.cpp
@@ -1,7 +1,7 @@
 #include "cluster/control/control_inspection.hpp"
 
+#include "cluster/common/service_shard.hpp"
 #include "cluster/consensus/member_record.hpp"
-#include "cluster/control/service_shard.hpp"
 
 namespace winchhall::cluster {
 
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -1,8 +1,8 @@
 #include "cluster/control/control_node.hpp"
 
 #include "cluster/common/log.hpp"
+#include "cluster/common/service_shard.hpp"
 #include "cluster/control/service_replies.hpp"
-#include "cluster/control/service_shard.hpp"
 
 namespace winchhall::cluster {
 
--- a/src/cluster/control/service_leader.cpp
+++ b/src/cluster/control/service_leader.cpp
@@ -3,9 +3,9 @@
 #include <utility>
 
 #include "cluster/common/log.hpp"
+#include "cluster/common/service_shard.hpp"
 #include "cluster/control/inspection_responses.hpp"
 #include "cluster/control/service_replies.hpp"
-#include "cluster/control/service_shard.hpp"
 
 namespace winchhall::cluster {
 
--- a/src/cluster/worker_agent/leader_finder.cpp
+++ b/src/cluster/worker_agent/leader_finder.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "cluster/common/service_shard.hpp"
+
 namespace winchhall::cluster {
 namespace {
 
@@ -27,7 +29,7 @@
 LeaderFinder::~LeaderFinder() { *alive_ = false; }
 
 void LeaderFinder::search(const std::string& service, std::uint64_t min_epoch) {
-  shard_ = "service/" + service;
+  shard_ = shard_of_service(service);
   min_epoch_ = min_epoch;
   if (searching_ || !has_nodes()) return;
   searching_ = true;
