Soak: move the queue between two services, send accepted jobs again, kill the edge as a whole

Change: workers alternate between two services; the operator moves the queue at once or by removal and addition, and completes its change when the run ends; all acknowledged routes are looked for at the end.

--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -48,6 +48,9 @@
         cluster_(options.program, options.workers, kRecordsService, options.control_nodes) {}
 
   int run() {
+    // The workers of the two services alternate.
+    for (unsigned worker = 1; worker < options_.workers; worker += 2)
+      cluster_.set_service(worker, kArchiveService);
     cluster_.start_all();
     for (unsigned worker = 0; worker < options_.workers; ++worker) {
       slots_.emplace_back().worker = worker;
@@ -58,7 +61,7 @@
     inject_faults(processes);
     heal(processes, clients);
     await_jobs(processes, clients.accepted_jobs());
-    check_configuration(clients.acknowledged_change());
+    check_configuration(clients.acknowledged_routes());
     add_faults(processes.faults());
     add_faults(clients.faults());
     check_runs();
@@ -84,7 +87,7 @@
     FakeLeafOptions options;
     options.agent = cluster_.worker_address(slot.worker);
     options.id = "i-" + std::to_string(slot.worker) + "-" + std::to_string(++slot.incarnations);
-    options.service = kRecordsService;
+    options.service = slot.worker % 2 == 0 ? kRecordsService : kArchiveService;
     options.zone = "a";
     options.task_time = kMinTaskTime;
     options.max_task_time = kMaxTaskTime;
@@ -165,7 +168,7 @@
     for (const std::string& job : open) faults_.push_back("job " + job + " does not complete");
   }
 
-  void check_configuration(const ConfigurationChange& newest) {
+  void check_configuration(const std::vector<std::string>& acknowledged_routes) {
     const Clock::time_point limit = Clock::now() + kCompletionTime;
     for (std::size_t turn = 0; Clock::now() < limit; ++turn) {
       HttpCall call;
@@ -176,8 +179,9 @@
         std::this_thread::sleep_for(kStepInterval);
         continue;
       }
-      if (response.body.find('"' + newest.route + '"') == std::string::npos && !newest.route.empty())
-        faults_.push_back("the configuration lacks the acknowledged route " + newest.route);
+      for (const std::string& route : acknowledged_routes)
+        if (response.body.find('"' + route + '"') == std::string::npos)
+          faults_.push_back("the configuration lacks the acknowledged route " + route);
       return;
     }
     faults_.emplace_back("the configuration can't be read");
@@ -196,10 +200,11 @@
   void report(const ProcessFaults& processes, const SoakClients& clients) {
     std::size_t runs = 0;
     for (const LeafHistory& history : histories_) runs += history.starts.size();
-    std::printf("seed %llu: %zu jobs, %zu runs, configuration %llu; lost leaves %u, late heartbeats %u",
-                static_cast<unsigned long long>(options_.seed), clients.accepted_jobs().size(), runs,
-                static_cast<unsigned long long>(clients.acknowledged_change().version), lost_leaves_,
-                late_heartbeats_.delivered());
+    std::printf("seed %llu: %zu jobs, %u sent again, %zu runs, configuration %llu, queue moved %u times; ",
+                static_cast<unsigned long long>(options_.seed), clients.accepted_jobs().size(),
+                clients.repeated_submissions(), runs,
+                static_cast<unsigned long long>(clients.acknowledged_version()), clients.queue_moves());
+    std::printf("lost leaves %u, late heartbeats %u", lost_leaves_, late_heartbeats_.delivered());
     for (const auto& [kind, count] : processes.counts()) std::printf(", %s %u", kind.c_str(), count);
     std::printf("; faults found: %zu\n", faults_.size());
     for (const std::string& fault : faults_) std::printf("FAULT: %s\n", fault.c_str());
--- a/testbed/cluster/fault_soak.hpp
+++ b/testbed/cluster/fault_soak.hpp
@@ -17,13 +17,13 @@
 
 // Runs clients that keep their connections open, an operator and one fake leaf for each worker-agent, while
 // processes are killed (SIGKILL), terminated (SIGTERM), frozen (SIGSTOP), told to reload their settings
-// (SIGHUP) and restarted, and leaves crash and are replaced either soon or after their lease has expired.
-// Prints the numbers of injected faults and the faults found. Saves the logs of a run with a fault in
-// found/soak-SEED.
+// (SIGHUP) and restarted, the queue moves between two services, and leaves crash and are replaced either soon
+// or after their lease has expired. Prints the numbers of injected faults and the faults found. Saves the
+// logs of a run with a fault in found/soak-SEED.
 //
 // Returns EXIT_SUCCESS if no task had two runs at once or was started after its end was recorded, every
-// accepted job completed, no answer contradicted an earlier one, the configuration holds the newest
-// acknowledged change, and no process ended by itself, with an error or too late.
+// accepted job completed, no answer contradicted an earlier one, the configuration holds all acknowledged
+// routes, and no process ended by itself, with an error or too late.
 int run_fault_soak(const FaultSoakOptions& options);
 
 }  // namespace winchhall::testbed::cluster
--- a/testbed/cluster/local_cluster.cpp
+++ b/testbed/cluster/local_cluster.cpp
@@ -81,7 +81,7 @@
   text << "]\nbootstrap = " << (first_start_ ? "true" : "false")
        << "\ncounts_for_quorum = " << (process.control ? "true" : "false") << "\nheartbeat_ms = 1500\n";
   if (process.control) text << "data_dir = \"" << (directory_of(process.name) / "data").string() << "\"\n";
-  if (process.command == "worker-agent") text << "backend = \"" << service_ << "\"\n";
+  if (process.command == "worker-agent") text << "backend = \"" << service_of(process) << "\"\n";
   text << "commands = \"heartbeat\"\n[bind_addrs]\n";
   if (process.command == "ingress") {
     text << "front = \"" << front_address() << "\"\nready = \"" << ready_address() << "\"\n";
@@ -97,6 +97,15 @@
   first_start_ = false;
 }
 
+void LocalCluster::set_service(unsigned worker, std::string service) {
+  services_[processes_.at(index_of_worker(worker)).name] = std::move(service);
+}
+
+const std::string& LocalCluster::service_of(const LocalProcess& process) const {
+  const auto own_service = services_.find(process.name);
+  return own_service == services_.end() ? service_ : own_service->second;
+}
+
 void LocalCluster::set_program(const std::string& name, std::string program) {
   programs_[find(name).name] = std::move(program);
 }
@@ -179,8 +188,12 @@
 }
 
 std::string LocalCluster::worker_address(unsigned index) const {
-  const unsigned processes_before = control_nodes_ + 2;
-  return processes_.at(processes_before + index).ip + ":" + std::to_string(kControlPort);
+  return processes_.at(index_of_worker(index)).ip + ":" + std::to_string(kControlPort);
+}
+
+std::size_t LocalCluster::index_of_worker(unsigned worker) const {
+  constexpr std::size_t kEdgeProcesses = 2;  // ingress and agent
+  return control_nodes_ + kEdgeProcesses + worker;
 }
 
 std::string LocalCluster::log_of(const std::string& name) const {
--- a/testbed/cluster/local_cluster.hpp
+++ b/testbed/cluster/local_cluster.hpp
@@ -36,6 +36,8 @@
   void start_all();
   // Writes the settings file of a process and starts it.
   void start(const std::string& name);
+  // From its next start on, the worker-agent belongs to `service`.
+  void set_service(unsigned worker, std::string service);
   // From its next start on, the process runs `program`. Its settings and directory stay the same.
   void set_program(const std::string& name, std::string program);
   // Sends SIGKILL and waits for the end of the process.
@@ -65,13 +67,16 @@
 
  private:
   LocalProcess& find(const std::string& name);
+  std::size_t index_of_worker(unsigned worker) const;
+  const std::string& service_of(const LocalProcess& process) const;
   void add(LocalProcess process);
   std::string settings_text(const LocalProcess& process) const;
   std::filesystem::path directory_of(const std::string& name) const { return directory_ / name; }
 
   std::string program_;                          // program of processes without an entry in `programs_`
   std::map<std::string, std::string> programs_;  // by process name
-  std::string service_;
+  std::string service_;                          // of worker-agents without an entry in `services_`
+  std::map<std::string, std::string> services_;  // by process name
   unsigned control_nodes_;
   std::filesystem::path directory_;
   unsigned network_;  // second byte of all addresses; differs between clusters that run at the same time
--- a/testbed/cluster/process_faults.cpp
+++ b/testbed/cluster/process_faults.cpp
@@ -59,7 +59,7 @@
     case 6:
       return send_sighup(name);
     default:
-      return kill_all_control_nodes();
+      return random_() % 2 == 0 ? kill_all_control_nodes() : kill_edge();
   }
 }
 
@@ -101,6 +101,12 @@
     if (name.starts_with("control-")) kill(name);
 }
 
+void ProcessFaults::kill_edge() {
+  ++counts_["edge"];
+  kill("ingress");
+  kill("agent");
+}
+
 void ProcessFaults::step() {
   const Clock::time_point now = Clock::now();
   for (auto& [name, state] : states_) step(name, state, now);
--- a/testbed/cluster/process_faults.hpp
+++ b/testbed/cluster/process_faults.hpp
@@ -54,6 +54,8 @@
   void freeze(const std::string& name);
   void send_sighup(const std::string& name);
   void kill_all_control_nodes();
+  // Kills ingress and agent.
+  void kill_edge();
   void step(const std::string& name, ProcessState& state, Clock::time_point now);
   void check_end(const std::string& name, const ProcessState& state, int status, Clock::time_point now);
   void start(const std::string& name, ProcessState& state, Clock::time_point now);
--- a/testbed/cluster/records_service.cpp
+++ b/testbed/cluster/records_service.cpp
@@ -31,6 +31,29 @@
   return change;
 }
 
+ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service) {
+  ConfigurationChange change;
+  change.base_version = base_version;
+  change.version = base_version + 1;
+  change.path = "/v1/Config.Patch";
+  change.body =
+      R"({"version":)" + std::to_string(change.version) +
+      R"(,"upsert":{"services":[{"name":"records"},{"name":"archive"}],"routes":[{"name":"extract",)"
+      R"("hostname":"demo.example","path_prefix":"/extract/","route_type":"unsafe",)"
+      R"("timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":")" +
+      service + R"(","max_retries":3,"stretch":1.5}]}})";
+  return change;
+}
+
+ConfigurationChange remove_queue(std::uint64_t base_version) {
+  ConfigurationChange change;
+  change.base_version = base_version;
+  change.version = base_version + 1;
+  change.path = "/v1/Config.Patch";
+  change.body = R"({"version":)" + std::to_string(change.version) + R"(,"delete":{"routes":["extract"]}})";
+  return change;
+}
+
 HttpCall configuration_call(const ConfigurationChange& change, const std::string& control_address) {
   HttpCall call;
   call.address = control_address;
--- a/testbed/cluster/records_service.hpp
+++ b/testbed/cluster/records_service.hpp
@@ -1,5 +1,5 @@
-// The service "records" of the rolling upgrade and the soak test: its configuration, and the calls of clients
-// and the operator.
+// The service "records" of the rolling upgrade and the soak test, and the service "archive" that its queue
+// may move to: their configuration, and the calls of clients and the operator.
 #pragma once
 
 #include <cstdint>
@@ -10,12 +10,13 @@
 namespace winchhall::testbed::cluster {
 
 inline constexpr const char* kRecordsService = "records";
+inline constexpr const char* kArchiveService = "archive";
 
 // A change of the configuration, as the operator sends it.
 struct ConfigurationChange {
   std::uint64_t base_version = 0;
   std::uint64_t version = 0;
-  std::string route;  // name of the route that it adds; empty: the first configuration
+  std::string route;  // name of the route that it adds; empty: none
   std::string path;   // request target of the call
   std::string body;
 };
@@ -24,6 +25,10 @@
 ConfigurationChange first_configuration();
 // A change that adds a route to version `base_version` and makes the next version.
 ConfigurationChange add_route(std::uint64_t base_version);
+// A change that makes `service` run the jobs of the queue "extract", and adds the queue if there is none.
+ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service);
+// A change that removes the queue "extract".
+ConfigurationChange remove_queue(std::uint64_t base_version);
 // The operator's call that sends the change to a control node.
 HttpCall configuration_call(const ConfigurationChange& change, const std::string& control_address);
 // True if the response acknowledges the change with its version.
--- a/testbed/cluster/soak_clients.cpp
+++ b/testbed/cluster/soak_clients.cpp
@@ -11,7 +11,8 @@
 constexpr unsigned kHttpGone = 410;
 constexpr milliseconds kClientRetryInterval{50};
 constexpr milliseconds kPausePollInterval{20};
-constexpr unsigned kClientIdShift = 32;  // keeps the job numbers of different clients distinct
+constexpr std::chrono::seconds kMaxCompletionTime{60};  // of a change, after all faults have ended
+constexpr unsigned kClientIdShift = 32;                 // keeps the job numbers of different clients distinct
 
 milliseconds random_pause(std::mt19937_64& random, int min_ms, int max_ms) {
   return milliseconds(std::uniform_int_distribution<int>(min_ms, max_ms)(random));
@@ -54,9 +55,24 @@
   return accepted_;
 }
 
-ConfigurationChange SoakClients::acknowledged_change() const {
+std::uint64_t SoakClients::acknowledged_version() const {
   const std::lock_guard lock(mutex_);
-  return acknowledged_;
+  return acknowledged_version_;
+}
+
+std::vector<std::string> SoakClients::acknowledged_routes() const {
+  const std::lock_guard lock(mutex_);
+  return acknowledged_routes_;
+}
+
+unsigned SoakClients::queue_moves() const {
+  const std::lock_guard lock(mutex_);
+  return queue_moves_;
+}
+
+unsigned SoakClients::repeated_submissions() const {
+  const std::lock_guard lock(mutex_);
+  return repeated_submissions_;
 }
 
 std::vector<std::string> SoakClients::faults() const {
@@ -82,6 +98,10 @@
       const std::vector<std::string> accepted = accepted_jobs();
       query(connection, accepted[random() % accepted.size()]);
     }
+    if (random() % 2 == 0) {
+      pause(random_pause(random, 0, 3000));
+      submit_again(connection, job_id(next_job), body);
+    }
     pause(random_pause(random, 100, 1500));
   }
 }
@@ -114,24 +134,55 @@
   if (is_completed) completed_.insert(job);
 }
 
+void SoakClients::submit_again(HttpConnection& connection, const std::string& job, const std::string& body) {
+  connection.send(job_call(front_address_, "POST", job, body));
+  const std::lock_guard lock(mutex_);
+  ++repeated_submissions_;
+}
+
 void SoakClients::run_operator(std::uint64_t seed) {
   std::mt19937_64 random(seed);
-  ConfigurationChange change = first_configuration();
-  while (acknowledge(change)) {
-    {
-      const std::lock_guard lock(mutex_);
-      acknowledged_ = change;
-    }
+  bool acknowledged = acknowledge(first_configuration());
+  while (acknowledged && !stopping_) {
     pause(random_pause(random, 300, 4000));
-    change = add_route(change.version);
+    if (!stopping_) acknowledged = make_change(random);
   }
+  if (acknowledged) return;
+  const std::lock_guard lock(mutex_);
+  faults_.emplace_back("a change of the configuration is not acknowledged");
+}
+
+bool SoakClients::make_change(std::mt19937_64& random) {
+  if (random() % 2 == 0) return move_queue(random);
+  return acknowledge(add_route(acknowledged_version()));
+}
+
+bool SoakClients::move_queue(std::mt19937_64& random) {
+  const bool at_once = random() % 2 == 0;
+  if (!at_once) {
+    if (!acknowledge(remove_queue(acknowledged_version()))) return false;
+    pause(random_pause(random, 0, 1500));
+  }
+  queue_service_ = queue_service_ == kArchiveService ? kRecordsService : kArchiveService;
+  if (!acknowledge(route_queue_to(acknowledged_version(), queue_service_))) return false;
+  const std::lock_guard lock(mutex_);
+  ++queue_moves_;
+  return true;
 }
 
 bool SoakClients::acknowledge(const ConfigurationChange& change) {
-  for (std::size_t turn = 0; !stopping_; ++turn) {
+  auto limit = std::chrono::steady_clock::time_point::max();
+  for (std::size_t turn = 0; std::chrono::steady_clock::now() < limit; ++turn) {
+    const bool must_end = stopping_ && limit == std::chrono::steady_clock::time_point::max();
+    if (must_end) limit = std::chrono::steady_clock::now() + kMaxCompletionTime;
     const std::string& control = control_addresses_[turn % control_addresses_.size()];
-    if (acknowledges(send_http_call(configuration_call(change, control)), change)) return true;
-    pause(kClientRetryInterval);
+    if (acknowledges(send_http_call(configuration_call(change, control)), change)) {
+      const std::lock_guard lock(mutex_);
+      acknowledged_version_ = change.version;
+      if (!change.route.empty()) acknowledged_routes_.push_back(change.route);
+      return true;
+    }
+    std::this_thread::sleep_for(kClientRetryInterval);
   }
   return false;
 }
