--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -52,6 +52,7 @@
     for (unsigned worker = 1; worker < options_.workers; worker += 2)
       cluster_.set_service(worker, kArchiveService);
     cluster_.start_all();
+    await_founding();
     for (unsigned worker = 0; worker < options_.workers; ++worker) {
       slots_.emplace_back().worker = worker;
       start_leaf(slots_.back());
@@ -81,6 +82,19 @@
     return addresses;
   }
 
+  // The first start of the group ends once all founders have stored their identities. One that is killed
+  // before starts again without `bootstrap` and without an identity, as if its disk were lost.
+  void await_founding() {
+    const Clock::time_point limit = Clock::now() + kCompletionTime;
+    for (unsigned index = 0; index < options_.control_nodes; ++index) {
+      const std::string name = "control-" + std::to_string(index);
+      while (cluster_.log_of(name).find("member_record_adopted") == std::string::npos) {
+        if (Clock::now() >= limit) return faults_.push_back(name + " does not found the control group");
+        std::this_thread::sleep_for(kStepInterval);
+      }
+    }
+  }
+
   // ---------------------------------------------------------------- leaves
 
   void start_leaf(LeafSlot& slot) {
