--- a/src/cluster/delivery/configuration_items.cpp
+++ b/src/cluster/delivery/configuration_items.cpp
@@ -90,6 +90,7 @@
     content.add_services(entry.service);
   }
   std::vector<wire::ConfigurationItem> items;
+  items.reserve(contents.size());
   for (const auto& [name, content] : contents)
     items.push_back(item_of(wire::CONFIGURATION_FORMER_ROUTE, name, content));
   return items;
