--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
+#include <future>
 #include <memory>
 #include <random>
 #include <thread>
@@ -161,7 +162,9 @@
     processes.heal();
     for (LeafSlot& slot : slots_) slot.next_at = Clock::now();
     start_due_leaves();
-    clients.stop();
+    // The operator completes its change, for which processes that have just ended must start again.
+    const std::future<void> stopped = std::async(std::launch::async, [&clients] { clients.stop(); });
+    while (stopped.wait_for(std::chrono::seconds(0)) != std::future_status::ready) step(processes);
   }
 
   // ---------------------------------------------------------------- checks
