Review case 5: an expired former service runs a job a second time; drop the former case 5

Cause: the former case 5 showed what review/1 shows already. The new one: an edge machine that misses a queue's second move to a service and back keeps the time of the first one, and then no longer asks that service.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/review-case ] || { echo "review/build-2.sh has not been run" >&2; exit 2; }
-timeout 115 target/review-2/review-case deregister-first "$folder/record.txt"
+timeout 115 target/review-2/review-case former-service-used-again "$folder/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/stand-ins-2/main.cpp
+++ b/review/stand-ins-2/main.cpp
@@ -131,14 +131,15 @@
     record_.add("all is calm");
   }
 
-  // Moves a queue by Config.Patch on top of version 1. `retired`: a service that is deleted with the same
-  // change.
+  // Moves a queue by Config.Patch. `retired`: a service that is deleted with the same change.
   void move_queue(const Queue& queue, const std::string& retired = "") {
     HttpCall patch;
     patch.method = "POST";
     patch.target = "/v1/Config.Patch";
-    patch.headers = {{"X-Winchhall-Base-Version", "1"}};
-    patch.body = R"({"version":2,"upsert":{"routes":[)" + route_json(queue) + "]}" +
+    patch.headers = {{"X-Winchhall-Base-Version", std::to_string(version_)}};
+    ++version_;
+    patch.body = R"({"version":)" + std::to_string(version_) + R"(,"upsert":{"routes":[)" +
+                 route_json(queue) + "]}" +
                  (retired.empty() ? "" : R"(,"delete":{"services":[")" + retired + R"("]})") + "}";
     const std::vector<std::string> controls = deployment_.control_addresses();
     unsigned next = 0;
@@ -147,8 +148,8 @@
       return send_http_call(patch).status == 200;
     });
     require(done, "a change of the configuration isn't acknowledged");
-    record_.add("version 2 is acknowledged: /" + queue.name + "/ goes to " + queue.service +
-                (retired.empty() ? "" : ", service " + retired + " is deleted"));
+    record_.add("version " + std::to_string(version_) + " is acknowledged: /" + queue.name + "/ goes to " +
+                queue.service + (retired.empty() ? "" : ", service " + retired + " is deleted"));
   }
 
   // A core machine loses its disk: it is killed, and starts again a second later with an empty folder.
@@ -258,6 +259,7 @@
   const std::vector<std::string> services_;
   const unsigned edges_;
   Deployment deployment_;
+  unsigned version_ = 1;  // newest acknowledged
   std::vector<std::unique_ptr<Leaf>> leaves_;
 };
 
@@ -294,26 +296,6 @@
   return held(record, "no two runs of a task at the same time");
 }
 
-// TWICE: a leaf that sends Deregister first and serves on for some seconds.
-int play_deregister_first(Record& record, bool trouble) {
-  Site site(record, kLeaves);
-  for (unsigned i = 0; i < kLeaves; ++i) site.add_leaf(i, {});
-  site.open({{"pufi791", 1, 3}});
-  const std::string job =
-      site.submit("pufi791", "one task of 7 s",
-                  one_stage("run 7000", R"("count":1,"cpu":500,"mem_mb":256,"estimated_ms":7000)"));
-  const LeafRun first = site.wait_for_run(job);
-  pause(Millis(500));
-  if (trouble) {
-    const unsigned status = site.leaf_named(first.leaf).deregister_first(Millis(8000));
-    require(status == 200, "Deregister isn't acknowledged");
-  }
-  pause(Millis(14000));
-  site.require_processes();
-  site.state("pufi791", job);
-  return judge_twice(record, site, job);
-}
-
 // UNASKED: a job is cancelled while the leaf that runs it has sent Deregister first and serves on.
 int play_cancel_after_deregister(Record& record, bool trouble) {
   Site site(record, kLeaves);
@@ -479,6 +461,43 @@
   return judge_twice(record, site, job);
 }
 
+// TWICE: a queue is sent to another service for a moment, twice; an edge machine is frozen during the second
+// time.
+int play_former_service_used_again(Record& record, bool trouble) {
+  constexpr unsigned kEdges = 2;
+  constexpr Millis kFreeze{3500};
+  constexpr Millis kPatience{3000};
+  const Queue here{"pufi791", 1, 3};
+  const Queue there{"pufi791", 1, 3, kOtherService};
+  Site site(record, 3, 3, kEdges);
+  for (unsigned i = 0; i < 6; ++i) site.add_leaf(i, {});
+  site.open({here, {"zeno440", 1, 3, kOtherService}});
+  const Clock::time_point begin = Clock::now();
+  site.move_queue(there);
+  pause(Millis(1000));
+  site.move_queue(here);
+  std::this_thread::sleep_until(begin + Millis(50000));
+  if (trouble) site.freeze_edge(1, true);
+  const Clock::time_point frozen_at = Clock::now();
+  pause(Millis(200));
+  site.move_queue(there);
+  pause(Millis(500));
+  const std::string job = Site::new_id();
+  const std::string body = one_stage("run 25000", R"("count":1,"cpu":500,"mem_mb":256,"estimated_ms":25000)");
+  require(site.send(0, "POST", "pufi791", job, body, kPatience) == 200, "the job isn't accepted");
+  pause(Millis(1000));
+  site.move_queue(here);
+  std::this_thread::sleep_until(frozen_at + kFreeze);
+  if (trouble) site.freeze_edge(1, false);
+  std::this_thread::sleep_until(begin + Millis(63000));
+  const unsigned status = site.send(1, "POST", "pufi791", job, body, kPatience);
+  require(status == 200, "the job that was sent again isn't acknowledged");
+  pause(Millis(5000));
+  site.require_processes();
+  site.state("pufi791", job);
+  return judge_twice(record, site, job);
+}
+
 // UNASKED: a client gives up on a request that a frozen edge machine has, and cancels the job elsewhere.
 int play_cancel_before_late_submit(Record& record, bool trouble) {
   constexpr unsigned kEdges = 2;
@@ -555,9 +574,9 @@
   const char* const setting = getenv("TROUBLE");
   const bool trouble = setting == nullptr || std::string(setting) != "0";
   record.add("case " + name + (trouble ? "" : ", without the disruption"));
-  if (name == "deregister-first") return play_deregister_first(record, trouble);
   if (name == "cancel-after-deregister") return play_cancel_after_deregister(record, trouble);
   if (name == "queue-moves-while-frozen") return play_queue_moves_while_frozen(record, trouble);
+  if (name == "former-service-used-again") return play_former_service_used_again(record, trouble);
   if (name == "cancel-before-late-submit") return play_cancel_before_late_submit(record, trouble);
   if (name == "disks-after-retired-service") return play_disks_after_retired_service(record, trouble);
   if (name == "trial-that-lasts") return play_trial_that_lasts(record, trouble);
