Bound the time that a trial run keeps a suspect leaf from others

Cause: LeafHealth kept a flag while a trial run was in progress, and only the end of a run cleared it. A task that lasts has no end, and neither has a run that was withdrawn before its delivery.

Change: a trial run delays the next one for 1.5 s, by time alone; one that outlasts the failed runs (the longest, 1 s at least) makes the leaf healthy, unless runs have stalled there.

--- a/src/cluster/scheduler/run_end_handler.cpp
+++ b/src/cluster/scheduler/run_end_handler.cpp
@@ -87,7 +87,7 @@
     std::vector<std::string>& failed = ref.task->failed_leaves;
     if (std::find(failed.begin(), failed.end(), leaf.id) == failed.end()) failed.push_back(leaf.id);
   } else {
-    leaf.health.on_other_end();
+    leaf.health.on_other_end(state_.now);
   }
 }
 
--- a/src/cluster/scheduler/run_monitor.cpp
+++ b/src/cluster/scheduler/run_monitor.cpp
@@ -65,6 +65,7 @@
   for (auto& [key, run] : leaf.runs) {
     if (run.percent > 0 && run.percent < 100) progress_seen_ = true;
     if (run.task == nullptr || run.stop_revision > 0 || !run.reported) continue;
+    leaf.health.on_running(run.ordered_at, state_.now);
     const bool stalled = is_stalled(run);
     if (!stalled && !must_evacuate(leaf, run) && !must_protect_last_attempt(leaf, run)) continue;
     if (stalled) {
--- a/src/cluster/scheduler/run_table.cpp
+++ b/src/cluster/scheduler/run_table.cpp
@@ -60,7 +60,7 @@
   run.start_revision = leaf.issued_revision = ++state_.last_revision;
   allocate(run);
   leaf.load_ms += cost_ms;
-  leaf.health.on_start();
+  leaf.health.on_start(state_.now);
   ++stage.runs_by_leaf[&leaf];
   ++stage.job->live_runs;
   ++stage.job->repeats.at(stage.repeat).live_runs;
--- a/tests/cluster/scheduler/leaf_health_test.cpp
+++ b/tests/cluster/scheduler/leaf_health_test.cpp
@@ -16,16 +16,60 @@
   health.on_failure("c", at(0), at(0));
   CHECK(health.is_ejected(at(1000)));
   CHECK_FALSE(health.is_ejected(at(2500)));
-  health.on_start();
+  health.on_start(at(2500));
   CHECK(health.is_ejected(at(2500)));
   health.on_failure("d", at(2500), at(2600));
   CHECK(health.is_ejected(at(6000)));
   CHECK_FALSE(health.is_ejected(at(7000)));
-  health.on_start();
+  health.on_start(at(7000));
   health.on_success(at(7000));
   CHECK_FALSE(health.is_suspect());
 }
 
+// A leaf that became suspect: three runs of different jobs, ordered at 0, have failed at `failed_at_ms`.
+LeafHealth suspect_leaf(std::int64_t failed_at_ms) {
+  LeafHealth health;
+  for (const char* job : {"a", "b", "c"}) health.on_failure(job, at(0), at(failed_at_ms));
+  return health;
+}
+
+// Guards against a leaf that is never used again: the trial run was a task that lasts, or was withdrawn.
+TEST_CASE("a trial run that does not end delays the next one for a bounded time") {
+  LeafHealth health = suspect_leaf(0);
+  health.on_start(at(2500));
+  CHECK(health.is_ejected(at(3999)));
+  CHECK_FALSE(health.is_ejected(at(4000)));
+  CHECK(health.is_suspect());
+  health.on_start(at(4000));
+  CHECK(health.is_ejected(at(5499)));
+  CHECK_FALSE(health.is_ejected(at(5500)));
+}
+
+TEST_CASE("a trial run that outlasts the failed ones makes a leaf healthy") {
+  LeafHealth health = suspect_leaf(3000);
+  health.on_start(at(6000));
+  health.on_running(at(6000), at(9000));
+  CHECK(health.is_suspect());
+  health.on_running(at(6000), at(9001));
+  CHECK_FALSE(health.is_suspect());
+  CHECK(health.has_elevated_failure_rate());
+}
+
+TEST_CASE("a run that was ordered before a leaf became suspect is no trial run") {
+  LeafHealth health = suspect_leaf(3000);
+  health.on_running(at(2999), at(60000));
+  CHECK(health.is_suspect());
+}
+
+TEST_CASE("a trial run that lasts does not clear a leaf where runs have stalled") {
+  LeafHealth health;
+  for (const char* job : {"a", "b", "c"}) health.on_stall(job, at(0), at(3000));
+  health.on_start(at(6000));
+  health.on_running(at(6000), at(60000));
+  CHECK(health.is_suspect());
+  CHECK_FALSE(health.is_ejected(at(60000)));
+}
+
 TEST_CASE("runs ordered before a leaf's failures don't clear it when they succeed") {
   LeafHealth health;
   health.on_failure("a", at(100), at(200));
