Fence off late submissions of jobs that a service has called unknown

Cause: the second edge's agent acted on the former service's answer "not known", but nothing kept that service from accepting the job later, from a request that was routed by an older configuration.

Change: that question asks the service to fence the job off.

--- a/src/cluster/control/job_request_endpoint.cpp
+++ b/src/cluster/control/job_request_endpoint.cpp
@@ -44,6 +44,10 @@
       cancel(scheduler, request, reply);
       return true;
     case wire::JOB_QUERY:
+      if (request.fence_submissions()) {
+        query_and_fence(scheduler, request, reply);
+        return true;
+      }
       reply(job_reply_envelope(query_reply(scheduler, request)));
       return false;
     case wire::JOB_COUNT:
@@ -61,8 +65,7 @@
   const bool is_known_job = scheduler.state(request.id()) != wire::JOB_UNKNOWN;
   if (earlier == EarlierRejection::rejected || (earlier == EarlierRejection::unknown && !is_known_job))
     return reply(job_reply_envelope(repeated_rejection_reply(earlier, kRetryAfterMs)));
-  const SubmitResult result = scheduler.submit(request.id(), request.spec(), request.terms(), runtime_.now(),
-                                               runtime_.wall_clock_ms());
+  const SubmitResult result = submit_unless_fenced(scheduler, request);
   wire::JobReply message;
   message.set_outcome(result.outcome);
   message.set_reason(result.reason);
@@ -79,6 +82,22 @@
   reply_when_durable(result.durable_after, std::move(message), reply);
 }
 
+SubmitResult JobRequestEndpoint::submit_unless_fenced(Scheduler& scheduler, const wire::JobRequest& request) {
+  if (scheduler.rejects_submission(request.id(), request.configuration_version()))
+    return {wire::JOB_REJECTED, 0, "the submission is late"};
+  return scheduler.submit(request.id(), request.spec(), request.terms(), runtime_.now(),
+                          runtime_.wall_clock_ms());
+}
+
+void JobRequestEndpoint::query_and_fence(Scheduler& scheduler, const wire::JobRequest& request,
+                                         const ReplyCallback& reply) {
+  const FenceResult result = scheduler.fence_submissions(request.id(), request.configuration_version(),
+                                                         runtime_.now(), runtime_.wall_clock_ms());
+  wire::JobReply message = query_reply(scheduler, request);
+  if (result.knowledge == JobKnowledge::undecided) message.set_outcome(wire::JOB_IN_DOUBT);
+  reply_when_durable(result.durable_after, std::move(message), reply);
+}
+
 void JobRequestEndpoint::cancel(Scheduler& scheduler, const wire::JobRequest& request,
                                 const ReplyCallback& reply) {
   const CancelResult result = scheduler.cancel(request.id(), runtime_.now(), runtime_.wall_clock_ms());
--- a/src/cluster/control/job_request_endpoint.hpp
+++ b/src/cluster/control/job_request_endpoint.hpp
@@ -19,7 +19,8 @@
 //
 // Invariant: a reply of JOB_OK to a submission or cancellation is sent only after its changes are durable on
 // a majority. If that can no longer be determined, the reply is JOB_IN_DOUBT. A rejected submission stays
-// rejected, however late a duplicate of its message arrives, also under a later lease.
+// rejected, however late a duplicate of its message arrives, also under a later lease. A reply of
+// JOB_NOT_FOUND that promises to reject late submissions is sent only after that promise is durable.
 class JobRequestEndpoint {
  public:
   // `runtime` must outlive the endpoint.
@@ -46,6 +47,8 @@
   };
 
   void submit(Scheduler& scheduler, const wire::JobRequest& request, const ReplyCallback& reply);
+  SubmitResult submit_unless_fenced(Scheduler& scheduler, const wire::JobRequest& request);
+  void query_and_fence(Scheduler& scheduler, const wire::JobRequest& request, const ReplyCallback& reply);
   void cancel(Scheduler& scheduler, const wire::JobRequest& request, const ReplyCallback& reply);
   void reply_when_durable(ChangeBatchNumber number, wire::JobReply message, const ReplyCallback& reply);
 
--- a/src/cluster/scheduler/scheduler.cpp
+++ b/src/cluster/scheduler/scheduler.cpp
@@ -7,6 +7,7 @@
 #include "cluster/scheduler/run_monitor.hpp"
 #include "cluster/scheduler/scheduler_inspection.hpp"
 #include "cluster/scheduler/speculative_executor.hpp"
+#include "cluster/scheduler/submission_fences.hpp"
 #include "cluster/scheduler/task_placer.hpp"
 #include "cluster/scheduler/worker_report_handler.hpp"
 
@@ -24,6 +25,7 @@
       : state_(std::move(options), epoch, seed),
         runs_(state_),
         jobs_(state_, runs_),
+        fences_(state_),
         ends_(state_, runs_, jobs_),
         report_handler_(state_, runs_, jobs_, ends_),
         order_responder_(state_),
@@ -37,6 +39,7 @@
     RestoredState restored = decode_records(entries);
     for (const wire::WorkerRecord& worker : restored.workers) restore_leaf(worker);
     for (const RestoredJob& job : restored.jobs) jobs_.restore(job);
+    for (const wire::SubmissionFenceRecord& fence : restored.fences) fences_.restore(fence);
     for (const std::string& key : restored.orphaned_keys) state_.records.remove(key);
   }
 
@@ -51,6 +54,20 @@
     return jobs_.cancel(id);
   }
 
+  FenceResult fence_submissions(const std::string& id, std::uint64_t configuration_version, TimePoint now,
+                                std::int64_t wall_ms) override {
+    observe(now, wall_ms);
+    if (const Job* job = state_.jobs.find(id))
+      return {JobKnowledge::known, job->durable ? 0 : job->last_change_batch};
+    const std::optional<ChangeBatchNumber> batch = fences_.raise(id, configuration_version);
+    if (!batch) return {};
+    return {JobKnowledge::unknown, *batch};
+  }
+
+  bool rejects_submission(const std::string& id, std::uint64_t configuration_version) const override {
+    return state_.jobs.find(id) == nullptr && fences_.rejects(id, configuration_version);
+  }
+
   wire::JobState state(const std::string& id) const override {
     const Job* job = state_.jobs.find(id);
     return job == nullptr ? wire::JOB_UNKNOWN : visible_state(*job);
@@ -66,6 +83,7 @@
   void plan(TimePoint now, std::int64_t wall_ms) override {
     observe(now, wall_ms);
     jobs_.run_timers();
+    fences_.remove_expired();
     if (state_.now >= next_check_) {
       next_check_ = state_.now + kCheckInterval;
       run_monitor_.check();
@@ -132,6 +150,7 @@
   SchedulerState state_;
   RunTable runs_;
   JobLifecycle jobs_;
+  SubmissionFences fences_;
   RunEndHandler ends_;
   WorkerReportHandler report_handler_;
   OrderResponder order_responder_;
--- a/src/cluster/scheduler/scheduler.hpp
+++ b/src/cluster/scheduler/scheduler.hpp
@@ -45,6 +45,17 @@
   ChangeBatchNumber durable_after = 0;  // the client may be answered once this batch is durable
 };
 
+// What a service can say of a job to somebody who acts on "not known".
+enum class JobKnowledge {
+  known,
+  unknown,    // and never accepted from a submission that is routed by an earlier configuration
+  undecided,  // no such promise can be made now
+};
+struct FenceResult {
+  JobKnowledge knowledge = JobKnowledge::undecided;
+  ChangeBatchNumber durable_after = 0;  // the answer may be sent once this batch is durable
+};
+
 // The scheduler of one service. It exists while its owner holds the service's lease (is the leader).
 //
 // It does no I/O. Its input is client requests and the reports of worker-agents; its output is orders for
@@ -79,6 +90,13 @@
                               TimePoint now, std::int64_t wall_ms) = 0;
   // Cancels a job and orders its runs to stop. No effect on a job that has ended. Idempotent.
   virtual CancelResult cancel(const std::string& id, TimePoint now, std::int64_t wall_ms) = 0;
+  // Answers whether the job is known. If it isn't, submissions of it that were routed by an earlier
+  // configuration than `configuration_version` are fenced off; see `rejects_submission`. Idempotent.
+  virtual FenceResult fence_submissions(const std::string& id, std::uint64_t configuration_version,
+                                        TimePoint now, std::int64_t wall_ms) = 0;
+  // True if a submission of the job that was routed by this configuration must be rejected, since the job was
+  // unknown when that was asked for by a newer configuration. Not for a job that is known.
+  virtual bool rejects_submission(const std::string& id, std::uint64_t configuration_version) const = 0;
   // The state that clients may see: a final state is returned only once it is durable, JOB_RUNNING before.
   // JOB_UNKNOWN if there is no such job.
   virtual wire::JobState state(const std::string& id) const = 0;
--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -1,6 +1,8 @@
 // A job belongs to the service that accepted it, also when its queue moves to another service and agents and
 // control nodes restart.
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 #include "cluster/agent/edge_agent.hpp"
@@ -15,6 +17,9 @@
 namespace {
 
 constexpr const char* kControlAddress = "10.0.0.1:7380";
+constexpr const char* kControlSeed = "10.0.0.1:8144";
+constexpr const char* kOtherControlAddress = "10.0.0.2:7380";  // of the same node
+constexpr const char* kOtherControlSeed = "10.0.0.2:8144";
 constexpr const char* kJob = "5c0e7a21d94b36f8";
 constexpr const char* kQueue = "queue/a/";
 
@@ -54,16 +59,21 @@
   FakeRuntime runtime;
   SharedRegisters registers;
   bool members_read_snapshots = true;
+  bool serves_configuration = true;  // at the first address of the control node
   std::unique_ptr<ConfigurationService> configuration;
-  std::set<std::string> accepted_by;  // services that know the job
-  unsigned unled_submits = 0;         // so many submits more reach no leader
+  std::set<std::string> accepted_by;            // services that know the job
+  std::map<std::string, std::uint64_t> fences;  // versions below which services reject the job
+  unsigned unled_submits = 0;                   // so many submits more reach no leader
   // The last one is in use. The others are kept, since calls of theirs are in flight.
   std::vector<std::unique_ptr<EdgeAgent>> agents;
 
   MovedQueueFixture() {
     runtime.peers[kControlAddress] = [this](const wire::Envelope& request, const ReplyCallback& reply) {
       if (request.has_job_request()) return reply(lead(request.job_request()));
-      if (configuration) configuration->handle(request, reply);
+      if (configuration && serves_configuration) configuration->handle(request, reply);
+    };
+    runtime.peers[kOtherControlAddress] = [this](const wire::Envelope& request, const ReplyCallback& reply) {
+      configuration->handle(request, reply);
     };
   }
 
@@ -74,12 +84,20 @@
       not_leader.mutable_job_reply()->set_outcome(wire::JOB_NOT_LEADER);
       return not_leader;
     }
-    if (request.verb() == wire::JOB_SUBMIT) accepted_by.insert(request.service());
-    const bool known = accepted_by.count(request.service()) > 0;
     wire::Envelope envelope;
-    envelope.mutable_job_reply()->set_outcome(known ? wire::JOB_OK : wire::JOB_NOT_FOUND);
+    envelope.mutable_job_reply()->set_outcome(answer(request));
     return envelope;
   }
+  // As JobRequestEndpoint does.
+  wire::JobOutcome answer(const wire::JobRequest& request) {
+    if (accepted_by.count(request.service()) > 0) return wire::JOB_OK;
+    std::uint64_t& fence = fences[request.service()];
+    if (request.fence_submissions()) fence = std::max<std::uint64_t>(fence, request.configuration_version());
+    if (request.verb() != wire::JOB_SUBMIT) return wire::JOB_NOT_FOUND;
+    if (request.configuration_version() < fence) return wire::JOB_REJECTED;
+    accepted_by.insert(request.service());
+    return wire::JOB_OK;
+  }
 
   static std::vector<wire::ShardLeader> leaders() {
     std::vector<wire::ShardLeader> leaders;
@@ -100,13 +118,13 @@
     configuration->on_register_value(registers.value());
     registers.run_all();
   }
-  void start_agent() {
+  void start_agent(const char* seed = kControlSeed) {
     NodeSettings settings;
     settings.zone = "near";
     settings.ip = "10.0.1.1";
     settings.internal_port_first = 7380;
     settings.internal_port_last = 7395;
-    settings.seeds = {"10.0.0.1:8144"};
+    settings.seeds = {seed};
     agents.push_back(std::make_unique<EdgeAgent>(runtime, settings));
     agents.back()->start();
   }
@@ -277,3 +295,20 @@
   REQUIRE(call(wire::JOB_SUBMIT, "first", 1, Millis(100)) == wire::JOB_OUTCOME_NONE);
   CHECK(call(wire::JOB_SUBMIT, "second", 1, Millis(310), Millis(300)) == wire::JOB_IN_DOUBT);
 }
+
+// Guards against a second run: an edge machine that was frozen handed the job in by the configuration that it
+// still had, after another one had handed it in at the present service.
+TEST_CASE_METHOD(MovedQueueFixture, "a job is not accepted by two agents with different configurations") {
+  start_control();
+  put(0, configuration_json(1, kBeforeMove));
+  start_agent();
+  runtime.run_for(Millis(500));
+  serves_configuration = false;
+  patch(1, add_queue(2, "second"));
+  start_agent(kOtherControlSeed);
+  runtime.run_for(Millis(500));
+  CHECK(call(wire::JOB_SUBMIT, "second", 2) == wire::JOB_OK);
+  std::swap(agents.front(), agents.back());
+  CHECK(call(wire::JOB_SUBMIT, "first", 1) == wire::JOB_REJECTED);
+  CHECK(accepted_by == std::set<std::string>{"second"});
+}
--- a/tests/cluster/control/job_request_endpoint_test.cpp
+++ b/tests/cluster/control/job_request_endpoint_test.cpp
@@ -26,6 +26,7 @@
   RecordMap records;
   std::unique_ptr<Scheduler> scheduler;
   std::uint64_t epoch = 0;
+  std::uint64_t routed_submissions = 0;
 
   EndpointFixture() { lead(); }
 
@@ -76,6 +77,21 @@
     request.set_id(id);
     send(request);
   }
+  // Submits a job that was routed by this configuration, with a message of its own.
+  wire::JobOutcome submit_routed_by(std::uint64_t version, const std::string& id) {
+    wire::JobRequest request = submission(id, {9, ++routed_submissions});
+    request.set_configuration_version(version);
+    return send(request);
+  }
+  // An agent with this configuration asks before it hands the job in at another service.
+  wire::JobRequest fencing_query(std::uint64_t version, const std::string& id) {
+    wire::JobRequest request;
+    request.set_verb(wire::JOB_QUERY);
+    request.set_id(id);
+    request.set_configuration_version(version);
+    request.set_fence_submissions(true);
+    return request;
+  }
   void fill_capacity() {
     for (std::uint64_t job = 0; job < kMaxLiveJobs; ++job)
       REQUIRE(submit("filler-" + std::to_string(job), {1, job + 1}) == wire::JOB_OK);
@@ -119,6 +135,43 @@
   CHECK(submit("job-1", {2, 1}) == wire::JOB_OK);  // the job is known by now
 }
 
+// Guards against a second run: an edge machine that was frozen handed a job in at the former service of a
+// queue, after another one had asked there and had then handed it in at the present service.
+TEST_CASE_METHOD(EndpointFixture, "a late submission by an earlier configuration is rejected") {
+  const bool leader_changes = GENERATE(false, true);
+  REQUIRE(send(fencing_query(5, "job")) == wire::JOB_NOT_FOUND);
+  if (leader_changes) {
+    lose_lease();
+    lead();
+  }
+  CHECK(submit_routed_by(4, "job") == wire::JOB_REJECTED);
+  CHECK(submit_routed_by(0, "job") == wire::JOB_REJECTED);
+  CHECK(scheduler->state("job") == wire::JOB_UNKNOWN);
+  CHECK(submit_routed_by(4, "another job") == wire::JOB_OK);
+}
+
+TEST_CASE_METHOD(EndpointFixture, "a job is accepted by the service that its queue has moved back to") {
+  REQUIRE(send(fencing_query(5, "job")) == wire::JOB_NOT_FOUND);
+  CHECK(submit_routed_by(5, "job") == wire::JOB_OK);
+  CHECK(send(fencing_query(6, "job")) == wire::JOB_OK);
+  CHECK(submit_routed_by(4, "job") == wire::JOB_OK);  // the job is known by now
+}
+
+TEST_CASE_METHOD(EndpointFixture, "an answer that fences submissions is sent once the fence is durable") {
+  wire::JobOutcome outcome = wire::JOB_OUTCOME_NONE;
+  const auto keep = [&](const wire::Envelope& reply) { outcome = reply.job_reply().outcome(); };
+  CHECK(endpoint.handle(*scheduler, fencing_query(5, "job"), keep));
+  CHECK(outcome == wire::JOB_OUTCOME_NONE);
+  SECTION("if it becomes durable") {
+    make_durable();
+    CHECK(outcome == wire::JOB_NOT_FOUND);
+  }
+  SECTION("if the lease is lost before") {
+    lose_lease();
+    CHECK(outcome == wire::JOB_IN_DOUBT);
+  }
+}
+
 TEST_CASE("no message is accepted after it was rejected, however often and late it is duplicated") {
   std::size_t repeated_rejections = 0;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
