Give former routes the version that ended them, so that moves there and back are noticed

Cause: the difference between its configuration and the newest held nothing, since items of former routes named services alone; and where an item came, a service that the agent knew already kept its older time, so that it was forgotten 60 s after the first move.

Change: a former route names the configuration version that ended it, its item the newest of them, and a former route that comes with a difference counts as ended at that moment. Versions rise also where clocks jump.

--- a/src/cluster/agent/route_history.cpp
+++ b/src/cluster/agent/route_history.cpp
@@ -51,8 +51,12 @@
     const RouteKey key{former.hostname, former.path_prefix};
     auto& uses = uses_[key];
     const auto is_same = [&](const ServiceUse& use) { return use.service == former.service; };
-    if (std::any_of(uses.begin(), uses.end(), is_same)) continue;
-    uses.push_back({former.service, now});
+    const auto known = std::find_if(uses.begin(), uses.end(), is_same);
+    if (known == uses.end()) {
+      uses.push_back({former.service, now});
+    } else {
+      known->ended_at = now;  // it may have been in force once more, unseen by this process
+    }
     ended_.push_back({now, key});
   }
 }
--- a/src/cluster/agent/route_history.hpp
+++ b/src/cluster/agent/route_history.hpp
@@ -22,8 +22,8 @@
 
   // Records the route changes of a configuration that takes effect.
   void record_changes(const std::vector<RouteChange>& changes, TimePoint now);
-  // Records the former routes that a configuration which takes effect names. Must follow `record_changes` for
-  // the same configuration.
+  // Records the former routes that a configuration which takes effect adds or changes: they count as ended
+  // now. Must follow `record_changes` for the same configuration.
   void record_former_routes(const std::vector<FormerRoute>& former_routes, TimePoint now);
   // The services other than `service` to which the queue named `queue`, or any queue with its host and path
   // prefix, was routed within the retention time.
--- a/src/cluster/config/former_routes.hpp
+++ b/src/cluster/config/former_routes.hpp
@@ -15,10 +15,11 @@
 
 // A hostname and path prefix, and a service that a route with them named earlier.
 struct FormerRoute {
-  std::string hostname;            // in lower case
-  std::string path_prefix;         // empty, with an empty hostname: any route
-  std::string service;             // not the service of the route in force
-  std::int64_t ended_wall_ms = 0;  // since 1970; 0: unknown
+  std::string hostname;             // in lower case
+  std::string path_prefix;          // empty, with an empty hostname: any route
+  std::string service;              // not the service of the route in force
+  std::int64_t ended_wall_ms = 0;   // since 1970; 0: unknown
+  std::uint64_t ended_version = 0;  // of the configuration that ended it; 0: unknown
 
   bool operator==(const FormerRoute&) const = default;
 };
@@ -39,22 +40,27 @@
   FormerRoutes() = default;
   explicit FormerRoutes(const std::vector<FormerRoute>& entries);
 
-  // Records the changes of one version. `wall_ms` is when they were received, in milliseconds since 1970;
-  // 0: unknown.
-  void record(const std::vector<RouteChange>& changes, std::int64_t wall_ms);
+  // Records the changes of a version, which must be above those before. `wall_ms` is when they were received,
+  // in milliseconds since 1970; 0: unknown.
+  void record(const std::vector<RouteChange>& changes, std::int64_t wall_ms, std::uint64_t version);
   // Ordered by hostname, path prefix and service.
   std::vector<FormerRoute> entries() const;
 
  private:
   // Hostname in lower case, path prefix, service.
   using Key = std::tuple<std::string, std::string, std::string>;
+  // When a route ended. The version orders the ends also where clocks jump.
+  struct End {
+    std::int64_t wall_ms = 0;
+    std::uint64_t version = 0;
+  };
 
   static Key key_of(const Route& route);
   void remove_expired(std::int64_t wall_ms);
-  void add(const Key& key, std::int64_t wall_ms);
+  void add(const Key& key, const End& end);
   void generalize_oldest();
 
-  std::map<Key, std::int64_t> ended_;  // values: as FormerRoute::ended_wall_ms
+  std::map<Key, End> ended_;
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/control/configuration_change.cpp
+++ b/src/cluster/control/configuration_change.cpp
@@ -129,7 +129,7 @@
   }
   BOOST_LEAF_AUTO(complete, complete_configuration(change, base.document, edit));
   FormerRoutes former_routes = base.former_routes;
-  former_routes.record(complete.route_changes, change.received_wall_ms);
+  former_routes.record(complete.route_changes, change.received_wall_ms, change.version);
   write_former_routes(former_routes, *result.record);
   replace_content(change.version, std::move(complete.json), snapshots_allowed, result);
   return result;
--- a/src/cluster/control/configuration_state.cpp
+++ b/src/cluster/control/configuration_state.cpp
@@ -68,7 +68,8 @@
         for (const wire::ConfigurationPatchEntry& entry : record.patches()) {
           BOOST_LEAF_AUTO(patch, parse_patch(entry.body(), kSource));
           BOOST_LEAF_AUTO(edit, document.check(patch, kSource));
-          former_routes.record(document.apply(patch, std::move(edit)), entry.received_wall_ms());
+          former_routes.record(document.apply(patch, std::move(edit)), entry.received_wall_ms(),
+                               entry.version());
         }
         document_ = std::move(document);
         former_routes_ = std::move(former_routes);
@@ -93,7 +94,7 @@
   BOOST_LEAF_AUTO(edit, document_->check(patch, kSource));
   std::vector<wire::ConfigurationItem> changes = items_of(edit);
   const FormerRoutes before = former_routes_;
-  former_routes_.record(document_->apply(patch, std::move(edit)), entry.received_wall_ms());
+  former_routes_.record(document_->apply(patch, std::move(edit)), entry.received_wall_ms(), entry.version());
   append_items(item_changes_between(before, former_routes_), changes);
   items_.apply(items_.difference_with_changes(entry.version(), std::move(changes)));
   version_ = entry.version();
--- a/src/cluster/control/former_route_records.cpp
+++ b/src/cluster/control/former_route_records.cpp
@@ -7,7 +7,8 @@
 FormerRoutes read_former_routes(const wire::ConfigurationRecord& record) {
   std::vector<FormerRoute> entries;
   for (const wire::FormerRoute& entry : record.former_routes())
-    entries.push_back({entry.hostname(), entry.path_prefix(), entry.service(), entry.ended_wall_ms()});
+    entries.push_back({entry.hostname(), entry.path_prefix(), entry.service(), entry.ended_wall_ms(),
+                       entry.ended_version()});
   return FormerRoutes(entries);
 }
 
@@ -19,6 +20,7 @@
     entry.set_path_prefix(former.path_prefix);
     entry.set_service(former.service);
     entry.set_ended_wall_ms(former.ended_wall_ms);
+    entry.set_ended_version(former.ended_version);
   }
 }
 
--- a/src/cluster/delivery/configuration_items.cpp
+++ b/src/cluster/delivery/configuration_items.cpp
@@ -1,5 +1,6 @@
 #include "cluster/delivery/configuration_items.hpp"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -88,6 +89,7 @@
     content.set_hostname(entry.hostname);
     content.set_path_prefix(entry.path_prefix);
     content.add_services(entry.service);
+    content.set_ended_version(std::max<std::uint64_t>(content.ended_version(), entry.ended_version));
   }
   std::vector<wire::ConfigurationItem> items;
   items.reserve(contents.size());
@@ -150,7 +152,7 @@
   BOOST_LEAF_AUTO(content, read_content<wire::FormerRouteItem>(item));
   std::vector<FormerRoute> entries;
   for (const std::string& service : content.services())
-    entries.push_back({content.hostname(), content.path_prefix(), service, 0});
+    entries.push_back({content.hostname(), content.path_prefix(), service, 0, content.ended_version()});
   return entries;
 }
 
--- a/src/cluster/delivery/configuration_items.hpp
+++ b/src/cluster/delivery/configuration_items.hpp
@@ -17,7 +17,8 @@
 // The items that an edit upserts, and its removals.
 std::vector<wire::ConfigurationItem> items_of(const ConfigurationEdit& edit);
 
-// One item for each hostname and path prefix among the former routes, without the times. Ordered by name.
+// One item for each hostname and path prefix among the former routes, with the newest version that ended one
+// of them. Ordered by name.
 std::vector<wire::ConfigurationItem> items_of(const FormerRoutes& former_routes);
 
 // The upserts and removals that turn the items of some former routes into those of others.
--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -230,6 +230,26 @@
   CHECK(accepted_by == std::set<std::string>{"first", "second"});
 }
 
+// Guards against a second run: an agent that got moves there and back at once did not learn of the service
+// between.
+TEST_CASE_METHOD(AcceptedJobFixture,
+                 "a service that was in force between two versions of an agent is known") {
+  const bool control_restarted = GENERATE(false, true);
+  accept_job();
+  patch(1, add_queue(2, "second"));
+  runtime.run_for(Millis(70000));  // the agent has forgotten the first move
+  accepted_by.clear();
+  serves_configuration = false;
+  patch(2, add_queue(3, "first"));
+  patch(3, add_queue(4, "second"));
+  accepted_by = {"first"};  // through another agent, between the two changes
+  if (control_restarted) start_control();
+  serves_configuration = true;
+  runtime.run_for(Millis(1500));
+  CHECK(call(wire::JOB_SUBMIT, "second", 4) == wire::JOB_OK);
+  CHECK(accepted_by == std::set<std::string>{"first"});
+}
+
 // Guards against a lost job and a second run: agents knew only the services of the present configuration.
 TEST_CASE_METHOD(AcceptedJobFixture,
                  "a job of a service that is removed from the configuration stays known") {
