Open a service wherever this node gets a replica of its shard

Cause: a control node opened the services of the shards on its disk at its start, and those that a configuration names. A shard that came by state transfer after the start made nobody a candidate for a service that no configuration names.

Change: ControlGroup::watch_shards tells of each shard of which this node has a replica, from the disk, by a lease or write, or by a state transfer, and ControlNode opens services by that one path.

--- a/src/cluster/common/service_shard.cpp
+++ b/src/cluster/common/service_shard.cpp
@@ -16,12 +16,4 @@
   return shard.substr(kShardPrefix.size());
 }
 
-std::vector<std::string> services_of(const std::vector<std::string>& shards) {
-  std::vector<std::string> services;
-  for (const std::string& shard : shards) {
-    if (const auto service = service_of_shard(shard)) services.push_back(*service);
-  }
-  return services;
-}
-
 }  // namespace winchhall::cluster
--- a/src/cluster/common/service_shard.hpp
+++ b/src/cluster/common/service_shard.hpp
@@ -4,7 +4,6 @@
 
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace winchhall::cluster {
 
@@ -12,7 +11,5 @@
 std::string shard_of_service(const std::string& service);
 // Returns the service whose records the shard stores; none for any other shard.
 std::optional<std::string> service_of_shard(const std::string& shard);
-// Returns the services whose shards are among `shards`, and ignores other shards.
-std::vector<std::string> services_of(const std::vector<std::string>& shards);
 
 }  // namespace winchhall::cluster
--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -68,6 +68,7 @@
   callbacks.on_voting_started = [this] { acceptor_.shards().assume_leases(); };
   callbacks.on_record_adopted = [this] { on_record_adopted(); };
   callbacks.on_synchronized = [this] {
+    announce_added_shards();
     notify_shards_of_membership();
     record_exchange_.request_to_join();  // a learner is promoted, an unconfirmed member is confirmed
   };
@@ -92,6 +93,7 @@
   } else {
     membership_.initialize_identity([this] { activate(); });
   }
+  announce_added_shards();
 }
 
 void ControlGroup::load() {
@@ -114,6 +116,7 @@
   record_exchange_.request_to_join();
   excess_member_remover_.remove_unreachable_member();
   state_transfer_.start_if_needed();
+  announce_added_shards();
   registers_.watcher().refresh(has_quorum_contact());
 }
 
@@ -200,10 +203,12 @@
 
 // ---------------------------------------------------------------- shards
 
-std::vector<std::string> ControlGroup::stored_shards() const {
-  std::vector<std::string> shards;
-  for (const auto& [shard, replica] : acceptor_.shards().replicas()) shards.push_back(shard);
-  return shards;
+void ControlGroup::announce_added_shards() {
+  if (!on_shard_added_) return;
+  std::vector<std::string> added;  // the listener may open shards
+  for (const auto& [shard, replica] : acceptor_.shards().replicas())
+    if (announced_shards_.insert(shard).second) added.push_back(shard);
+  for (const std::string& shard : added) on_shard_added_(shard);
 }
 
 std::optional<wire::ShardLeader> ControlGroup::lease_in_force(const std::string& shard) const {
--- a/src/cluster/consensus/control_group.hpp
+++ b/src/cluster/consensus/control_group.hpp
@@ -74,8 +74,12 @@
   // True if every member has announced that it reads configuration records with snapshots.
   bool members_read_snapshots() const;
 
-  // Names of the shards of which this node has a replica.
-  std::vector<std::string> stored_shards() const;
+  // Calls `on_added` once with the name of each shard of which this node has a replica, whichever way it got
+  // it: from its disk, by a lease or write of another node, or by a state transfer. To be called before
+  // `start`, which calls it for those on the disk.
+  void watch_shards(std::function<void(const std::string& shard)> on_added) {
+    on_shard_added_ = std::move(on_added);
+  }
 
   // Newest durable member record; epoch 0: none yet.
   const wire::MemberRecord& members() const { return membership_.record(); }
@@ -113,6 +117,8 @@
   void run_periodic_work();
   void on_record_adopted();
   void notify_shards_of_membership();
+  // Passes the shards that were added since the last call to `watch_shards`' listener.
+  void announce_added_shards();
 
   Runtime& runtime_;
   DurableStore& store_;
@@ -130,6 +136,8 @@
   MemberJoiner joiner_;
   ExcessMemberRemover excess_member_remover_;
   std::set<LeasedShard*> shards_;
+  std::function<void(const std::string& shard)> on_shard_added_;
+  std::set<std::string> announced_shards_;
   bool active_ = false;
   std::unique_ptr<Timer> periodic_timer_;
 };
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -45,10 +45,11 @@
 
 void ControlNode::start() {
   configuration_.set_listener([this](const Configuration& configuration) { open_services(configuration); });
+  group_.watch_shards([this](const std::string& shard) {
+    if (const auto service = service_of_shard(shard)) open_service(*service);
+  });
   group_.start();
-  const std::vector<std::string> services = services_of(group_.stored_shards());
-  for (const std::string& service : services) open_service(service);
-  if (services.empty()) {
+  if (services_.empty()) {
     watch_configuration();
   } else {
     watch_timer_ = runtime_.after(kConfigurationReadDelay, [this] { watch_configuration(); });
@@ -99,6 +100,7 @@
 }
 
 void ControlNode::shut_down(std::function<void()> done) {
+  group_.watch_shards(nullptr);  // opens no further service
   for (const auto& [name, service] : services_) service->step_down();
   configuration_.stop();
   group_.leave(settings_.bounds.grace_period / 3, [this, done = std::move(done)] {
--- a/src/cluster/control/control_node.hpp
+++ b/src/cluster/control/control_node.hpp
@@ -23,15 +23,16 @@
 // the group outlives the components that use its registers and shards. Single-threaded: all calls come from
 // the event loop.
 //
-// A service is never closed: one that is removed from the configuration keeps its leader until the process
-// ends.
+// A service is opened when the configuration names it, and when this node has a replica of its shard,
+// whichever way it got it. It is never closed: one that is removed from the configuration still has its jobs,
+// and this node may lead it.
 class ControlNode {
  public:
   // `runtime` and `store` must outlive the node.
   ControlNode(Runtime& runtime, DurableStore& store, const NodeSettings& settings);
 
   // Joins the group, opens the services whose shards are stored on this node, and starts to follow the
-  // configuration. Called once.
+  // configuration and the shards that it gets. Called once.
   void start();
   // Replaces the seeds (addresses of their internal listeners), after a change of the settings.
   void set_seeds(std::vector<Address> seeds) { group_.set_seeds(std::move(seeds)); }
--- a/tests/cluster/control/restart_test.cpp
+++ b/tests/cluster/control/restart_test.cpp
@@ -46,11 +46,23 @@
       if (simulation.node(index).running()) simulation.node(index).crash();
     }
   }
+  // A machine without its disk starts at its old address, and has the time to catch up.
+  void lose_disk(std::size_t index) {
+    simulation.node(index).crash();
+    simulation.node(index).lose_disk();
+    simulation.run_for(Millis(1000));
+    simulation.node(index).start();
+    simulation.run_for(Millis(8000));
+  }
   // Sends a configuration to one node. The result becomes true once the node has acknowledged it.
   std::shared_ptr<bool> put(std::size_t index, std::uint64_t version, std::uint64_t base) {
-    HttpRequest request{boost::beast::http::verb::post, "/v1/Config.Put", 11};
+    return change(index, "/v1/Config.Put", base, configuration_test::small_configuration(version));
+  }
+  std::shared_ptr<bool> change(std::size_t index, const std::string& target, std::uint64_t base,
+                               const std::string& body) {
+    HttpRequest request{boost::beast::http::verb::post, target, 11};
     request.set("X-Winchhall-Base-Version", std::to_string(base));
-    request.body() = configuration_test::small_configuration(version);
+    request.body() = body;
     auto acknowledged = std::make_shared<bool>(false);
     nodes[index]->handle_http(request, [acknowledged](const HttpResponse& response) {
       *acknowledged = response.result_int() == 200;
@@ -110,3 +122,24 @@
     CHECK(control.version_at(2) == 7);
   }
 }
+
+// Guards against lost jobs: a node that got the shard of a removed service by state transfer never led it.
+TEST_CASE("a removed service is led after every control node has lost its disk") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    ControlNodesFixture control(seed);
+    control.put(0, 5, 0);
+    control.simulation.run_for(Millis(3000));
+    REQUIRE(control.led("fraud"));
+    const auto removed =
+        control.change(0, "/v1/Config.Patch", 5, R"({"version":6,"delete":{"services":["fraud"]}})");
+    control.simulation.run_for(Millis(1000));
+    REQUIRE(*removed);
+    for (std::size_t index = 0; index < kNodes; ++index) {
+      CAPTURE(index);
+      control.lose_disk(index);
+      CHECK(control.led("fraud"));
+      CHECK(control.led("core"));
+    }
+  }
+}
