Fence off the submissions of a job whose cancel is answered as unknown

Cause: the cancel of an unknown job left no trace, and a submission has no age.

Change: such a cancel writes the job's fence for the submissions of all configurations before it is answered. A former service of a queue that is asked for a job which was cancelled there answers "rejected", so that a late submission isn't handed in at a service that the cancelling edge didn't know. Without the promise (too many fences) the cancel is in doubt. The simulated cluster's clients now give up on late submissions, and cancel them or have them fenced off; a job that was answered as unknown must not be accepted or started.

--- a/src/cluster/agent/leader_call.cpp
+++ b/src/cluster/agent/leader_call.cpp
@@ -91,8 +91,8 @@
     case wire::JOB_NO_QUEUE:
       return finish(reply);
     case wire::JOB_REJECTED:
-      // Another node may have accepted an earlier attempt.
-      return attempts_ == 1 ? finish(reply) : give_up();
+      // Another node may have accepted an earlier attempt of a submit.
+      return attempts_ == 1 || request_.verb() != wire::JOB_SUBMIT ? finish(reply) : give_up();
     case wire::JOB_NOT_LEADER:
       return on_not_leader(reply, target);
     default:
--- a/src/cluster/control/job_request_endpoint.cpp
+++ b/src/cluster/control/job_request_endpoint.cpp
@@ -18,6 +18,19 @@
   return reply;
 }
 
+wire::JobOutcome outcome_of(JobKnowledge knowledge) {
+  switch (knowledge) {
+    case JobKnowledge::known:
+      return wire::JOB_OK;
+    case JobKnowledge::unknown:
+      return wire::JOB_NOT_FOUND;
+    case JobKnowledge::cancelled:
+      return wire::JOB_REJECTED;
+    default:
+      return wire::JOB_IN_DOUBT;
+  }
+}
+
 wire::JobReply count_reply(const Scheduler& scheduler, const wire::JobRequest& request) {
   wire::JobReply reply;
   reply.set_outcome(wire::JOB_OK);
@@ -93,16 +106,18 @@
                                          const ReplyCallback& reply) {
   const FenceResult result = scheduler.fence_submissions(request.id(), request.configuration_version(),
                                                          runtime_.now(), runtime_.wall_clock_ms());
-  wire::JobReply message = query_reply(scheduler, request);
-  if (result.knowledge == JobKnowledge::undecided) message.set_outcome(wire::JOB_IN_DOUBT);
+  wire::JobReply message;
+  message.set_outcome(outcome_of(result.knowledge));
+  message.set_state(scheduler.state(request.id()));
+  if (result.knowledge == JobKnowledge::cancelled) message.set_retry_after_ms(kRetryAfterMs);
   reply_when_durable(result.durable_after, std::move(message), reply);
 }
 
 void JobRequestEndpoint::cancel(Scheduler& scheduler, const wire::JobRequest& request,
                                 const ReplyCallback& reply) {
-  const CancelResult result = scheduler.cancel(request.id(), runtime_.now(), runtime_.wall_clock_ms());
+  const FenceResult result = scheduler.cancel(request.id(), runtime_.now(), runtime_.wall_clock_ms());
   wire::JobReply message;
-  message.set_outcome(result.found ? wire::JOB_OK : wire::JOB_NOT_FOUND);
+  message.set_outcome(outcome_of(result.knowledge));
   reply_when_durable(result.durable_after, std::move(message), reply);
 }
 
--- a/src/cluster/scheduler/job_lifecycle.cpp
+++ b/src/cluster/scheduler/job_lifecycle.cpp
@@ -44,11 +44,10 @@
   return {wire::JOB_OK, job.last_change_batch, {}};
 }
 
-CancelResult JobLifecycle::cancel(const std::string& id) {
-  Job* job = state_.jobs.find(id);
-  if (job == nullptr) return {};
-  if (!job->is_final()) finish(*job, wire::JOB_CANCELED);
-  return {true, job->final_state_durable ? 0 : job->last_change_batch};
+ChangeBatchNumber JobLifecycle::cancel(const std::string& id) {
+  Job& job = *state_.jobs.find(id);
+  if (!job.is_final()) finish(job, wire::JOB_CANCELED);
+  return job.final_state_durable ? 0 : job.last_change_batch;
 }
 
 void JobLifecycle::restore(const RestoredJob& restored) {
--- a/src/cluster/scheduler/job_lifecycle.hpp
+++ b/src/cluster/scheduler/job_lifecycle.hpp
@@ -18,7 +18,8 @@
 
   // See Scheduler.
   SubmitResult submit(const std::string& id, const wire::JobSpec& spec, const wire::QueueTerms& terms);
-  CancelResult cancel(const std::string& id);
+  // The job must be known. Returns the batch after which its final state is durable, 0 if it is already.
+  ChangeBatchNumber cancel(const std::string& id);
   // Adds a job from an earlier leader's records, with the repeats that have started or are due.
   void restore(const RestoredJob& restored);
   // Must be called when more batches are durable: starts jobs whose records are now durable, and makes final
--- a/src/cluster/scheduler/scheduler.cpp
+++ b/src/cluster/scheduler/scheduler.cpp
@@ -49,9 +49,11 @@
     return jobs_.submit(id, spec, terms);
   }
 
-  CancelResult cancel(const std::string& id, TimePoint now, std::int64_t wall_ms) override {
+  FenceResult cancel(const std::string& id, TimePoint now, std::int64_t wall_ms) override {
     observe(now, wall_ms);
-    return jobs_.cancel(id);
+    if (state_.jobs.find(id) != nullptr) return {JobKnowledge::known, jobs_.cancel(id)};
+    const std::optional<ChangeBatchNumber> batch = fences_.raise(id, SubmissionFences::kAllVersions);
+    return batch ? FenceResult{JobKnowledge::unknown, *batch} : FenceResult();
   }
 
   FenceResult fence_submissions(const std::string& id, std::uint64_t configuration_version, TimePoint now,
@@ -61,7 +63,7 @@
       return {JobKnowledge::known, job->durable ? 0 : job->last_change_batch};
     const std::optional<ChangeBatchNumber> batch = fences_.raise(id, configuration_version);
     if (!batch) return {};
-    return {JobKnowledge::unknown, *batch};
+    return {fences_.rejects_all(id) ? JobKnowledge::cancelled : JobKnowledge::unknown, *batch};
   }
 
   bool rejects_submission(const std::string& id, std::uint64_t configuration_version) const override {
--- a/src/cluster/scheduler/submission_fences.hpp
+++ b/src/cluster/scheduler/submission_fences.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +28,8 @@
 // One small record for each such answer. Owned by the scheduler; not thread-safe.
 class SubmissionFences {
  public:
+  // Fences off the submissions of all configurations.
+  static constexpr std::uint64_t kAllVersions = std::numeric_limits<std::uint64_t>::max();
   // As long as agents ask the former services of a queue; longer than any process is frozen.
   static constexpr Millis kRetention{60000};
   static constexpr std::size_t kMaxFences = 100000;
@@ -40,6 +43,8 @@
   std::optional<ChangeBatchNumber> raise(const std::string& job, std::uint64_t version);
   // True if a submission of the job that was routed by configuration `version` must not be accepted.
   bool rejects(const std::string& job, std::uint64_t version) const;
+  // True if no submission of the job must be accepted.
+  bool rejects_all(const std::string& job) const { return rejects(job, kAllVersions - 1); }
   // Removes the fences whose retention time has passed, and their records.
   void remove_expired();
 
--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -2,6 +2,7 @@
 // control nodes restart.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -21,6 +22,7 @@
 constexpr const char* kOtherControlAddress = "10.0.0.2:7380";  // of the same node
 constexpr const char* kOtherControlSeed = "10.0.0.2:8144";
 constexpr const char* kJob = "5c0e7a21d94b36f8";
+constexpr std::uint64_t kCancelled = std::numeric_limits<std::uint64_t>::max();  // fence of a cancelled job
 constexpr const char* kQueue = "queue/a/";
 
 std::string remove_queue(std::uint64_t version) {
@@ -92,6 +94,8 @@
   wire::JobOutcome answer(const wire::JobRequest& request) {
     if (accepted_by.count(request.service()) > 0) return wire::JOB_OK;
     std::uint64_t& fence = fences[request.service()];
+    if (request.verb() == wire::JOB_CANCEL) fence = kCancelled;
+    if (request.fence_submissions() && fence == kCancelled) return wire::JOB_REJECTED;
     if (request.fence_submissions()) fence = std::max<std::uint64_t>(fence, request.configuration_version());
     if (request.verb() != wire::JOB_SUBMIT) return wire::JOB_NOT_FOUND;
     if (request.configuration_version() < fence) return wire::JOB_REJECTED;
@@ -332,3 +336,16 @@
   CHECK(call(wire::JOB_SUBMIT, "first", 1) == wire::JOB_REJECTED);
   CHECK(accepted_by == std::set<std::string>{"second"});
 }
+
+// Guards against a start of a cancelled job: the cancelling agent did not know the queue's present service
+// yet.
+TEST_CASE_METHOD(MovedQueueFixture, "a job that was cancelled by an earlier configuration is not handed in") {
+  start_control();
+  put(0, configuration_json(1, kBeforeMove));
+  start_agent();
+  runtime.run_for(Millis(500));
+  fences["first"] = kCancelled;
+  patch(1, add_queue(2, "second"));
+  CHECK(call(wire::JOB_SUBMIT, "second", 2) == wire::JOB_REJECTED);
+  CHECK(accepted_by.empty());
+}
--- a/tests/cluster/agent/reply_aggregator_test.cpp
+++ b/tests/cluster/agent/reply_aggregator_test.cpp
@@ -49,3 +49,21 @@
   add(wire::JOB_NOT_FOUND);
   CHECK(results == Outcomes{wire::JOB_IN_DOUBT});
 }
+
+// Guards against a start of a cancelled job at a service that the cancelling edge did not know yet.
+TEST_CASE_METHOD(AggregatorFixture, "a rejection by one service counts if no other reply is in doubt") {
+  add(wire::JOB_NOT_FOUND);
+  add(wire::JOB_REJECTED);
+  SECTION("and the job is unknown elsewhere") {
+    add(wire::JOB_NOT_FOUND);
+    CHECK(results == Outcomes{wire::JOB_REJECTED});
+  }
+  SECTION("and another reply is unclear") {
+    add(wire::JOB_IN_DOUBT);
+    CHECK(results == Outcomes{wire::JOB_IN_DOUBT});
+  }
+  SECTION("and another service knows the job") {
+    add(wire::JOB_OK);
+    CHECK(results == Outcomes{wire::JOB_OK});
+  }
+}
--- a/tests/cluster/control/job_request_endpoint_test.cpp
+++ b/tests/cluster/control/job_request_endpoint_test.cpp
@@ -71,11 +71,11 @@
   wire::JobOutcome submit(const std::string& id, const Message& message) {
     return send(submission(id, message));
   }
-  void cancel(const std::string& id) {
+  wire::JobOutcome cancel(const std::string& id) {
     wire::JobRequest request;
     request.set_verb(wire::JOB_CANCEL);
     request.set_id(id);
-    send(request);
+    return send(request);
   }
   // Submits a job that was routed by this configuration, with a message of its own.
   wire::JobOutcome submit_routed_by(std::uint64_t version, const std::string& id) {
@@ -172,6 +172,23 @@
   }
 }
 
+// Guards against a start of a cancelled job: an edge machine that was frozen handed it in after its cancel
+// had been answered with "unknown".
+TEST_CASE_METHOD(EndpointFixture, "a job that was cancelled while it was unknown is never accepted") {
+  const bool leader_changes = GENERATE(false, true);
+  REQUIRE(cancel("job") == wire::JOB_NOT_FOUND);
+  if (leader_changes) {
+    lose_lease();
+    lead();
+  }
+  CHECK(submit_routed_by(4, "job") == wire::JOB_REJECTED);
+  CHECK(cancel("job") == wire::JOB_NOT_FOUND);
+  CHECK(scheduler->state("job") == wire::JOB_UNKNOWN);
+  // An agent that asks before it hands the job in at the present service of a queue that has moved.
+  CHECK(send(fencing_query(5, "job")) == wire::JOB_REJECTED);
+  CHECK(submit_routed_by(6, "job") == wire::JOB_REJECTED);
+}
+
 TEST_CASE("no message is accepted after it was rejected, however often and late it is duplicated") {
   std::size_t repeated_rejections = 0;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
--- a/tests/cluster/control/service_cluster.hpp
+++ b/tests/cluster/control/service_cluster.hpp
@@ -142,15 +142,35 @@
     checker_.jobs[id] = std::move(job);
     send_submission(id, random_control());
   }
-  // True if clients have seen a final state of every job.
+  // Submits a job whose submission arrives late, since a process that relays it is frozen. The client gives
+  // up on it meanwhile: it cancels the job, or hands it in at another service, for which an agent with a
+  // newer configuration asks this one. If the answer is that the job isn't known, it must never be accepted.
+  void abandon(test::SimulatedJob job, bool is_cancelled) {
+    constexpr Ms kMaxLateness = 6000;
+    const std::string id = job.id;
+    job.submitted_at = now();
+    job.abandoned = true;
+    job.cancel_sent = is_cancelled;
+    checker_.jobs[id] = std::move(job);
+    simulation_.in(Millis(between(0, kMaxLateness)),
+                   [this, id] { send_late_submission(id, random_control()); });
+    simulation_.in(Millis(between(0, kMaxLateness)),
+                   [this, id, is_cancelled] { disown(id, is_cancelled, random_control()); });
+  }
+  // True if clients have seen a final state of every job, or were answered that it isn't known.
   bool all_ended() const {
     return std::all_of(checker_.jobs.begin(), checker_.jobs.end(),
-                       [](const auto& entry) { return entry.second.final_at >= 0; });
+                       [](const auto& entry) { return has_ended(entry.second); });
+  }
+  std::size_t disowned_jobs() const {
+    return static_cast<std::size_t>(
+        std::count_if(checker_.jobs.begin(), checker_.jobs.end(),
+                      [](const auto& entry) { return entry.second.disowned_at >= 0; }));
   }
   std::string open_jobs() const {
     std::string ids;
     for (const auto& [id, job] : checker_.jobs)
-      if (job.final_at < 0) ids += " " + id + (job.accepted_at < 0 ? "(not accepted)" : "");
+      if (!has_ended(job)) ids += " " + id + (job.accepted_at < 0 ? "(not accepted)" : "");
     return ids;
   }
   std::size_t runs_started() const { return checker_.log.starts.size(); }
@@ -358,13 +378,19 @@
            ":7000";
   }
 
-  wire::Envelope job_request(const std::string& id, wire::JobVerb verb) {
+  // Configurations by which requests are routed; the version counts only where a queue has moved.
+  static constexpr std::uint64_t kEarlierVersion = 1;
+  static constexpr std::uint64_t kNewerVersion = 2;
+
+  wire::Envelope job_request(const std::string& id, wire::JobVerb verb,
+                             std::uint64_t configuration_version = kNewerVersion) {
     const test::SimulatedJob& job = checker_.jobs.at(id);
     wire::Envelope envelope;
     wire::JobRequest& request = *envelope.mutable_job_request();
     request.set_verb(verb);
     request.set_service(kSimulatedService);
     request.set_id(id);
+    request.set_configuration_version(configuration_version);
     *request.mutable_terms() = job.terms;
     if (verb == wire::JOB_SUBMIT) *request.mutable_spec() = job.spec;
     return envelope;
@@ -380,8 +406,48 @@
     });
   }
 
+  static bool has_ended(const test::SimulatedJob& job) { return job.final_at >= 0 || job.disowned_at >= 0; }
+
+  // Sends a submission that is routed by the first configuration until it has a definite answer.
+  void send_late_submission(const std::string& id, const Address& target) {
+    constexpr Millis kTimeout{1500};
+    const wire::Envelope request = job_request(id, wire::JOB_SUBMIT, kEarlierVersion);
+    client_->call(target, request, kTimeout, [this, id](const CallResult& result) {
+      const wire::JobReply reply = result.answer ? result.answer->job_reply() : wire::JobReply();
+      if (reply.outcome() == wire::JOB_OK) return on_accepted(id);
+      if (reply.outcome() == wire::JOB_REJECTED) return;
+      const Address next = reply.leader_address().empty() ? random_control() : reply.leader_address();
+      simulation_.in(Millis(between(20, 300)), [this, id, next] { send_late_submission(id, next); });
+    });
+  }
+
+  // Cancels the job, or has it fenced off, until that has a definite answer.
+  void disown(const std::string& id, bool is_cancelled, const Address& target) {
+    constexpr Millis kTimeout{1500};
+    wire::Envelope request =
+        job_request(id, is_cancelled ? wire::JOB_CANCEL : wire::JOB_QUERY, kNewerVersion);
+    request.mutable_job_request()->set_fence_submissions(!is_cancelled);
+    client_->call(target, request, kTimeout, [this, id, is_cancelled](const CallResult& result) {
+      const wire::JobReply reply = result.answer ? result.answer->job_reply() : wire::JobReply();
+      test::SimulatedJob& job = checker_.jobs.at(id);
+      if (reply.outcome() == wire::JOB_NOT_FOUND) return on_disowned(job);
+      if (reply.outcome() == wire::JOB_OK && is_cancelled) job.cancelled_at = now();
+      // As a client that has sent a request without an answer, it may not know that the job is accepted.
+      if (reply.outcome() == wire::JOB_OK) return on_accepted(id);
+      const Address next = reply.leader_address().empty() ? random_control() : reply.leader_address();
+      simulation_.in(Millis(between(20, 300)),
+                     [this, id, is_cancelled, next] { disown(id, is_cancelled, next); });
+    });
+  }
+
+  void on_disowned(test::SimulatedJob& job) {
+    job.disowned_at = now();
+    if (job.accepted_at >= 0) checker_.log.add_violation("LOST", "unknown " + job.id, now());
+  }
+
   void on_accepted(const std::string& id) {
     test::SimulatedJob& job = checker_.jobs.at(id);
+    if (job.disowned_at >= 0) checker_.log.add_violation("UNASKED", "accepted " + id, now());
     if (job.accepted_at < 0) job.accepted_at = now();
     constexpr double kSentAgain = 0.3;
     if (chance() >= kSentAgain) return;
--- a/tests/cluster/control/service_cluster_test.cpp
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -132,6 +132,7 @@
   ServiceClusterOptions options;
   int jobs = 40;
   int wide_jobs = 0;        // the first ones of `jobs`
+  int abandoned_jobs = 0;   // besides `jobs`
   double power_loss = 0.4;  // probability that all machines lose power, for each tenth fault
 };
 
@@ -145,6 +146,12 @@
       cluster.submit(wide ? wide_job(cluster, number) : random_job(cluster, number));
     });
   }
+  for (int number = 1; number <= scenario.abandoned_jobs; ++number) {
+    const int id = scenario.jobs + number;
+    cluster.simulation().in(Millis(cluster.between(0, kFaultPeriod)), [&cluster, id] {
+      cluster.abandon(random_job(cluster, id), cluster.chance() < 0.5);
+    });
+  }
   const Ms faults_until = cluster.now() + kFaultPeriod;
   while (cluster.now() < faults_until && cluster.violations().empty()) {
     inject_fault(cluster, scenario.power_loss);
@@ -160,6 +167,7 @@
   for (const std::string& violation : cluster.violations()) FAIL_CHECK(violation);
   CHECK(cluster.all_ended());
   CHECK(cluster.runs_started() > kMinRuns);
+  if (scenario.abandoned_jobs > 0) CHECK(cluster.disowned_jobs() > 0);
 }
 
 void run_scenarios(SeedRange seeds, const Scenario& scenario) {
@@ -191,6 +199,14 @@
   run_scenarios({1, 20}, {options});
 }
 
+// Guards against a second run and against a start of a cancelled job: a submission that a frozen process had
+// kept was accepted after the service had answered that it did not know the job.
+TEST_CASE("no job is accepted after its service has answered that it is unknown") {
+  Scenario scenario;
+  scenario.abandoned_jobs = 60;
+  run_scenarios({1, 20}, scenario);
+}
+
 TEST_CASE("no task runs twice while leaves have more ends than they list at once") {
   Scenario scenario;
   scenario.options.workers = 3;
--- a/tests/cluster/scheduler/event_log.hpp
+++ b/tests/cluster/scheduler/event_log.hpp
@@ -25,6 +25,9 @@
   Ms accepted_at = -1;   // when the client was answered; -1: not yet
   Ms cancelled_at = -1;  // when the cancellation was answered; -1: not yet
   bool cancel_sent = false;
+  Ms disowned_at =
+      -1;  // when it was answered that the job isn't known, on which its client acts; -1: not yet
+  bool abandoned = false;  // its client has given up on it, and it may never be accepted
   wire::JobState visible_state = wire::JOB_UNKNOWN;
   Ms final_at = -1;  // when its client first saw a final state; -1: not yet
 };
--- a/tests/cluster/scheduler/scheduler_test.cpp
+++ b/tests/cluster/scheduler/scheduler_test.cpp
@@ -174,8 +174,8 @@
   harness.make_durable_and_plan();
   bool delivered = GENERATE(true, false);
   if (delivered) REQUIRE(harness.orders("i-1").starts_size() == 2);
-  CancelResult result = harness.scheduler->cancel("a", harness.time(), harness.wall());
-  CHECK(result.found);
+  FenceResult result = harness.scheduler->cancel("a", harness.time(), harness.wall());
+  CHECK(result.knowledge == JobKnowledge::known);
   CHECK(result.durable_after > 0);
   CHECK(harness.scheduler->state("a") != wire::JOB_CANCELED);
   wire::WorkerOrders orders = harness.orders("i-1");
@@ -184,7 +184,7 @@
   CHECK(orders.stops_size() == (delivered ? 1 : 0));
   harness.make_durable_and_plan();
   CHECK(harness.scheduler->state("a") == wire::JOB_CANCELED);
-  CHECK_FALSE(harness.scheduler->cancel("c", harness.time(), harness.wall()).found);
+  CHECK(harness.scheduler->cancel("c", harness.time(), harness.wall()).knowledge == JobKnowledge::unknown);
 }
 
 TEST_CASE("a timed job starts when it is due although the machine's clock jumps") {
