Let a new worker-agent hold back starts whose ends may lie beyond a full list

Callers saw nothing: the leaf rejects such a start.

Cause: a worker-agent that has just started was sent a start again by a leader that still leads, and handed it to its leaf, although the run had ended there beyond the first 500 ends.

Change: while its leaf's lists have been full since its start, a worker-agent treats a start as sent, with an unknown result, until a list that isn't full shows whether the run has ended.

--- a/src/cluster/worker_agent/leaf_task_lists.cpp
+++ b/src/cluster/worker_agent/leaf_task_lists.cpp
@@ -26,6 +26,7 @@
   const TaskListsChange change = compare(running, finished);
   running_ = std::move(running);
   finished_ = std::move(finished);
+  was_complete_ = was_complete_ || !is_truncated();
   rebuild_indexes();
   return change;
 }
@@ -40,6 +41,7 @@
 void LeafTaskLists::clear() {
   running_.clear();
   finished_.clear();
+  was_complete_ = false;
   rebuild_indexes();
 }
 
--- a/src/cluster/worker_agent/leaf_task_lists.hpp
+++ b/src/cluster/worker_agent/leaf_task_lists.hpp
@@ -35,6 +35,8 @@
   const std::vector<wire::FinishedTask>& finished() const { return finished_; }  // sorted by number
   // Returns true if finished tasks may be missing from the list.
   bool is_truncated() const { return finished_.size() >= kMaxFinishedListed; }
+  // Returns true if runs that ended before the first list may not have been listed yet.
+  bool may_lack_earlier_finished() const { return is_truncated() && !was_complete_; }
   // Returns true if the run is listed as running.
   bool is_running(std::string_view task, std::uint64_t run) const;
   // Returns true if the run is listed as running or as finished.
@@ -61,6 +63,7 @@
 
   std::vector<wire::RunningTask> running_;
   std::vector<wire::FinishedTask> finished_;
+  bool was_complete_ = false;  // a list of finished tasks was not truncated since the last `clear`
   RunIndex running_index_;
   RunIndex finished_index_;
 };
--- a/src/cluster/worker_agent/pending_command_table.cpp
+++ b/src/cluster/worker_agent/pending_command_table.cpp
@@ -34,7 +34,9 @@
   received_revision_ = std::max(received_revision_, order.revision());
   // An earlier worker-agent process of this node may have sent this order already.
   if (lists.is_listed(order.task(), order.run())) return;
-  starts_[order.revision()] = PendingStart{order, false, false};
+  // Or the run has ended since, and its end isn't listed yet.
+  const bool may_be_sent = lists.may_lack_earlier_finished();
+  starts_[order.revision()] = PendingStart{order, may_be_sent, false};
 }
 
 void PendingCommandTable::add_stop(const wire::StopOrder& order, const LeafTaskLists& lists) {
--- a/tests/cluster/control/service_cluster_test.cpp
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -214,6 +214,7 @@
   scenario.wide_jobs = 4;
   scenario.power_loss = 1;
   run_scenarios({20, 3}, scenario);
+  run_scenarios({103, 1}, scenario);  // a start of an earlier worker-agent is sent again
 }
 
 }  // namespace
--- a/tests/cluster/worker_agent/pending_command_table_test.cpp
+++ b/tests/cluster/worker_agent/pending_command_table_test.cpp
@@ -33,6 +33,17 @@
     lists.update(std::move(running), {});
     table.reconcile(lists);
   }
+  // A heartbeat that lists ends with the numbers from `first` on.
+  void heartbeat_with_finished(std::uint64_t first, std::size_t count) {
+    std::vector<wire::FinishedTask> finished(count);
+    for (std::size_t index = 0; index < count; ++index) {
+      finished[index].set_number(first + index);
+      finished[index].set_task(kTask);
+      finished[index].set_run(first + index);
+    }
+    lists.update({}, std::move(finished));
+    table.reconcile(lists);
+  }
   CommandBatch take_batch(std::size_t max_starts = kManyStarts, std::size_t max_bytes = kManyBytes) {
     return table.take_batch(true, max_starts, max_bytes);
   }
@@ -60,6 +71,22 @@
   CHECK(take_batch().starts.size() == 1);
 }
 
+// Guards against a start that the leaf rejects: an earlier process had sent it, and the run's end was beyond
+// the full list.
+TEST_CASE_METHOD(TableWithLists, "a start waits for a complete list of ends if the first ones are full") {
+  heartbeat_with_finished(1, kMaxFinishedListed);
+  const std::uint64_t unlisted_run = kMaxFinishedListed + 1;
+  receive(orders_of(kEpoch, {start_order(1, kTask, unlisted_run), start_order(2, kOtherTask, 1)}));
+  CHECK(take_batch().starts.empty());
+  heartbeat_with_finished(unlisted_run, 1);
+  const CommandBatch batch = take_batch();
+  REQUIRE(batch.starts.size() == 1);
+  CHECK(batch.starts[0].task() == kOtherTask);
+  heartbeat_with_finished(1, kMaxFinishedListed);  // full again, but complete before
+  receive(orders_of(kEpoch, {start_order(3, kTask, unlisted_run + 1)}));
+  CHECK(take_batch().starts.size() == 1);
+}
+
 TEST_CASE_METHOD(TableWithLists, "orders that were received before are ignored") {
   receive(orders_of(kEpoch, {start_order(1, kTask, 7)}));
   heartbeat({running_task(kTask, 7)});
