Soak: two edges, frozen edges, cancels elsewhere, a deleted service, lost disks, leaves that fail

It now has two edges, each of which is killed or frozen as a whole at times; clients that change the edge after a failed call, and that give up on a request and cancel the job at the other edge; an operator that moves the queue there and back within a second and deletes the service that no route leads to; leaves that fail all that they start for some seconds, jobs that need a certain leaf, and one with a task that lasts.

The second edge has its own internal ports, since agents listen on 127.0.0.1 as well; forwarders lead its first calls to the control nodes. max_retries of the queue is 100 in place of 3: leaves that fail all must not end the jobs that are waited for.

--- a/testbed/cluster/fake_leaf.cpp
+++ b/testbed/cluster/fake_leaf.cpp
@@ -4,6 +4,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "testbed/cluster/records_service.hpp"
+
 namespace winchhall::testbed::cluster {
 
 namespace {
@@ -15,6 +17,7 @@
 constexpr milliseconds kHeartbeatDelayAfterEnd{50};
 constexpr milliseconds kPollInterval{5};
 constexpr milliseconds kCallTimeout{1000};
+constexpr milliseconds kFailureTime{20};    // from the start of a task that fails to its end
 constexpr milliseconds kMaxLateness{5000};  // of a late heartbeat
 constexpr std::int64_t kMaxPercent = 100;
 constexpr std::chrono::steady_clock::duration kTick{1};
@@ -101,7 +104,8 @@
     if (lease_expired) {
       end_task(task, "lapsed", lease_expires_at_);
     } else {
-      end_task(task, running_.at(task).stopping ? "stopped" : "done", now);
+      const RunningTask& running = running_.at(task);
+      end_task(task, running.stopping ? "stopped" : running.failing ? "failed" : "done", now);
     }
   }
 }
@@ -138,6 +142,8 @@
   body["state"] = "ready";
   body["capacity"] = json::object{{"cpu", options_.cpu}, {"mem_mb", options_.mem_mb}, {"gpu", 0}};
   body["labels"] = json::array{"a", "r1-1"};
+  if (!options_.group.empty())
+    body["labels"].as_array().emplace(body["labels"].as_array().begin(), options_.group);
   body["sequence"] = ++sequence_;
   body["clock_ms"] = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
   body["running"] = std::move(running);
@@ -198,16 +204,24 @@
 void FakeLeaf::apply_starts(const json::value* starts, Clock::time_point now) {
   if (!starts) return;
   for (const json::value& order : starts->as_array()) {
-    start(std::string(order.at(0).as_string()), to_number(&order.at(1)), now);
+    const std::string spec(order.at(2).as_string());
+    start(std::string(order.at(0).as_string()), to_number(&order.at(1)), spec, now);
   }
 }
 
-void FakeLeaf::start(const std::string& task, std::uint64_t run, Clock::time_point now) {
+FakeLeaf::Clock::time_point FakeLeaf::draw_end(const std::string& spec, bool failing, Clock::time_point now) {
+  if (failing) return now + kFailureTime;
+  if (spec == kLastingSpec) return Clock::time_point::max();
+  return now + random_time(options_.task_time, options_.max_task_time);
+}
+
+void FakeLeaf::start(const std::string& task, std::uint64_t run, const std::string& spec,
+                     Clock::time_point now) {
   if (run <= highest_run_[task] || now >= lease_expires_at_) return;
   highest_run_[task] = run;
   const std::lock_guard lock(starts_mutex_);
-  const Clock::time_point ends = now + random_time(options_.task_time, options_.max_task_time);
-  running_[task] = {run, now, ends, false, starts_.size()};
+  const bool failing = now.time_since_epoch().count() < fails_until_;
+  running_[task] = {run, now, draw_end(spec, failing, now), false, failing, starts_.size()};
   starts_.push_back({task, run, now, now});
 }
 
--- a/testbed/cluster/fake_leaf.hpp
+++ b/testbed/cluster/fake_leaf.hpp
@@ -31,6 +31,7 @@
   std::uint64_t seed = 1;                      // of the random times
   LateHeartbeats* late_heartbeats = nullptr;   // delivers some heartbeats late; must outlive the leaf
   double late_share = 0;                       // fraction of the heartbeats that are late
+  std::string group{};                         // label beside those of all leaves; empty: none
 };
 
 // One run of a task that the leaf started.
@@ -56,6 +57,10 @@
 
   // All tasks started so far, in order.
   std::vector<FakeLeafTaskStart> starts() const;
+  // For this time, all tasks that start here fail at once.
+  void fail_all_for(std::chrono::milliseconds duration) {
+    fails_until_ = (Clock::now() + duration).time_since_epoch().count();
+  }
   // Stops the leaf immediately, without leaving the cluster. Its tasks end now, and their ends are not
   // reported.
   void crash();
@@ -68,13 +73,14 @@
     Clock::time_point began;
     Clock::time_point ends;
     bool stopping = false;  // ends as stopped, not as done
+    bool failing = false;   // ends as failed, unless it is stopped
     std::size_t start_index = 0;
   };
   struct EndedTask {
     std::uint64_t number = 0;
     std::string task;
     std::uint64_t run = 0;
-    std::string outcome;  // as in a heartbeat: done, stopped or lapsed
+    std::string outcome;  // as in a heartbeat: done, failed, stopped or lapsed
     std::size_t start_index = 0;
     std::uint64_t lease_expiries = 0;  // value of `lease_expiries_` at this end
   };
@@ -95,10 +101,13 @@
                                                      Clock::time_point sent_at);
   void apply_stops(const boost::json::value* stops, Clock::time_point now);
   void apply_starts(const boost::json::value* starts, Clock::time_point now);
-  void start(const std::string& task, std::uint64_t run, Clock::time_point now);
+  void start(const std::string& task, std::uint64_t run, const std::string& spec, Clock::time_point now);
+  // When a task that starts now ends by itself.
+  Clock::time_point draw_end(const std::string& spec, bool failing, Clock::time_point now);
 
   FakeLeafOptions options_;
   std::atomic<bool> stopping_{false};
+  std::atomic<Clock::rep> fails_until_{0};  // since the clock's epoch
   std::uint64_t sequence_ = 0;
   std::uint64_t last_end_number_ = 0;
   std::uint64_t fence_token_ = 0;
--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -1,8 +1,10 @@
 #include "testbed/cluster/fault_soak.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
+#include <functional>
 #include <future>
 #include <memory>
 #include <random>
@@ -25,12 +27,16 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kClients = 4;
+constexpr unsigned kEdges = 2;
 constexpr milliseconds kStepInterval{10};
 constexpr std::chrono::seconds kCompletionTime{60};
 constexpr milliseconds kMinTaskTime{100};
 constexpr milliseconds kMaxTaskTime{6000};
 constexpr milliseconds kMaxStopTime{300};
 constexpr double kLateHeartbeats = 0.02;  // fraction of all heartbeats
+constexpr milliseconds kMaxStartAfterCancel{3000};
+constexpr milliseconds kTimeBetweenLostDisks{9000};
+constexpr std::uint64_t kSeedsWithLostDisks = 3;  // one seed in so many
 
 // The current leaf of one worker-agent, and the number of leaves that it has had.
 struct LeafSlot {
@@ -46,7 +52,7 @@
   explicit FaultSoak(const FaultSoakOptions& options)
       : options_(options),
         random_(options.seed),
-        cluster_(options.program, options.workers, kRecordsService, options.control_nodes) {}
+        cluster_(options.program, options.workers, kRecordsService, options.control_nodes, kEdges) {}
 
   int run() {
     // The workers of the two services alternate.
@@ -59,14 +65,16 @@
       start_leaf(slots_.back());
     }
     ProcessFaults processes(cluster_, random_());
-    SoakClients clients(cluster_.front_address(), control_addresses(), kClients, random_());
+    const unsigned groups = std::max(options_.workers / 2, 1u);
+    SoakClients clients(front_addresses(), control_addresses(), kClients, groups, random_());
     inject_faults(processes);
     heal(processes, clients);
+    if (options_.seed % kSeedsWithLostDisks == 0) lose_disks(processes, clients);
     await_jobs(processes, clients.accepted_jobs());
     check_configuration(clients.acknowledged_routes());
     add_faults(processes.faults());
     add_faults(clients.faults());
-    check_runs();
+    check_runs(clients.cancelled_jobs());
     report(processes, clients);
     return faults_.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
   }
@@ -76,6 +84,12 @@
     return milliseconds(std::uniform_int_distribution<int>(min_ms, max_ms)(random_));
   }
 
+  std::vector<std::string> front_addresses() const {
+    std::vector<std::string> addresses;
+    for (unsigned edge = 0; edge < kEdges; ++edge) addresses.push_back(cluster_.front_address(edge));
+    return addresses;
+  }
+
   std::vector<std::string> control_addresses() const {
     std::vector<std::string> addresses;
     for (unsigned index = 0; index < options_.control_nodes; ++index)
@@ -110,6 +124,7 @@
     options.seed = random_();
     options.late_heartbeats = &late_heartbeats_;
     options.late_share = kLateHeartbeats;
+    options.group = "g-" + std::to_string(slot.worker / 2);
     slot.leaf = std::make_unique<FakeLeaf>(options);
   }
 
@@ -123,6 +138,12 @@
     slot.next_at = Clock::now() + (random_() % 2 == 0 ? random_time(100, 2000) : random_time(8000, 16000));
   }
 
+  void make_leaf_fail(const LeafSlot& slot) {
+    if (!slot.leaf) return;
+    ++failing_leaves_;
+    slot.leaf->fail_all_for(random_time(1000, 4000));
+  }
+
   void keep_history(const LeafSlot& slot) {
     const std::string id = "i-" + std::to_string(slot.worker) + "-" + std::to_string(slot.incarnations);
     histories_.push_back({id, slot.leaf->starts()});
@@ -140,8 +161,11 @@
     Clock::time_point next = Clock::now() + random_time(1000, 3000);
     while (Clock::now() < end) {
       if (Clock::now() >= next) {
-        if (random_() % 4 == 0) {
+        const std::uint64_t kind = random_() % 8;
+        if (kind <= 1) {
           lose_leaf(slots_[random_() % slots_.size()]);
+        } else if (kind == 2) {
+          make_leaf_fail(slots_[random_() % slots_.size()]);
         } else {
           processes.inject();
         }
@@ -163,8 +187,34 @@
     for (LeafSlot& slot : slots_) slot.next_at = Clock::now();
     start_due_leaves();
     // The operator completes its change, for which processes that have just ended must start again.
-    const std::future<void> stopped = std::async(std::launch::async, [&clients] { clients.stop(); });
-    while (stopped.wait_for(std::chrono::seconds(0)) != std::future_status::ready) step(processes);
+    step_during(processes, [&clients] {
+      clients.stop();
+      return true;
+    });
+  }
+
+  // Calls the function on another thread meanwhile, and returns its result.
+  bool step_during(ProcessFaults& processes, const std::function<bool()>& call) {
+    std::future<bool> result = std::async(std::launch::async, call);
+    while (result.wait_for(std::chrono::seconds(0)) != std::future_status::ready) step(processes);
+    return result.get();
+  }
+
+  // Deletes the service "archive", whose jobs must stay known; then each control node loses its disk, one
+  // long after the other.
+  void lose_disks(ProcessFaults& processes, SoakClients& clients) {
+    const bool deleted = step_during(processes, [&clients] { return clients.retire_archive(); });
+    if (!deleted) faults_.emplace_back("the deletion of a service is not acknowledged");
+    for (unsigned index = 0; index < options_.control_nodes; ++index) {
+      step_for(processes, kTimeBetweenLostDisks);
+      processes.lose_disk("control-" + std::to_string(index));
+    }
+    step_for(processes, kTimeBetweenLostDisks);
+  }
+
+  void step_for(ProcessFaults& processes, milliseconds duration) {
+    const Clock::time_point end = Clock::now() + duration;
+    while (Clock::now() < end) step(processes);
   }
 
   // ---------------------------------------------------------------- checks
@@ -204,10 +254,11 @@
     faults_.emplace_back("the configuration can't be read");
   }
 
-  void check_runs() {
+  void check_runs(const std::vector<CancelledJob>& cancelled) {
     for (const LeafSlot& slot : slots_)
       if (slot.leaf) keep_history(slot);
     add_faults(find_run_faults(histories_, Clock::now()));
+    add_faults(find_starts_after_cancel(histories_, cancelled, kMaxStartAfterCancel));
   }
 
   void add_faults(const std::vector<std::string>& found) {
@@ -221,7 +272,8 @@
                 static_cast<unsigned long long>(options_.seed), clients.accepted_jobs().size(),
                 clients.repeated_submissions(), runs,
                 static_cast<unsigned long long>(clients.acknowledged_version()), clients.queue_moves());
-    std::printf("lost leaves %u, late heartbeats %u", lost_leaves_, late_heartbeats_.delivered());
+    std::printf("lost leaves %u, failing leaves %u, late heartbeats %u, cancels %zu", lost_leaves_,
+                failing_leaves_, late_heartbeats_.delivered(), clients.cancelled_jobs().size());
     for (const auto& [kind, count] : processes.counts()) std::printf(", %s %u", kind.c_str(), count);
     std::printf("; faults found: %zu\n", faults_.size());
     for (const std::string& fault : faults_) std::printf("FAULT: %s\n", fault.c_str());
@@ -235,6 +287,7 @@
   std::vector<LeafSlot> slots_;
   std::vector<LeafHistory> histories_;  // of the lost leaves; at the end, of all leaves
   unsigned lost_leaves_ = 0;
+  unsigned failing_leaves_ = 0;
   std::vector<std::string> faults_;
 };
 
--- a/testbed/cluster/local_cluster.cpp
+++ b/testbed/cluster/local_cluster.cpp
@@ -21,7 +21,9 @@
 // Internal ports of the first network. Each network has its own, as agents listen on 127.0.0.1 as well.
 constexpr unsigned kFirstInternalPort = 9000;
 constexpr unsigned kInternalPorts = 16;
+constexpr unsigned kNetworks = 251;  // numbered from 1
 constexpr unsigned kFirstEdge = 20;
+constexpr unsigned kEdgeProcesses = 2;  // ingress and agent
 constexpr unsigned kFirstWorker = 30;
 constexpr const char* kSettingsVariable = "WINCHHALL_NODE_FILE";
 
@@ -33,19 +35,25 @@
 
 }  // namespace
 
-LocalCluster::LocalCluster(std::string program, unsigned workers, std::string service, unsigned control_nodes)
+LocalCluster::LocalCluster(std::string program, unsigned workers, std::string service, unsigned control_nodes,
+                           unsigned edges)
     : program_(std::move(program)),
       service_(std::move(service)),
       control_nodes_(control_nodes),
+      edges_(edges),
       directory_(make_temporary_directory()),
-      network_(1 + static_cast<unsigned>(getpid()) % 250) {
+      network_(1 + static_cast<unsigned>(getpid()) % (kNetworks - 1)) {
   const std::string prefix = "127." + std::to_string(network_) + ".0.";
   for (unsigned i = 0; i < control_nodes_; ++i) {
     add({"control-" + std::to_string(i), "control", prefix + std::to_string(1 + i), true});
   }
-  const std::string edge_ip = prefix + std::to_string(kFirstEdge);
-  add({"ingress", "ingress", edge_ip});
-  add({"agent", "agent", edge_ip});
+  for (unsigned i = 0; i < edges_; ++i) {
+    const std::string edge_ip = prefix + std::to_string(kFirstEdge + i);
+    const std::string number = i == 0 ? "" : "-" + std::to_string(i + 1);
+    add({"ingress" + number, "ingress", edge_ip, false, i});
+    add({"agent" + number, "agent", edge_ip, false, i});
+    if (i > 0) forward_internal_ports(i);
+  }
   for (unsigned i = 0; i < workers; ++i) {
     add({"worker-" + std::to_string(i), "worker-agent", prefix + std::to_string(kFirstWorker + i)});
   }
@@ -71,8 +79,19 @@
   throw std::invalid_argument("no process " + name);
 }
 
+unsigned LocalCluster::first_internal_port(unsigned edge) const {
+  return kFirstInternalPort + (edge * kNetworks + network_) * kInternalPorts;
+}
+
+void LocalCluster::forward_internal_ports(unsigned edge) {
+  for (unsigned control = 0; control < control_nodes_; ++control)
+    forwarders_.push_back(std::make_unique<TcpForwarder>(
+        processes_.at(control).ip, static_cast<std::uint16_t>(first_internal_port(edge)),
+        static_cast<std::uint16_t>(first_internal_port(0))));
+}
+
 std::string LocalCluster::settings_text(const LocalProcess& process) const {
-  const unsigned first_port = kFirstInternalPort + network_ * kInternalPorts;
+  const unsigned first_port = first_internal_port(process.edge);
   std::ostringstream text;
   text << "node_name = \"" << process.name << "\"\nrole = \"" << process.command << "\"\nip = \""
        << process.ip << "\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [" << first_port << ','
@@ -80,11 +99,12 @@
   for (unsigned i = 0; i < control_nodes_; ++i) text << (i ? "," : "") << '"' << control_address(i) << '"';
   text << "]\nbootstrap = " << (first_start_ ? "true" : "false")
        << "\ncounts_for_quorum = " << (process.control ? "true" : "false") << "\nheartbeat_ms = 1500\n";
-  if (process.control) text << "data_dir = \"" << (directory_of(process.name) / "data").string() << "\"\n";
+  if (process.control) text << "data_dir = \"" << data_directory_of(process.name).string() << "\"\n";
   if (process.command == "worker-agent") text << "backend = \"" << service_of(process) << "\"\n";
   text << "commands = \"heartbeat\"\n[bind_addrs]\n";
   if (process.command == "ingress") {
-    text << "front = \"" << front_address() << "\"\nready = \"" << ready_address() << "\"\n";
+    text << "front = \"" << process.ip << ':' << kFrontPort << "\"\nready = \"" << process.ip << ':'
+         << kReadyPort << "\"\n";
   } else {
     text << "control = \"" << process.ip << ':' << kControlPort << "\"\n";
   }
@@ -138,6 +158,10 @@
   process.pid = 0;
 }
 
+void LocalCluster::lose_disk(const std::string& name) {
+  std::filesystem::remove_all(data_directory_of(name));
+}
+
 int LocalCluster::terminate(const std::string& name) {
   LocalProcess& process = find(name);
   int status = 0;
@@ -179,8 +203,8 @@
   return processes_.at(index).ip + ":" + std::to_string(kControlPort);
 }
 
-std::string LocalCluster::front_address() const {
-  return processes_.at(control_nodes_).ip + ":" + std::to_string(kFrontPort);
+std::string LocalCluster::front_address(unsigned edge) const {
+  return processes_.at(control_nodes_ + edge * kEdgeProcesses).ip + ":" + std::to_string(kFrontPort);
 }
 
 std::string LocalCluster::ready_address() const {
@@ -192,8 +216,7 @@
 }
 
 std::size_t LocalCluster::index_of_worker(unsigned worker) const {
-  constexpr std::size_t kEdgeProcesses = 2;  // ingress and agent
-  return control_nodes_ + kEdgeProcesses + worker;
+  return control_nodes_ + edges_ * kEdgeProcesses + worker;
 }
 
 std::string LocalCluster::log_of(const std::string& name) const {
--- a/testbed/cluster/process_faults.cpp
+++ b/testbed/cluster/process_faults.cpp
@@ -46,7 +46,7 @@
 
 void ProcessFaults::inject() {
   const std::string& name = random_process();
-  switch (random_() % 8) {
+  switch (random_() % 10) {
     case 0:
     case 1:
       return kill(name);
@@ -55,9 +55,12 @@
       return terminate(name);
     case 4:
     case 5:
-      return freeze(name);
+      return freeze(name, random_time(50, 4000));
     case 6:
       return send_sighup(name);
+    case 7:
+    case 8:
+      return freeze_edge();
     default:
       return random_() % 2 == 0 ? kill_all_control_nodes() : kill_edge();
   }
@@ -79,11 +82,10 @@
   cluster_.signal(name, SIGTERM);
 }
 
-void ProcessFaults::freeze(const std::string& name) {
+void ProcessFaults::freeze(const std::string& name, milliseconds duration) {
   if (!cluster_.is_running(name)) return;
   ++counts_["SIGSTOP"];
   ProcessState& state = states_[name];
-  const milliseconds duration = random_time(50, 4000);
   state.resume_at = std::max(state.resume_at, Clock::now() + duration);
   state.end_by += duration;
   cluster_.signal(name, SIGSTOP);
@@ -103,8 +105,28 @@
 
 void ProcessFaults::kill_edge() {
   ++counts_["edge"];
-  kill("ingress");
-  kill("agent");
+  for (const std::string& name : random_edge()) kill(name);
+}
+
+void ProcessFaults::freeze_edge() {
+  ++counts_["frozen edge"];
+  const milliseconds duration = random_time(500, 5000);
+  for (const std::string& name : random_edge()) freeze(name, duration);
+}
+
+std::vector<std::string> ProcessFaults::random_edge() {
+  std::vector<std::string> agents;
+  for (const std::string& name : names_)
+    if (name.starts_with("agent")) agents.push_back(name);
+  const std::string& agent = agents[random_() % agents.size()];
+  return {"ingress" + agent.substr(std::string("agent").size()), agent};
+}
+
+void ProcessFaults::lose_disk(const std::string& name) {
+  ++counts_["lost disk"];
+  cluster_.kill(name);
+  cluster_.lose_disk(name);
+  start(name, states_[name], Clock::now());
 }
 
 void ProcessFaults::step() {
--- a/testbed/cluster/process_faults.hpp
+++ b/testbed/cluster/process_faults.hpp
@@ -28,6 +28,9 @@
   void inject();
   // Resumes frozen processes, checks processes that have ended, and restarts them, each when it is due.
   void step();
+  // Kills a control node and starts it again at once with an empty disk. The others must run and hold all
+  // state.
+  void lose_disk(const std::string& name);
   // Resumes all frozen processes and restarts those that have ended, without further delay.
   void heal();
 
@@ -51,11 +54,13 @@
   std::chrono::milliseconds random_time(int min_ms, int max_ms);
   void kill(const std::string& name);
   void terminate(const std::string& name);
-  void freeze(const std::string& name);
+  void freeze(const std::string& name, std::chrono::milliseconds duration);
   void send_sighup(const std::string& name);
   void kill_all_control_nodes();
-  // Kills ingress and agent.
+  // Kills, or freezes, ingress and agent of a random edge.
   void kill_edge();
+  void freeze_edge();
+  std::vector<std::string> random_edge();
   void step(const std::string& name, ProcessState& state, Clock::time_point now);
   void check_end(const std::string& name, const ProcessState& state, int status, Clock::time_point now);
   void start(const std::string& name, ProcessState& state, Clock::time_point now);
--- a/testbed/cluster/records_service.cpp
+++ b/testbed/cluster/records_service.cpp
@@ -10,7 +10,7 @@
 constexpr const char* kFirstConfiguration =
     R"({"version":1,"routes":[{"name":"extract","hostname":"demo.example","path_prefix":"/extract/",)"
     R"("route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":"records",)"
-    R"("max_retries":3,"stretch":1.5}],"services":[{"name":"records","health_check_path":"/health",)"
+    R"("max_retries":100,"stretch":1.5}],"services":[{"name":"records","health_check_path":"/health",)"
     R"("max_connections":64,"protocol":"h1","tls":false,"preconditions":false}],"limits":{}})";
 constexpr std::chrono::milliseconds kServiceCallTimeout{4000};
 
@@ -41,7 +41,7 @@
       R"(,"upsert":{"services":[{"name":"records"},{"name":"archive"}],"routes":[{"name":"extract",)"
       R"("hostname":"demo.example","path_prefix":"/extract/","route_type":"unsafe",)"
       R"("timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":")" +
-      service + R"(","max_retries":3,"stretch":1.5}]}})";
+      service + R"(","max_retries":100,"stretch":1.5}]}})";
   return change;
 }
 
@@ -54,6 +54,15 @@
   return change;
 }
 
+ConfigurationChange delete_archive(std::uint64_t base_version) {
+  ConfigurationChange change;
+  change.base_version = base_version;
+  change.version = base_version + 1;
+  change.path = "/v1/Config.Patch";
+  change.body = R"({"version":)" + std::to_string(change.version) + R"(,"delete":{"services":["archive"]}})";
+  return change;
+}
+
 HttpCall configuration_call(const ConfigurationChange& change, const std::string& control_address) {
   HttpCall call;
   call.address = control_address;
--- a/testbed/cluster/records_service.hpp
+++ b/testbed/cluster/records_service.hpp
@@ -29,6 +29,8 @@
 ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service);
 // A change that removes the queue "extract".
 ConfigurationChange remove_queue(std::uint64_t base_version);
+// A change that deletes the service "archive", to which no route must lead.
+ConfigurationChange delete_archive(std::uint64_t base_version);
 // The operator's call that sends the change to a control node.
 HttpCall configuration_call(const ConfigurationChange& change, const std::string& control_address);
 // True if the response acknowledges the change with its version.
@@ -37,6 +39,9 @@
 // A client's call for a job of the queue "extract". `method`: POST with the job as body, GET or DELETE.
 HttpCall job_call(const std::string& front_address, const std::string& method, const std::string& job,
                   const std::string& body = "");
+// Text of a job's spec that makes its tasks last until they are stopped.
+inline constexpr const char* kLastingSpec = "lasting";
+
 // Job ID with this number, as 16 hexadecimal digits.
 std::string job_id(std::uint64_t number);
 
--- a/testbed/cluster/run_history.cpp
+++ b/testbed/cluster/run_history.cpp
@@ -61,4 +61,21 @@
   return faults;
 }
 
+std::vector<std::string> find_starts_after_cancel(const std::vector<LeafHistory>& leaves,
+                                                  const std::vector<CancelledJob>& cancelled,
+                                                  std::chrono::milliseconds max_delay) {
+  std::map<std::string, Clock::time_point> answered;
+  for (const CancelledJob& job : cancelled) answered.emplace(job.job, job.answered);
+  std::vector<std::string> faults;
+  for (const LeafHistory& leaf : leaves) {
+    for (const FakeLeafTaskStart& start : leaf.starts) {
+      const auto found = answered.find(start.task.substr(0, start.task.find('.')));
+      if (found == answered.end() || start.began <= found->second + max_delay) continue;
+      faults.push_back("started after its job was cancelled: " + start.task + " on " + leaf.leaf + ", " +
+                       milliseconds_between(found->second, start.began) + " after the answer");
+    }
+  }
+  return faults;
+}
+
 }  // namespace winchhall::testbed::cluster
--- a/tests/cluster/testbed/run_history_test.cpp
+++ b/tests/cluster/testbed/run_history_test.cpp
@@ -56,3 +56,11 @@
   done.done_recorded = true;
   CHECK(find_run_faults({{"i-1", {done}}, {"i-2", {ended_run(2, 600, 700)}}}, kNow).size() == 1);
 }
+
+TEST_CASE("a task that starts later than allowed after the cancel of its job is a fault") {
+  constexpr milliseconds kAllowed{3000};
+  const std::vector<CancelledJob> cancelled{{"a", kBegin}, {"b", kBegin}};
+  CHECK(find_starts_after_cancel({{"i-1", {ended_run(1, 3000, 3100)}}}, cancelled, kAllowed).empty());
+  CHECK(find_starts_after_cancel({{"i-1", {open_run(1, 3001)}}}, cancelled, kAllowed).size() == 1);
+  CHECK(find_starts_after_cancel({{"i-1", {open_run(1, 3001)}}}, {{"ab", kBegin}}, kAllowed).empty());
+}
