Simulated cluster: leaves that fail for some time, tasks that last, a deleted service, lost disks

Jobs now need a certain leaf, some of them with a task that lasts, while leaves fail all that they run for 0.5 to 4 s; and after a service was deleted each control node loses its disk, one after the other.

--- a/tests/cluster/control/service_cluster.hpp
+++ b/tests/cluster/control/service_cluster.hpp
@@ -85,6 +85,8 @@
   std::size_t workers() const { return options_.workers; }
   std::size_t worker_machine(std::size_t worker) const { return options_.control_nodes + worker; }
   SimNode& node(std::size_t index) { return simulation_.node(index); }
+  // Label of a worker's leaf alone.
+  static std::string leaf_label(std::size_t worker) { return "l-" + std::to_string(worker); }
 
   // ---------------------------------------------------------------- faults
 
@@ -123,6 +125,34 @@
       if (slots_.at(worker).leaf == nullptr) start_leaf(worker);
     });
   }
+  // All runs that end on a leaf within the given time fail.
+  void make_leaf_fail(std::size_t worker, Ms duration) {
+    test::SimulatedLeaf* leaf = slots_.at(worker).leaf;
+    if (leaf == nullptr) return;
+    leaf->fails_everything = true;
+    simulation_.in(Millis(duration), [this, id = leaf->id] {
+      for (auto& other : leaves_)
+        if (other->id == id) other->fails_everything = false;
+    });
+  }
+  // Deletes the only queue and service from the configuration. Its jobs stay.
+  void delete_service() {
+    HttpRequest request{boost::beast::http::verb::post, "/v1/Config.Patch", 11};
+    request.set("X-Winchhall-Base-Version", "5");
+    request.body() = R"({"version":6,"delete":{"routes":["r-1"],"services":["core"]}})";
+    controls_[0]->handle_http(request, [](const HttpResponse&) {});
+  }
+  // Empties the disk of one control node after another, each with the time to catch up.
+  void lose_disks_in_turn() {
+    constexpr Millis kBetweenLosses{9000};
+    for (std::size_t control = 0; control < options_.control_nodes; ++control) {
+      simulation_.run_for(kBetweenLosses);
+      node(control).crash();
+      node(control).lose_disk();
+      node(control).start();
+    }
+    simulation_.run_for(kBetweenLosses);
+  }
   // Heals the network and the disks, and starts all machines. No heartbeat is late from then on.
   void end_faults() {
     simulation_.heal();
@@ -240,7 +270,7 @@
     auto& leaf = *leaves_.emplace_back(std::make_unique<test::SimulatedLeaf>());
     leaf.id = "i-" + std::to_string(++last_leaf_);
     leaf.capacity = {8000, 8192, 0};
-    leaf.labels = {"a", "r-" + std::to_string(worker / 3)};
+    leaf.labels = {"a", leaf_label(worker), "r-" + std::to_string(worker / 3)};
     leaf.clock_slowdown = 1 + chance() * 0.02;
     if (slots_.size() <= worker) slots_.resize(worker + 1);
     slots_[worker] = LeafSlot();
@@ -406,7 +436,9 @@
     });
   }
 
-  static bool has_ended(const test::SimulatedJob& job) { return job.final_at >= 0 || job.disowned_at >= 0; }
+  static bool has_ended(const test::SimulatedJob& job) {
+    return job.final_at >= 0 || job.disowned_at >= 0 || job.lasts;
+  }
 
   // Sends a submission that is routed by the first configuration until it has a definite answer.
   void send_late_submission(const std::string& id, const Address& target) {
@@ -461,7 +493,7 @@
   void poll_state() {
     std::vector<std::string> open;
     for (const auto& [id, job] : checker_.jobs)
-      if (job.accepted_at >= 0 && job.final_at < 0) open.push_back(id);
+      if (job.accepted_at >= 0 && job.final_at < 0 && !job.lasts) open.push_back(id);
     if (open.empty()) {
       simulation_.in(Millis(50), [this] { poll_state(); });
       return;
--- a/tests/cluster/control/service_cluster_test.cpp
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -62,6 +62,28 @@
   return job;
 }
 
+// A job that only one leaf can run.
+test::SimulatedJob leaf_job(ServiceCluster& cluster, int number) {
+  test::SimulatedJob job = empty_job(number);
+  wire::Stage& stage = *job.spec.add_stages();
+  stage.set_count(1);
+  stage.set_cpu(100);
+  stage.set_mem_mb(1);
+  stage.set_estimated_ms(static_cast<std::uint32_t>(cluster.between(50, 500)));
+  const auto last_worker = static_cast<Ms>(cluster.workers()) - 1;
+  stage.set_requirements(
+      ServiceCluster::leaf_label(static_cast<std::size_t>(cluster.between(0, last_worker))));
+  return job;
+}
+
+// As `leaf_job`, with a task that lasts.
+test::SimulatedJob lasting_job(ServiceCluster& cluster, int number) {
+  test::SimulatedJob job = leaf_job(cluster, number);
+  job.spec.mutable_stages(0)->set_long_running(true);
+  job.lasts = true;
+  return job;
+}
+
 test::SimulatedJob random_job(ServiceCluster& cluster, int number) {
   test::SimulatedJob job = empty_job(number);
   const int stages = static_cast<int>(cluster.between(1, 2));
@@ -131,11 +153,38 @@
 struct Scenario {
   ServiceClusterOptions options;
   int jobs = 40;
-  int wide_jobs = 0;        // the first ones of `jobs`
-  int abandoned_jobs = 0;   // besides `jobs`
-  double power_loss = 0.4;  // probability that all machines lose power, for each tenth fault
+  int wide_jobs = 0;         // the first ones of `jobs`
+  int abandoned_jobs = 0;    // besides `jobs`
+  int leaf_jobs = 0;         // besides `jobs`: jobs that need a certain leaf, and as many leaves that fail
+  int lasting_jobs = 0;      // besides `jobs`
+  bool loses_disks = false;  // at the end the service is deleted, and each control node loses its disk
+  double power_loss = 0.4;   // probability that all machines lose power, for each tenth fault
 };
 
+// At random times: jobs that need a certain leaf, jobs there that last, and leaves that fail all that they
+// run.
+void submit_leaf_jobs(ServiceCluster& cluster, const Scenario& scenario) {
+  const int first = scenario.jobs + scenario.abandoned_jobs;
+  for (int number = 1; number <= scenario.leaf_jobs + scenario.lasting_jobs; ++number) {
+    const bool lasts = number > scenario.leaf_jobs;
+    cluster.simulation().in(Millis(cluster.between(0, kFaultPeriod)), [&cluster, id = first + number, lasts] {
+      cluster.submit(lasts ? lasting_job(cluster, id) : leaf_job(cluster, id));
+      if (!lasts) cluster.make_leaf_fail(random_worker(cluster), cluster.between(500, 4000));
+    });
+  }
+}
+
+// The jobs of a deleted service go on after each control node has lost its disk.
+void lose_disks(ServiceCluster& cluster, const Scenario& scenario) {
+  constexpr int kJobsAfterwards = 5;
+  cluster.simulation().run_for(Millis(3000));
+  cluster.delete_service();
+  cluster.lose_disks_in_turn();
+  const int first = scenario.jobs + scenario.abandoned_jobs + scenario.leaf_jobs + scenario.lasting_jobs;
+  for (int number = 1; number <= kJobsAfterwards; ++number)
+    cluster.submit(random_job(cluster, first + number));
+}
+
 // Submits jobs while faults are injected in series, and requires that no rule is violated and that all jobs
 // end.
 void run_scenario(std::uint64_t seed, const Scenario& scenario) {
@@ -152,6 +201,7 @@
       cluster.abandon(random_job(cluster, id), cluster.chance() < 0.5);
     });
   }
+  submit_leaf_jobs(cluster, scenario);
   const Ms faults_until = cluster.now() + kFaultPeriod;
   while (cluster.now() < faults_until && cluster.violations().empty()) {
     inject_fault(cluster, scenario.power_loss);
@@ -159,6 +209,7 @@
     cluster.simulation().run_for(Millis(pause ? cluster.between(1000, 4000) : cluster.between(20, 500)));
   }
   cluster.end_faults();
+  if (scenario.loses_disks) lose_disks(cluster, scenario);
   const Ms limit = cluster.now() + kTimeToEnd;
   while (cluster.now() < limit && !cluster.all_ended() && cluster.violations().empty())
     cluster.simulation().run_for(Millis(500));
@@ -207,6 +258,22 @@
   run_scenarios({1, 20}, scenario);
 }
 
+// Guards against lost jobs: a leaf whose trial run lasted was never used again.
+TEST_CASE("jobs end on leaves that have failed for some time and run tasks that last") {
+  Scenario scenario;
+  scenario.leaf_jobs = 60;
+  scenario.lasting_jobs = 10;
+  run_scenarios({1, 10}, scenario);
+}
+
+// Guards against lost jobs: a service that was deleted had no leader after its control nodes had lost their
+// disks.
+TEST_CASE("the jobs of a deleted service end after every control node has lost its disk") {
+  Scenario scenario;
+  scenario.loses_disks = true;
+  run_scenarios({1, 5}, scenario);
+}
+
 TEST_CASE("no task runs twice while leaves have more ends than they list at once") {
   Scenario scenario;
   scenario.options.workers = 3;
--- a/tests/cluster/scheduler/leaf_executor.hpp
+++ b/tests/cluster/scheduler/leaf_executor.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <limits>
 #include <random>
 #include <set>
 #include <string>
@@ -12,7 +13,8 @@
 
 namespace winchhall::cluster::test {
 
-inline constexpr Ms kStep = 5;  // by which the virtual clock advances
+inline constexpr Ms kStep = 5;                                         // by which the virtual clock advances
+inline constexpr Ms kForever = std::numeric_limits<Ms>::max() / 1000;  // a percentage of it doesn't overflow
 
 // The tasks' side of a simulation. All references must outlive the executor.
 class LeafExecutor {
@@ -113,7 +115,7 @@
     run.started_at = now_;
     const wire::Stage& stage = leaf.stage_of(run);
     run.work_ms = std::max<Ms>(10, static_cast<Ms>(stage.estimated_ms() * (0.5 + chance())));
-    if (stage.long_running()) run.work_ms = between(500, 20000);
+    if (stage.long_running()) run.work_ms = run.job->lasts ? kForever : between(500, 20000);
     run.fails = chance() < job->second.fail_rate;
     run.checkpoint = order.saved();
     checker_.on_start(leaf, run, leaves_, order.spec(), order.saved(), now_);
