Soak: lose the next disk once all control nodes vote, and reserve loopback networks

The first write of a control node without its disk took 5.7 to 9.8 s there, and the next disk was lost before the node before was a member again, or while it was a learner in a group of two: two losses at once, more than the group bears.

A cluster now holds its network by a locked file.

--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -207,9 +207,32 @@
     if (!deleted) faults_.emplace_back("the deletion of a service is not acknowledged");
     for (unsigned index = 0; index < options_.control_nodes; ++index) {
       step_for(processes, kTimeBetweenLostDisks);
+      await_votes(processes);
       processes.lose_disk("control-" + std::to_string(index));
     }
     step_for(processes, kTimeBetweenLostDisks);
+    await_votes(processes);
+  }
+
+  // A control node that has lost its disk counts as lost until it votes. On a busy machine that takes longer
+  // than between two losses.
+  void await_votes(ProcessFaults& processes) {
+    const Clock::time_point limit = Clock::now() + kCompletionTime;
+    for (unsigned index = 0; index < options_.control_nodes; ++index) {
+      while (!votes(index)) {
+        if (Clock::now() >= limit)
+          return faults_.push_back("control-" + std::to_string(index) + " doesn't vote");
+        step(processes);
+      }
+    }
+  }
+
+  bool votes(unsigned control_node) const {
+    HttpCall call;
+    call.address = cluster_.control_address(control_node);
+    call.target = "/v1/status";
+    const HttpCallResponse response = send_http_call(call);
+    return response.status == kHttpOk && response.body.find(R"("votes":true)") != std::string::npos;
   }
 
   void step_for(ProcessFaults& processes, milliseconds duration) {
--- a/testbed/cluster/local_cluster.cpp
+++ b/testbed/cluster/local_cluster.cpp
@@ -21,7 +21,7 @@
 // Internal ports of the first network. Each network has its own, as agents listen on 127.0.0.1 as well.
 constexpr unsigned kFirstInternalPort = 9000;
 constexpr unsigned kInternalPorts = 16;
-constexpr unsigned kNetworks = 251;  // numbered from 1
+constexpr unsigned kNetworks = 250;  // numbered from 1
 constexpr unsigned kFirstEdge = 20;
 constexpr unsigned kEdgeProcesses = 2;  // ingress and agent
 constexpr unsigned kFirstWorker = 30;
@@ -42,8 +42,8 @@
       control_nodes_(control_nodes),
       edges_(edges),
       directory_(make_temporary_directory()),
-      network_(1 + static_cast<unsigned>(getpid()) % (kNetworks - 1)) {
-  const std::string prefix = "127." + std::to_string(network_) + ".0.";
+      network_(1 + static_cast<unsigned>(getpid()) % kNetworks, kNetworks) {
+  const std::string prefix = "127." + std::to_string(network_.number()) + ".0.";
   for (unsigned i = 0; i < control_nodes_; ++i) {
     add({"control-" + std::to_string(i), "control", prefix + std::to_string(1 + i), true});
   }
@@ -80,7 +80,7 @@
 }
 
 unsigned LocalCluster::first_internal_port(unsigned edge) const {
-  return kFirstInternalPort + (edge * kNetworks + network_) * kInternalPorts;
+  return kFirstInternalPort + (edge * kNetworks + network_.number()) * kInternalPorts;
 }
 
 void LocalCluster::forward_internal_ports(unsigned edge) {
--- a/testbed/cluster/local_cluster.hpp
+++ b/testbed/cluster/local_cluster.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "testbed/cluster/network_reservation.hpp"
 #include "testbed/cluster/tcp_forwarder.hpp"
 
 namespace winchhall::testbed::cluster {
@@ -94,7 +95,7 @@
   unsigned control_nodes_;
   unsigned edges_;
   std::filesystem::path directory_;
-  unsigned network_;  // second byte of all addresses; differs between clusters that run at the same time
+  NetworkReservation network_;  // its number is the second byte of all addresses
   std::vector<LocalProcess> processes_;
   std::vector<std::unique_ptr<TcpForwarder>> forwarders_;
   bool first_start_ = true;
