--- a/src/cluster/agent/job_router.cpp
+++ b/src/cluster/agent/job_router.cpp
@@ -92,7 +92,7 @@
   if (previous.empty()) return call_leader(request, deadline, done);
   wire::JobRequest query = request;
   query.set_verb(wire::JOB_QUERY);
-  query.set_fence_submissions(true);
+  query.set_confirms_unknown(true);
   query.clear_spec();
   call_leaders(previous, query, deadline, [this, request, deadline, done](const wire::JobReply& reply) {
     if (reply.outcome() != wire::JOB_NOT_FOUND) return done(reply);
--- a/src/cluster/consensus/control_group.hpp
+++ b/src/cluster/consensus/control_group.hpp
@@ -76,7 +76,7 @@
 
   // Calls `on_added` once with the name of each shard of which this node has a replica, whichever way it got
   // it: from its disk, by a lease or write of another node, or by a state transfer. To be called before
-  // `start`, which calls it for those on the disk.
+  // `start`, which calls it for those on the disk; an empty function ends it.
   void watch_shards(std::function<void(const std::string& shard)> on_added) {
     on_shard_added_ = std::move(on_added);
   }
--- a/src/cluster/control/job_request_endpoint.cpp
+++ b/src/cluster/control/job_request_endpoint.cpp
@@ -57,8 +57,8 @@
       cancel(scheduler, request, reply);
       return true;
     case wire::JOB_QUERY:
-      if (request.fence_submissions()) {
-        query_and_fence(scheduler, request, reply);
+      if (request.confirms_unknown()) {
+        confirm_unknown(scheduler, request, reply);
         return true;
       }
       reply(job_reply_envelope(query_reply(scheduler, request)));
@@ -78,7 +78,7 @@
   const bool is_known_job = scheduler.state(request.id()) != wire::JOB_UNKNOWN;
   if (earlier == EarlierRejection::rejected || (earlier == EarlierRejection::unknown && !is_known_job))
     return reply(job_reply_envelope(repeated_rejection_reply(earlier, kRetryAfterMs)));
-  const SubmitResult result = submit_unless_fenced(scheduler, request);
+  const SubmitResult result = submit_unless_late(scheduler, request);
   wire::JobReply message;
   message.set_outcome(result.outcome);
   message.set_reason(result.reason);
@@ -95,17 +95,17 @@
   reply_when_durable(result.durable_after, std::move(message), reply);
 }
 
-SubmitResult JobRequestEndpoint::submit_unless_fenced(Scheduler& scheduler, const wire::JobRequest& request) {
+SubmitResult JobRequestEndpoint::submit_unless_late(Scheduler& scheduler, const wire::JobRequest& request) {
   if (scheduler.rejects_submission(request.id(), request.configuration_version()))
     return {wire::JOB_REJECTED, 0, "the submission is late"};
   return scheduler.submit(request.id(), request.spec(), request.terms(), runtime_.now(),
                           runtime_.wall_clock_ms());
 }
 
-void JobRequestEndpoint::query_and_fence(Scheduler& scheduler, const wire::JobRequest& request,
+void JobRequestEndpoint::confirm_unknown(Scheduler& scheduler, const wire::JobRequest& request,
                                          const ReplyCallback& reply) {
-  const FenceResult result = scheduler.fence_submissions(request.id(), request.configuration_version(),
-                                                         runtime_.now(), runtime_.wall_clock_ms());
+  const JobLookup result = scheduler.confirm_unknown(request.id(), request.configuration_version(),
+                                                     runtime_.now(), runtime_.wall_clock_ms());
   wire::JobReply message;
   message.set_outcome(outcome_of(result.knowledge));
   message.set_state(scheduler.state(request.id()));
@@ -115,7 +115,7 @@
 
 void JobRequestEndpoint::cancel(Scheduler& scheduler, const wire::JobRequest& request,
                                 const ReplyCallback& reply) {
-  const FenceResult result = scheduler.cancel(request.id(), runtime_.now(), runtime_.wall_clock_ms());
+  const JobLookup result = scheduler.cancel(request.id(), runtime_.now(), runtime_.wall_clock_ms());
   wire::JobReply message;
   message.set_outcome(outcome_of(result.knowledge));
   reply_when_durable(result.durable_after, std::move(message), reply);
--- a/src/cluster/control/job_request_endpoint.hpp
+++ b/src/cluster/control/job_request_endpoint.hpp
@@ -47,8 +47,8 @@
   };
 
   void submit(Scheduler& scheduler, const wire::JobRequest& request, const ReplyCallback& reply);
-  SubmitResult submit_unless_fenced(Scheduler& scheduler, const wire::JobRequest& request);
-  void query_and_fence(Scheduler& scheduler, const wire::JobRequest& request, const ReplyCallback& reply);
+  SubmitResult submit_unless_late(Scheduler& scheduler, const wire::JobRequest& request);
+  void confirm_unknown(Scheduler& scheduler, const wire::JobRequest& request, const ReplyCallback& reply);
   void cancel(Scheduler& scheduler, const wire::JobRequest& request, const ReplyCallback& reply);
   void reply_when_durable(ChangeBatchNumber number, wire::JobReply message, const ReplyCallback& reply);
 
--- a/src/cluster/scheduler/record_codec.cpp
+++ b/src/cluster/scheduler/record_codec.cpp
@@ -91,9 +91,9 @@
     if (!record.ParseFromString(entry.value)) record.Clear();
     record.set_leaf_id(entry.key.substr(kWorkerKeyPrefix.size()));
     state.workers.push_back(std::move(record));
-  } else if (entry.key.starts_with(kFenceKeyPrefix)) {
-    wire::SubmissionFenceRecord record;
-    if (record.ParseFromString(entry.value)) state.fences.push_back(std::move(record));
+  } else if (entry.key.starts_with(kTombstoneKeyPrefix)) {
+    wire::JobTombstoneRecord record;
+    if (record.ParseFromString(entry.value)) state.tombstones.push_back(std::move(record));
   }
 }
 
--- a/src/cluster/scheduler/record_codec.hpp
+++ b/src/cluster/scheduler/record_codec.hpp
@@ -40,10 +40,10 @@
 struct RestoredState {
   std::vector<RestoredJob> jobs;
   std::vector<wire::WorkerRecord> workers;
-  std::vector<wire::SubmissionFenceRecord> fences;
+  std::vector<wire::JobTombstoneRecord> tombstones;
   std::vector<std::string> orphaned_keys;  // keys of progress records without a job
 };
-// Decodes the records of a shard. Job, progress and fence records that can't be decoded are left out; a
+// Decodes the records of a shard. Job, progress and tombstone records that can't be decoded are left out; a
 // worker record is restored from its key alone if its value can't be decoded.
 RestoredState decode_records(const std::vector<ShardEntry>& entries);
 
--- a/src/cluster/scheduler/scheduler.cpp
+++ b/src/cluster/scheduler/scheduler.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "cluster/scheduler/job_tombstones.hpp"
 #include "cluster/scheduler/order_responder.hpp"
 #include "cluster/scheduler/run_monitor.hpp"
 #include "cluster/scheduler/scheduler_inspection.hpp"
 #include "cluster/scheduler/speculative_executor.hpp"
-#include "cluster/scheduler/submission_fences.hpp"
 #include "cluster/scheduler/task_placer.hpp"
 #include "cluster/scheduler/worker_report_handler.hpp"
 
@@ -25,7 +25,7 @@
       : state_(std::move(options), epoch, seed),
         runs_(state_),
         jobs_(state_, runs_),
-        fences_(state_),
+        tombstones_(state_),
         ends_(state_, runs_, jobs_),
         report_handler_(state_, runs_, jobs_, ends_),
         order_responder_(state_),
@@ -39,7 +39,7 @@
     RestoredState restored = decode_records(entries);
     for (const wire::WorkerRecord& worker : restored.workers) restore_leaf(worker);
     for (const RestoredJob& job : restored.jobs) jobs_.restore(job);
-    for (const wire::SubmissionFenceRecord& fence : restored.fences) fences_.restore(fence);
+    for (const wire::JobTombstoneRecord& tombstone : restored.tombstones) tombstones_.restore(tombstone);
     for (const std::string& key : restored.orphaned_keys) state_.records.remove(key);
   }
 
@@ -49,25 +49,25 @@
     return jobs_.submit(id, spec, terms);
   }
 
-  FenceResult cancel(const std::string& id, TimePoint now, std::int64_t wall_ms) override {
+  JobLookup cancel(const std::string& id, TimePoint now, std::int64_t wall_ms) override {
     observe(now, wall_ms);
     if (state_.jobs.find(id) != nullptr) return {JobKnowledge::known, jobs_.cancel(id)};
-    const std::optional<ChangeBatchNumber> batch = fences_.raise(id, SubmissionFences::kAllVersions);
-    return batch ? FenceResult{JobKnowledge::unknown, *batch} : FenceResult();
+    const std::optional<ChangeBatchNumber> batch = tombstones_.add(id, JobTombstones::kAllVersions);
+    return batch ? JobLookup{JobKnowledge::unknown, *batch} : JobLookup();
   }
 
-  FenceResult fence_submissions(const std::string& id, std::uint64_t configuration_version, TimePoint now,
-                                std::int64_t wall_ms) override {
+  JobLookup confirm_unknown(const std::string& id, std::uint64_t configuration_version, TimePoint now,
+                            std::int64_t wall_ms) override {
     observe(now, wall_ms);
     if (const Job* job = state_.jobs.find(id))
       return {JobKnowledge::known, job->durable ? 0 : job->last_change_batch};
-    const std::optional<ChangeBatchNumber> batch = fences_.raise(id, configuration_version);
+    const std::optional<ChangeBatchNumber> batch = tombstones_.add(id, configuration_version);
     if (!batch) return {};
-    return {fences_.rejects_all(id) ? JobKnowledge::cancelled : JobKnowledge::unknown, *batch};
+    return {tombstones_.rejects_all(id) ? JobKnowledge::cancelled : JobKnowledge::unknown, *batch};
   }
 
   bool rejects_submission(const std::string& id, std::uint64_t configuration_version) const override {
-    return state_.jobs.find(id) == nullptr && fences_.rejects(id, configuration_version);
+    return state_.jobs.find(id) == nullptr && tombstones_.rejects(id, configuration_version);
   }
 
   wire::JobState state(const std::string& id) const override {
@@ -85,7 +85,7 @@
   void plan(TimePoint now, std::int64_t wall_ms) override {
     observe(now, wall_ms);
     jobs_.run_timers();
-    fences_.remove_expired();
+    tombstones_.remove_expired();
     if (state_.now >= next_check_) {
       next_check_ = state_.now + kCheckInterval;
       run_monitor_.check();
@@ -152,7 +152,7 @@
   SchedulerState state_;
   RunTable runs_;
   JobLifecycle jobs_;
-  SubmissionFences fences_;
+  JobTombstones tombstones_;
   RunEndHandler ends_;
   WorkerReportHandler report_handler_;
   OrderResponder order_responder_;
--- a/src/cluster/scheduler/scheduler.hpp
+++ b/src/cluster/scheduler/scheduler.hpp
@@ -42,12 +42,12 @@
 // What a service can say of a job to somebody who acts on "not known".
 enum class JobKnowledge {
   known,
-  unknown,    // and never accepted from the submissions that are fenced off
+  unknown,    // and never accepted from a submission that is routed by an earlier configuration
   cancelled,  // unknown, and never accepted from any submission: it was cancelled while it was unknown
   undecided,  // no such promise can be made now
 };
-// Outcome of a cancellation, or of a question that fences off submissions.
-struct FenceResult {
+// Outcome of a cancellation, or of a lookup on which the caller acts.
+struct JobLookup {
   JobKnowledge knowledge = JobKnowledge::undecided;
   ChangeBatchNumber durable_after = 0;  // the answer may be sent once this batch is durable
 };
@@ -84,13 +84,13 @@
   // spec violates a limit, JOB_REJECTED if `max_live_jobs` is reached.
   virtual SubmitResult submit(const std::string& id, const wire::JobSpec& spec, const wire::QueueTerms& terms,
                               TimePoint now, std::int64_t wall_ms) = 0;
-  // Cancels a job and orders its runs to stop. No effect on a job that has ended. Fences off all submissions
-  // of a job that is unknown, and answers `unknown`. Idempotent.
-  virtual FenceResult cancel(const std::string& id, TimePoint now, std::int64_t wall_ms) = 0;
-  // Answers whether the job is known. If it isn't, submissions of it that were routed by an earlier
-  // configuration than `configuration_version` are fenced off; see `rejects_submission`. Idempotent.
-  virtual FenceResult fence_submissions(const std::string& id, std::uint64_t configuration_version,
-                                        TimePoint now, std::int64_t wall_ms) = 0;
+  // Cancels a job and orders its runs to stop. No effect on a job that has ended. If the job is
+  // unknown, all later submissions of it are rejected. Idempotent.
+  virtual JobLookup cancel(const std::string& id, TimePoint now, std::int64_t wall_ms) = 0;
+  // Answers whether the job is known. If it isn't, later submissions of it that were routed by an earlier
+  // configuration than `configuration_version` are rejected; see `rejects_submission`. Idempotent.
+  virtual JobLookup confirm_unknown(const std::string& id, std::uint64_t configuration_version, TimePoint now,
+                                    std::int64_t wall_ms) = 0;
   // True if a submission of the job that was routed by this configuration must be rejected, since the job was
   // unknown when that was asked for by a newer configuration. Not for a job that is known.
   virtual bool rejects_submission(const std::string& id, std::uint64_t configuration_version) const = 0;
--- a/testbed/cluster/fake_leaf.cpp
+++ b/testbed/cluster/fake_leaf.cpp
@@ -104,12 +104,16 @@
     if (lease_expired) {
       end_task(task, "lapsed", lease_expires_at_);
     } else {
-      const RunningTask& running = running_.at(task);
-      end_task(task, running.stopping ? "stopped" : running.failing ? "failed" : "done", now);
+      end_task(task, outcome_of(running_.at(task)), now);
     }
   }
 }
 
+std::string FakeLeaf::outcome_of(const RunningTask& running) {
+  if (running.stopping) return "stopped";
+  return running.failing ? "failed" : "done";
+}
+
 void FakeLeaf::end_task(const std::string& task, const std::string& outcome, Clock::time_point now) {
   const auto found = running_.find(task);
   if (found == running_.end()) return;
--- a/testbed/cluster/fake_leaf.hpp
+++ b/testbed/cluster/fake_leaf.hpp
@@ -90,6 +90,8 @@
   // Whether the next heartbeat is late.
   bool draw_late();
   void end_due_tasks(Clock::time_point now);
+  // How a task whose time has passed ends.
+  static std::string outcome_of(const RunningTask& running);
   void end_task(const std::string& task, const std::string& outcome, Clock::time_point now);
   std::string heartbeat_body();
   // Drops the ends up to number `last_seen`, which the leader has recorded.
--- a/testbed/cluster/records_service.cpp
+++ b/testbed/cluster/records_service.cpp
@@ -14,53 +14,46 @@
     R"("max_connections":64,"protocol":"h1","tls":false,"preconditions":false}],"limits":{}})";
 constexpr std::chrono::milliseconds kServiceCallTimeout{4000};
 
+// The patch of version `base_version` that makes the next version. `changes`: its fields beside the version.
+ConfigurationChange patch_after(std::uint64_t base_version, const std::string& changes) {
+  ConfigurationChange change;
+  change.base_version = base_version;
+  change.version = base_version + 1;
+  change.path = "/v1/Config.Patch";
+  change.body = R"({"version":)" + std::to_string(change.version) + "," + changes + "}";
+  return change;
+}
+
 }  // namespace
 
 ConfigurationChange first_configuration() { return {0, 1, "", "/v1/Config.Put", kFirstConfiguration}; }
 
 ConfigurationChange add_route(std::uint64_t base_version) {
-  ConfigurationChange change;
-  change.base_version = base_version;
-  change.version = base_version + 1;
-  change.route = "step-" + std::to_string(change.version);
-  change.path = "/v1/Config.Patch";
-  change.body = R"({"version":)" + std::to_string(change.version) + R"(,"upsert":{"routes":[{"name":")" +
-                change.route + R"(","hostname":"demo.example","path_prefix":"/)" + change.route +
-                R"(/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":2,)"
-                R"("backend":"records","max_retries":3,"stretch":2.5}]}})";
+  const std::string route = "step-" + std::to_string(base_version + 1);
+  ConfigurationChange change =
+      patch_after(base_version, R"("upsert":{"routes":[{"name":")" + route +
+                                    R"(","hostname":"demo.example","path_prefix":"/)" + route +
+                                    R"(/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,)"
+                                    R"("priority":2,"backend":"records","max_retries":3,"stretch":2.5}]})");
+  change.route = route;
   return change;
 }
 
 ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service) {
-  ConfigurationChange change;
-  change.base_version = base_version;
-  change.version = base_version + 1;
-  change.path = "/v1/Config.Patch";
-  change.body =
-      R"({"version":)" + std::to_string(change.version) +
-      R"(,"upsert":{"services":[{"name":"records"},{"name":"archive"}],"routes":[{"name":"extract",)"
+  return patch_after(
+      base_version,
+      R"("upsert":{"services":[{"name":"records"},{"name":"archive"}],"routes":[{"name":"extract",)"
       R"("hostname":"demo.example","path_prefix":"/extract/","route_type":"unsafe",)"
       R"("timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":")" +
-      service + R"(","max_retries":100,"stretch":1.5}]}})";
-  return change;
+          service + R"(","max_retries":100,"stretch":1.5}]})");
 }
 
 ConfigurationChange remove_queue(std::uint64_t base_version) {
-  ConfigurationChange change;
-  change.base_version = base_version;
-  change.version = base_version + 1;
-  change.path = "/v1/Config.Patch";
-  change.body = R"({"version":)" + std::to_string(change.version) + R"(,"delete":{"routes":["extract"]}})";
-  return change;
+  return patch_after(base_version, R"("delete":{"routes":["extract"]})");
 }
 
 ConfigurationChange delete_archive(std::uint64_t base_version) {
-  ConfigurationChange change;
-  change.base_version = base_version;
-  change.version = base_version + 1;
-  change.path = "/v1/Config.Patch";
-  change.body = R"({"version":)" + std::to_string(change.version) + R"(,"delete":{"services":["archive"]}})";
-  return change;
+  return patch_after(base_version, R"("delete":{"services":["archive"]})");
 }
 
 HttpCall configuration_call(const ConfigurationChange& change, const std::string& control_address) {
--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -22,7 +22,8 @@
 constexpr const char* kOtherControlAddress = "10.0.0.2:7380";  // of the same node
 constexpr const char* kOtherControlSeed = "10.0.0.2:8144";
 constexpr const char* kJob = "5c0e7a21d94b36f8";
-constexpr std::uint64_t kCancelled = std::numeric_limits<std::uint64_t>::max();  // fence of a cancelled job
+constexpr std::uint64_t kCancelled =
+    std::numeric_limits<std::uint64_t>::max();  // tombstone of a cancelled job
 constexpr const char* kQueue = "queue/a/";
 
 std::string remove_queue(std::uint64_t version) {
@@ -63,9 +64,9 @@
   bool members_read_snapshots = true;
   bool serves_configuration = true;  // at the first address of the control node
   std::unique_ptr<ConfigurationService> configuration;
-  std::set<std::string> accepted_by;            // services that know the job
-  std::map<std::string, std::uint64_t> fences;  // versions below which services reject the job
-  unsigned unled_submits = 0;                   // so many submits more reach no leader
+  std::set<std::string> accepted_by;                // services that know the job
+  std::map<std::string, std::uint64_t> tombstones;  // versions below which services reject the job
+  unsigned unled_submits = 0;                       // so many submits more reach no leader
   // The last one is in use. The others are kept, since calls of theirs are in flight.
   std::vector<std::unique_ptr<EdgeAgent>> agents;
 
@@ -93,12 +94,13 @@
   // As JobRequestEndpoint does.
   wire::JobOutcome answer(const wire::JobRequest& request) {
     if (accepted_by.count(request.service()) > 0) return wire::JOB_OK;
-    std::uint64_t& fence = fences[request.service()];
-    if (request.verb() == wire::JOB_CANCEL) fence = kCancelled;
-    if (request.fence_submissions() && fence == kCancelled) return wire::JOB_REJECTED;
-    if (request.fence_submissions()) fence = std::max<std::uint64_t>(fence, request.configuration_version());
+    std::uint64_t& tombstone = tombstones[request.service()];
+    if (request.verb() == wire::JOB_CANCEL) tombstone = kCancelled;
+    if (request.confirms_unknown() && tombstone == kCancelled) return wire::JOB_REJECTED;
+    if (request.confirms_unknown())
+      tombstone = std::max<std::uint64_t>(tombstone, request.configuration_version());
     if (request.verb() != wire::JOB_SUBMIT) return wire::JOB_NOT_FOUND;
-    if (request.configuration_version() < fence) return wire::JOB_REJECTED;
+    if (request.configuration_version() < tombstone) return wire::JOB_REJECTED;
     accepted_by.insert(request.service());
     return wire::JOB_OK;
   }
@@ -344,7 +346,7 @@
   put(0, configuration_json(1, kBeforeMove));
   start_agent();
   runtime.run_for(Millis(500));
-  fences["first"] = kCancelled;
+  tombstones["first"] = kCancelled;
   patch(1, add_queue(2, "second"));
   CHECK(call(wire::JOB_SUBMIT, "second", 2) == wire::JOB_REJECTED);
   CHECK(accepted_by.empty());
--- a/tests/cluster/control/job_request_endpoint_test.cpp
+++ b/tests/cluster/control/job_request_endpoint_test.cpp
@@ -84,12 +84,12 @@
     return send(request);
   }
   // An agent with this configuration asks before it hands the job in at another service.
-  wire::JobRequest fencing_query(std::uint64_t version, const std::string& id) {
+  wire::JobRequest confirming_query(std::uint64_t version, const std::string& id) {
     wire::JobRequest request;
     request.set_verb(wire::JOB_QUERY);
     request.set_id(id);
     request.set_configuration_version(version);
-    request.set_fence_submissions(true);
+    request.set_confirms_unknown(true);
     return request;
   }
   void fill_capacity() {
@@ -139,7 +139,7 @@
 // queue, after another one had asked there and had then handed it in at the present service.
 TEST_CASE_METHOD(EndpointFixture, "a late submission by an earlier configuration is rejected") {
   const bool leader_changes = GENERATE(false, true);
-  REQUIRE(send(fencing_query(5, "job")) == wire::JOB_NOT_FOUND);
+  REQUIRE(send(confirming_query(5, "job")) == wire::JOB_NOT_FOUND);
   if (leader_changes) {
     lose_lease();
     lead();
@@ -151,16 +151,16 @@
 }
 
 TEST_CASE_METHOD(EndpointFixture, "a job is accepted by the service that its queue has moved back to") {
-  REQUIRE(send(fencing_query(5, "job")) == wire::JOB_NOT_FOUND);
+  REQUIRE(send(confirming_query(5, "job")) == wire::JOB_NOT_FOUND);
   CHECK(submit_routed_by(5, "job") == wire::JOB_OK);
-  CHECK(send(fencing_query(6, "job")) == wire::JOB_OK);
+  CHECK(send(confirming_query(6, "job")) == wire::JOB_OK);
   CHECK(submit_routed_by(4, "job") == wire::JOB_OK);  // the job is known by now
 }
 
-TEST_CASE_METHOD(EndpointFixture, "an answer that fences submissions is sent once the fence is durable") {
+TEST_CASE_METHOD(EndpointFixture, "an answer that a job is unknown is sent once its tombstone is durable") {
   wire::JobOutcome outcome = wire::JOB_OUTCOME_NONE;
   const auto keep = [&](const wire::Envelope& reply) { outcome = reply.job_reply().outcome(); };
-  CHECK(endpoint.handle(*scheduler, fencing_query(5, "job"), keep));
+  CHECK(endpoint.handle(*scheduler, confirming_query(5, "job"), keep));
   CHECK(outcome == wire::JOB_OUTCOME_NONE);
   SECTION("if it becomes durable") {
     make_durable();
@@ -185,7 +185,7 @@
   CHECK(cancel("job") == wire::JOB_NOT_FOUND);
   CHECK(scheduler->state("job") == wire::JOB_UNKNOWN);
   // An agent that asks before it hands the job in at the present service of a queue that has moved.
-  CHECK(send(fencing_query(5, "job")) == wire::JOB_REJECTED);
+  CHECK(send(confirming_query(5, "job")) == wire::JOB_REJECTED);
   CHECK(submit_routed_by(6, "job") == wire::JOB_REJECTED);
 }
 
--- a/tests/cluster/control/service_cluster.hpp
+++ b/tests/cluster/control/service_cluster.hpp
@@ -182,20 +182,19 @@
     job.abandoned = true;
     job.cancel_sent = is_cancelled;
     checker_.jobs[id] = std::move(job);
+    simulation_.in(Millis(between(0, kMaxLateness)), [this, id] { send_submission(id, random_control()); });
     simulation_.in(Millis(between(0, kMaxLateness)),
-                   [this, id] { send_late_submission(id, random_control()); });
-    simulation_.in(Millis(between(0, kMaxLateness)),
-                   [this, id, is_cancelled] { disown(id, is_cancelled, random_control()); });
+                   [this, id, is_cancelled] { cancel_or_look_up(id, is_cancelled, random_control()); });
   }
   // True if clients have seen a final state of every job, or were answered that it isn't known.
   bool all_ended() const {
     return std::all_of(checker_.jobs.begin(), checker_.jobs.end(),
                        [](const auto& entry) { return has_ended(entry.second); });
   }
-  std::size_t disowned_jobs() const {
+  std::size_t jobs_answered_unknown() const {
     return static_cast<std::size_t>(
         std::count_if(checker_.jobs.begin(), checker_.jobs.end(),
-                      [](const auto& entry) { return entry.second.disowned_at >= 0; }));
+                      [](const auto& entry) { return entry.second.answered_unknown_at >= 0; }));
   }
   std::string open_jobs() const {
     std::string ids;
@@ -426,60 +425,54 @@
     return envelope;
   }
 
+  // Sends a submission until it is accepted. That of an abandoned job is routed by an earlier configuration,
+  // and may be rejected.
   void send_submission(const std::string& id, const Address& target) {
     constexpr Millis kTimeout{1500};
-    client_->call(target, job_request(id, wire::JOB_SUBMIT), kTimeout, [this, id](const CallResult& result) {
+    const bool abandoned = checker_.jobs.at(id).abandoned;
+    const wire::Envelope request =
+        job_request(id, wire::JOB_SUBMIT, abandoned ? kEarlierVersion : kNewerVersion);
+    client_->call(target, request, kTimeout, [this, id, abandoned](const CallResult& result) {
       const wire::JobReply reply = result.answer ? result.answer->job_reply() : wire::JobReply();
       if (reply.outcome() == wire::JOB_OK) return on_accepted(id);
+      if (reply.outcome() == wire::JOB_REJECTED && abandoned) return;
       const Address next = reply.leader_address().empty() ? random_control() : reply.leader_address();
       simulation_.in(Millis(between(20, 300)), [this, id, next] { send_submission(id, next); });
     });
   }
 
   static bool has_ended(const test::SimulatedJob& job) {
-    return job.final_at >= 0 || job.disowned_at >= 0 || job.lasts;
-  }
-
-  // Sends a submission that is routed by the first configuration until it has a definite answer.
-  void send_late_submission(const std::string& id, const Address& target) {
-    constexpr Millis kTimeout{1500};
-    const wire::Envelope request = job_request(id, wire::JOB_SUBMIT, kEarlierVersion);
-    client_->call(target, request, kTimeout, [this, id](const CallResult& result) {
-      const wire::JobReply reply = result.answer ? result.answer->job_reply() : wire::JobReply();
-      if (reply.outcome() == wire::JOB_OK) return on_accepted(id);
-      if (reply.outcome() == wire::JOB_REJECTED) return;
-      const Address next = reply.leader_address().empty() ? random_control() : reply.leader_address();
-      simulation_.in(Millis(between(20, 300)), [this, id, next] { send_late_submission(id, next); });
-    });
+    return job.final_at >= 0 || job.answered_unknown_at >= 0 || job.lasts;
   }
 
-  // Cancels the job, or has it fenced off, until that has a definite answer.
-  void disown(const std::string& id, bool is_cancelled, const Address& target) {
+  // Cancels the job, or looks it up as an agent with a newer configuration does, until that has a definite
+  // answer.
+  void cancel_or_look_up(const std::string& id, bool is_cancelled, const Address& target) {
     constexpr Millis kTimeout{1500};
     wire::Envelope request =
         job_request(id, is_cancelled ? wire::JOB_CANCEL : wire::JOB_QUERY, kNewerVersion);
-    request.mutable_job_request()->set_fence_submissions(!is_cancelled);
+    request.mutable_job_request()->set_confirms_unknown(!is_cancelled);
     client_->call(target, request, kTimeout, [this, id, is_cancelled](const CallResult& result) {
       const wire::JobReply reply = result.answer ? result.answer->job_reply() : wire::JobReply();
       test::SimulatedJob& job = checker_.jobs.at(id);
-      if (reply.outcome() == wire::JOB_NOT_FOUND) return on_disowned(job);
+      if (reply.outcome() == wire::JOB_NOT_FOUND) return on_answered_unknown(job);
       if (reply.outcome() == wire::JOB_OK && is_cancelled) job.cancelled_at = now();
-      // As a client that has sent a request without an answer, it may not know that the job is accepted.
+      // The late submission has been accepted before.
       if (reply.outcome() == wire::JOB_OK) return on_accepted(id);
       const Address next = reply.leader_address().empty() ? random_control() : reply.leader_address();
       simulation_.in(Millis(between(20, 300)),
-                     [this, id, is_cancelled, next] { disown(id, is_cancelled, next); });
+                     [this, id, is_cancelled, next] { cancel_or_look_up(id, is_cancelled, next); });
     });
   }
 
-  void on_disowned(test::SimulatedJob& job) {
-    job.disowned_at = now();
+  void on_answered_unknown(test::SimulatedJob& job) {
+    job.answered_unknown_at = now();
     if (job.accepted_at >= 0) checker_.log.add_violation("LOST", "unknown " + job.id, now());
   }
 
   void on_accepted(const std::string& id) {
     test::SimulatedJob& job = checker_.jobs.at(id);
-    if (job.disowned_at >= 0) checker_.log.add_violation("UNASKED", "accepted " + id, now());
+    if (job.answered_unknown_at >= 0) checker_.log.add_violation("UNASKED", "accepted " + id, now());
     if (job.accepted_at < 0) job.accepted_at = now();
     constexpr double kSentAgain = 0.3;
     if (chance() >= kSentAgain) return;
--- a/tests/cluster/control/service_cluster_test.cpp
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -218,7 +218,7 @@
   for (const std::string& violation : cluster.violations()) FAIL_CHECK(violation);
   CHECK(cluster.all_ended());
   CHECK(cluster.runs_started() > kMinRuns);
-  if (scenario.abandoned_jobs > 0) CHECK(cluster.disowned_jobs() > 0);
+  if (scenario.abandoned_jobs > 0) CHECK(cluster.jobs_answered_unknown() > 0);
 }
 
 void run_scenarios(SeedRange seeds, const Scenario& scenario) {
--- a/tests/cluster/scheduler/event_log.hpp
+++ b/tests/cluster/scheduler/event_log.hpp
@@ -26,7 +26,7 @@
   Ms cancelled_at = -1;  // when the cancellation was answered; -1: not yet
   bool cancel_sent = false;
   bool lasts = false;  // its long-running tasks don't end by themselves
-  Ms disowned_at =
+  Ms answered_unknown_at =
       -1;  // when it was answered that the job isn't known, on which its client acts; -1: not yet
   bool abandoned = false;  // its client has given up on it, and it may never be accepted
   wire::JobState visible_state = wire::JOB_UNKNOWN;
--- a/tests/cluster/scheduler/submission_fences_test.cpp
+++ b/tests/cluster/scheduler/job_tombstones_test.cpp
@@ -1,4 +1,4 @@
-#include "cluster/scheduler/submission_fences.hpp"
+#include "cluster/scheduler/job_tombstones.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -7,19 +7,19 @@
 namespace winchhall::cluster::test {
 namespace {
 
-using scheduling::SubmissionFences;
+using scheduling::JobTombstones;
 
 constexpr char kJob[] = "5c0e7a21d94b36f8";
 constexpr std::uint64_t kVersion = 7;
 
-FenceResult fence(SchedulerHarness& harness, std::uint64_t version) {
-  return harness.scheduler->fence_submissions(kJob, version, harness.time(), harness.wall());
+JobLookup look_up(SchedulerHarness& harness, std::uint64_t version) {
+  return harness.scheduler->confirm_unknown(kJob, version, harness.time(), harness.wall());
 }
 
 TEST_CASE("a job that was unknown is rejected as far as it was routed by an earlier configuration") {
   SchedulerHarness harness;
   CHECK_FALSE(harness.scheduler->rejects_submission(kJob, kVersion - 1));
-  const FenceResult result = fence(harness, kVersion);
+  const JobLookup result = look_up(harness, kVersion);
   CHECK(result.knowledge == JobKnowledge::unknown);
   CHECK(harness.scheduler->rejects_submission(kJob, 0));
   CHECK(harness.scheduler->rejects_submission(kJob, kVersion - 1));
@@ -27,44 +27,44 @@
   CHECK_FALSE(harness.scheduler->rejects_submission("another job", 0));
 }
 
-TEST_CASE("a fence is to be durable before it is relied on, and the next leader restores it") {
+TEST_CASE("a tombstone is to be durable before it is relied on, and the next leader restores it") {
   SchedulerHarness harness;
-  const FenceResult first = fence(harness, kVersion);
+  const JobLookup first = look_up(harness, kVersion);
   REQUIRE(first.durable_after > 0);
-  CHECK(fence(harness, kVersion).durable_after == first.durable_after);
+  CHECK(look_up(harness, kVersion).durable_after == first.durable_after);
   harness.make_durable_and_plan();
-  CHECK(fence(harness, kVersion - 1).durable_after == 0);
+  CHECK(look_up(harness, kVersion - 1).durable_after == 0);
   SchedulerHarness successor(2, harness.entries());
   CHECK(successor.scheduler->rejects_submission(kJob, kVersion - 1));
-  CHECK(fence(successor, kVersion).durable_after == 0);
+  CHECK(look_up(successor, kVersion).durable_after == 0);
 }
 
-TEST_CASE("a fence is never lowered") {
+TEST_CASE("the version of a tombstone is never lowered") {
   SchedulerHarness harness;
-  fence(harness, kVersion);
-  fence(harness, kVersion - 3);
+  look_up(harness, kVersion);
+  look_up(harness, kVersion - 3);
   CHECK(harness.scheduler->rejects_submission(kJob, kVersion - 1));
 }
 
-TEST_CASE("a known job is not fenced, and is known for certain once it is durable") {
+TEST_CASE("a known job has no tombstone, and is known for certain once it is durable") {
   SchedulerHarness harness;
   const SubmitResult submitted = harness.submit(kJob, single_stage_job(1));
-  const FenceResult result = fence(harness, kVersion);
+  const JobLookup result = look_up(harness, kVersion);
   CHECK(result.knowledge == JobKnowledge::known);
   CHECK(result.durable_after == submitted.durable_after);
   harness.make_durable_and_plan();
-  CHECK(fence(harness, kVersion).durable_after == 0);
+  CHECK(look_up(harness, kVersion).durable_after == 0);
   CHECK_FALSE(harness.scheduler->rejects_submission(kJob, 0));
 }
 
-TEST_CASE("a fence and its record are removed once nobody has asked for the retention time") {
+TEST_CASE("a tombstone and its record are removed once nobody has asked for the retention time") {
   SchedulerHarness harness;
-  fence(harness, kVersion);
+  look_up(harness, kVersion);
   harness.make_durable_and_plan();
   const std::size_t records = harness.records.size();
-  harness.now_ms += SubmissionFences::kRetention.count() - 1;
-  fence(harness, kVersion);
-  harness.now_ms += SubmissionFences::kRetention.count() - 1;
+  harness.now_ms += JobTombstones::kRetention.count() - 1;
+  look_up(harness, kVersion);
+  harness.now_ms += JobTombstones::kRetention.count() - 1;
   harness.make_durable_and_plan();
   CHECK(harness.scheduler->rejects_submission(kJob, 0));
   harness.now_ms += 1;
@@ -75,9 +75,9 @@
 
 TEST_CASE("beyond the limit nothing is promised") {
   SchedulerHarness harness;
-  for (std::size_t number = 0; number < SubmissionFences::kMaxFences; ++number)
-    harness.scheduler->fence_submissions(std::to_string(number), kVersion, harness.time(), harness.wall());
-  CHECK(fence(harness, kVersion).knowledge == JobKnowledge::undecided);
+  for (std::size_t number = 0; number < JobTombstones::kMaxTombstones; ++number)
+    harness.scheduler->confirm_unknown(std::to_string(number), kVersion, harness.time(), harness.wall());
+  CHECK(look_up(harness, kVersion).knowledge == JobKnowledge::undecided);
   CHECK_FALSE(harness.scheduler->rejects_submission(kJob, 0));
 }
 
--- a/tests/cluster/scheduler/rule_checker.hpp
+++ b/tests/cluster/scheduler/rule_checker.hpp
@@ -52,7 +52,7 @@
       log.add_violation("DRAIN", run.task + " on " + leaf.id, now);
     if (run.job->cancelled_at >= 0 && now > run.job->cancelled_at + bounds.cancel.count())
       log.add_violation("UNASKED", "cancelled " + run.task, now);
-    if (run.job->disowned_at >= 0)
+    if (run.job->answered_unknown_at >= 0)
       log.add_violation("UNASKED", run.task + ", whose job was answered as unknown", now);
     log.starts.push_back({run.task, run.run, now, leaf.id});
   }
--- a/tests/cluster/scheduler/scheduler_test.cpp
+++ b/tests/cluster/scheduler/scheduler_test.cpp
@@ -174,7 +174,7 @@
   harness.make_durable_and_plan();
   bool delivered = GENERATE(true, false);
   if (delivered) REQUIRE(harness.orders("i-1").starts_size() == 2);
-  FenceResult result = harness.scheduler->cancel("a", harness.time(), harness.wall());
+  JobLookup result = harness.scheduler->cancel("a", harness.time(), harness.wall());
   CHECK(result.knowledge == JobKnowledge::known);
   CHECK(result.durable_after > 0);
   CHECK(harness.scheduler->state("a") != wire::JOB_CANCELED);
--- a/tests/cluster/scheduler/service_simulation_impl.hpp
+++ b/tests/cluster/scheduler/service_simulation_impl.hpp
@@ -108,7 +108,7 @@
   at(now_ + 400, [this, id] { cancel(id); });
   if (leader_ == nullptr || job.accepted_at < 0) return;
   job.cancel_sent = true;
-  const FenceResult result = leader_->cancel(id, time(), now_);
+  const JobLookup result = leader_->cancel(id, time(), now_);
   write_changes();
   when_durable(result.durable_after, [this, id] {
     SimulatedJob& answered = checker_.jobs[id];
