--- a/src/cluster/scheduler/job_tombstones.cpp
+++ b/src/cluster/scheduler/job_tombstones.cpp
@@ -27,8 +27,8 @@
 }
 
 std::optional<ChangeBatchNumber> JobTombstones::add(const std::string& job, std::uint64_t version) {
-  const bool has_room = tombstones_.size() < kMaxTombstones || tombstones_.contains(job);
-  if (!has_room) return std::nullopt;
+  const bool is_full = tombstones_.size() >= kMaxTombstones;
+  if (is_full && !tombstones_.contains(job)) return std::nullopt;
   Tombstone& tombstone = tombstones_[job];
   extend(job, tombstone);
   if (tombstone.version < version) {
--- a/tests/cluster/control/service_cluster.hpp
+++ b/tests/cluster/control/service_cluster.hpp
@@ -184,7 +184,7 @@
     checker_.jobs[id] = std::move(job);
     simulation_.in(Millis(between(0, kMaxLateness)), [this, id] { send_submission(id, random_control()); });
     simulation_.in(Millis(between(0, kMaxLateness)),
-                   [this, id, is_cancelled] { cancel_or_look_up(id, is_cancelled, random_control()); });
+                   [this, id, is_cancelled] { cancel_or_query(id, is_cancelled, random_control()); });
   }
   // True if clients have seen a final state of every job, or were answered that it isn't known.
   bool all_ended() const {
@@ -447,7 +447,7 @@
 
   // Cancels the job, or looks it up as an agent with a newer configuration does, until that has a definite
   // answer.
-  void cancel_or_look_up(const std::string& id, bool is_cancelled, const Address& target) {
+  void cancel_or_query(const std::string& id, bool is_cancelled, const Address& target) {
     constexpr Millis kTimeout{1500};
     wire::Envelope request =
         job_request(id, is_cancelled ? wire::JOB_CANCEL : wire::JOB_QUERY, kNewerVersion);
@@ -461,7 +461,7 @@
       if (reply.outcome() == wire::JOB_OK) return on_accepted(id);
       const Address next = reply.leader_address().empty() ? random_control() : reply.leader_address();
       simulation_.in(Millis(between(20, 300)),
-                     [this, id, is_cancelled, next] { cancel_or_look_up(id, is_cancelled, next); });
+                     [this, id, is_cancelled, next] { cancel_or_query(id, is_cancelled, next); });
     });
   }
 
