--- a/testbed/cluster/records_service.cpp
+++ b/testbed/cluster/records_service.cpp
@@ -7,11 +7,6 @@
 namespace {
 
 constexpr const char* kHost = "demo.example";
-constexpr const char* kFirstConfiguration =
-    R"({"version":1,"routes":[{"name":"extract","hostname":"demo.example","path_prefix":"/extract/",)"
-    R"("route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":"records",)"
-    R"("max_retries":100,"stretch":1.5}],"services":[{"name":"records","health_check_path":"/health",)"
-    R"("max_connections":64,"protocol":"h1","tls":false,"preconditions":false}],"limits":{}})";
 constexpr std::chrono::milliseconds kServiceCallTimeout{4000};
 
 // The patch of version `base_version` that makes the next version. `changes`: its fields beside the version.
@@ -26,7 +21,16 @@
 
 }  // namespace
 
-ConfigurationChange first_configuration() { return {0, 1, "", "/v1/Config.Put", kFirstConfiguration}; }
+ConfigurationChange first_configuration(unsigned max_retries) {
+  const std::string body =
+      R"({"version":1,"routes":[{"name":"extract","hostname":"demo.example","path_prefix":"/extract/",)"
+      R"("route_type":"unsafe","timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":"records",)"
+      R"("max_retries":)" +
+      std::to_string(max_retries) +
+      R"(,"stretch":1.5}],"services":[{"name":"records","health_check_path":"/health",)"
+      R"("max_connections":64,"protocol":"h1","tls":false,"preconditions":false}],"limits":{}})";
+  return {0, 1, "", "/v1/Config.Put", body};
+}
 
 ConfigurationChange add_route(std::uint64_t base_version) {
   const std::string route = "step-" + std::to_string(base_version + 1);
@@ -39,13 +43,14 @@
   return change;
 }
 
-ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service) {
+ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service,
+                                   unsigned max_retries) {
   return patch_after(
       base_version,
       R"("upsert":{"services":[{"name":"records"},{"name":"archive"}],"routes":[{"name":"extract",)"
       R"("hostname":"demo.example","path_prefix":"/extract/","route_type":"unsafe",)"
       R"("timeout_ms":3000,"target_latency_ms":800,"priority":0,"backend":")" +
-          service + R"(","max_retries":100,"stretch":1.5}]})");
+          service + R"(","max_retries":)" + std::to_string(max_retries) + R"(,"stretch":1.5}]})");
 }
 
 ConfigurationChange remove_queue(std::uint64_t base_version) {
--- a/testbed/cluster/records_service.hpp
+++ b/testbed/cluster/records_service.hpp
@@ -21,12 +21,13 @@
   std::string body;
 };
 
-// Version 1: the queue "extract" alone.
-ConfigurationChange first_configuration();
+// Version 1: the queue "extract" alone, whose tasks may fail `max_retries` times.
+ConfigurationChange first_configuration(unsigned max_retries);
 // A change that adds a route to version `base_version` and makes the next version.
 ConfigurationChange add_route(std::uint64_t base_version);
 // A change that makes `service` run the jobs of the queue "extract", and adds the queue if there is none.
-ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service);
+ConfigurationChange route_queue_to(std::uint64_t base_version, const std::string& service,
+                                   unsigned max_retries);
 // A change that removes the queue "extract".
 ConfigurationChange remove_queue(std::uint64_t base_version);
 // A change that deletes the service "archive", to which no route must lead.
--- a/testbed/cluster/rolling_upgrade.cpp
+++ b/testbed/cluster/rolling_upgrade.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds kPollInterval{50};
 constexpr unsigned kControlNodes = 3;
 constexpr unsigned kWorkers = 2;
+constexpr unsigned kMaxRetries = 3;
 constexpr const char* kJob =
     R"({"spec":"x","stages":[{"count":6,"cpu":1000,"mem_mb":100,"estimated_ms":300},)"
     R"({"count":3,"cpu":1000,"mem_mb":100,"estimated_ms":300,"depends_on":[0]}]})";
@@ -76,7 +77,7 @@
       leaves_.push_back(std::make_unique<FakeLeaf>(FakeLeafOptions{
           cluster_.worker_address(index), "i-" + std::to_string(index), kRecordsService, "a"}));
     }
-    const ConfigurationChange first = first_configuration();
+    const ConfigurationChange first = first_configuration(kMaxRetries);
     if (!send_until_acknowledged(first)) return fail("the first configuration is not taken");
     changes_.push_back(first);
     return submit_job() && change_configuration();
