--- a/testbed/cluster/soak_clients.cpp
+++ b/testbed/cluster/soak_clients.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kHttpGone = 410;
-constexpr unsigned kMaxRetries = 100;  // leaves that fail all that they start must not end the jobs
+constexpr unsigned kSoakMaxRetries = 100;  // leaves that fail all that they start must not end the jobs
 constexpr milliseconds kClientRetryInterval{50};
 constexpr milliseconds kPausePollInterval{20};
 constexpr std::chrono::seconds kMaxCompletionTime{60};  // of a change, after all faults have ended
@@ -200,7 +200,7 @@
 
 void SoakClients::run_operator(std::uint64_t seed) {
   std::mt19937_64 random(seed);
-  bool acknowledged = acknowledge(first_configuration(kMaxRetries));
+  bool acknowledged = acknowledge(first_configuration(kSoakMaxRetries));
   while (acknowledged && !stopping_) {
     pause(random_pause(random, 300, 4000));
     if (!stopping_) acknowledged = make_change(random);
@@ -231,7 +231,7 @@
 }
 
 bool SoakClients::retire_archive() {
-  return acknowledge(route_queue_to(acknowledged_version(), kRecordsService, kMaxRetries)) &&
+  return acknowledge(route_queue_to(acknowledged_version(), kRecordsService, kSoakMaxRetries)) &&
          remove_archive();
 }
 
@@ -242,7 +242,7 @@
     pause(random_pause(random, 0, 1500));
   }
   queue_service_ = queue_service_ == kArchiveService ? kRecordsService : kArchiveService;
-  if (!acknowledge(route_queue_to(acknowledged_version(), queue_service_, kMaxRetries))) return false;
+  if (!acknowledge(route_queue_to(acknowledged_version(), queue_service_, kSoakMaxRetries))) return false;
   archive_exists_ = true;
   const std::lock_guard lock(mutex_);
   ++queue_moves_;
