Simulated cluster: let the case of failing leaves fail without its fix

Each episode is now one leaf: jobs that fail there, then a task that lasts, then a job that needs the leaf; with other faults and without.

--- a/tests/cluster/control/service_cluster_test.cpp
+++ b/tests/cluster/control/service_cluster_test.cpp
@@ -62,23 +62,22 @@
   return job;
 }
 
-// A job that only one leaf can run.
-test::SimulatedJob leaf_job(ServiceCluster& cluster, int number) {
+// A job that only one leaf can run, and that ends with its first failure.
+test::SimulatedJob leaf_job(ServiceCluster& cluster, int number, std::size_t worker) {
   test::SimulatedJob job = empty_job(number);
+  job.terms.set_max_retries(1);
   wire::Stage& stage = *job.spec.add_stages();
   stage.set_count(1);
   stage.set_cpu(100);
   stage.set_mem_mb(1);
   stage.set_estimated_ms(static_cast<std::uint32_t>(cluster.between(50, 500)));
-  const auto last_worker = static_cast<Ms>(cluster.workers()) - 1;
-  stage.set_requirements(
-      ServiceCluster::leaf_label(static_cast<std::size_t>(cluster.between(0, last_worker))));
+  stage.set_requirements(ServiceCluster::leaf_label(worker));
   return job;
 }
 
 // As `leaf_job`, with a task that lasts.
-test::SimulatedJob lasting_job(ServiceCluster& cluster, int number) {
-  test::SimulatedJob job = leaf_job(cluster, number);
+test::SimulatedJob lasting_job(ServiceCluster& cluster, int number, std::size_t worker) {
+  test::SimulatedJob job = leaf_job(cluster, number, worker);
   job.spec.mutable_stages(0)->set_long_running(true);
   job.lasts = true;
   return job;
@@ -155,23 +154,30 @@
   int jobs = 40;
   int wide_jobs = 0;         // the first ones of `jobs`
   int abandoned_jobs = 0;    // besides `jobs`
-  int leaf_jobs = 0;         // besides `jobs`: jobs that need a certain leaf, and as many leaves that fail
-  int lasting_jobs = 0;      // besides `jobs`
+  int failing_leaves = 0;    // leaves that fail for a moment, each with jobs besides `jobs`
+  bool faults = true;        // beside these
   bool loses_disks = false;  // at the end the service is deleted, and each control node loses its disk
   double power_loss = 0.4;   // probability that all machines lose power, for each tenth fault
 };
 
-// At random times: jobs that need a certain leaf, jobs there that last, and leaves that fail all that they
-// run.
-void submit_leaf_jobs(ServiceCluster& cluster, const Scenario& scenario) {
-  const int first = scenario.jobs + scenario.abandoned_jobs;
-  for (int number = 1; number <= scenario.leaf_jobs + scenario.lasting_jobs; ++number) {
-    const bool lasts = number > scenario.leaf_jobs;
-    cluster.simulation().in(Millis(cluster.between(0, kFaultPeriod)), [&cluster, id = first + number, lasts] {
-      cluster.submit(lasts ? lasting_job(cluster, id) : leaf_job(cluster, id));
-      if (!lasts) cluster.make_leaf_fail(random_worker(cluster), cluster.between(500, 4000));
-    });
-  }
+constexpr int kJobsOfFailingLeaf = 6;
+
+// At a random time a leaf fails all runs for a moment, also those of jobs that need it. Later it is given a
+// task that lasts, and a further job. `first` is the number of the first job.
+void schedule_failing_leaf(ServiceCluster& cluster, int first) {
+  constexpr int kJobsWhileFailing = kJobsOfFailingLeaf - 2;
+  const std::size_t worker = random_worker(cluster);
+  const Ms start = cluster.between(0, kFaultPeriod);
+  const Ms lasting_at = start + cluster.between(2500, 6000);
+  const auto submit = [&cluster](Ms at, const test::SimulatedJob& job) {
+    cluster.simulation().in(Millis(at), [&cluster, job] { cluster.submit(job); });
+  };
+  cluster.simulation().in(
+      Millis(start), [&cluster, worker] { cluster.make_leaf_fail(worker, cluster.between(1500, 2500)); });
+  for (int number = 0; number < kJobsWhileFailing; ++number)
+    submit(start + cluster.between(0, 300), leaf_job(cluster, first + number, worker));
+  submit(lasting_at, lasting_job(cluster, first + kJobsWhileFailing, worker));
+  submit(lasting_at + cluster.between(500, 3000), leaf_job(cluster, first + kJobsWhileFailing + 1, worker));
 }
 
 // The jobs of a deleted service go on after each control node has lost its disk.
@@ -180,7 +186,7 @@
   cluster.simulation().run_for(Millis(3000));
   cluster.delete_service();
   cluster.lose_disks_in_turn();
-  const int first = scenario.jobs + scenario.abandoned_jobs + scenario.leaf_jobs + scenario.lasting_jobs;
+  const int first = scenario.jobs + scenario.abandoned_jobs + scenario.failing_leaves * kJobsOfFailingLeaf;
   for (int number = 1; number <= kJobsAfterwards; ++number)
     cluster.submit(random_job(cluster, first + number));
 }
@@ -201,10 +207,11 @@
       cluster.abandon(random_job(cluster, id), cluster.chance() < 0.5);
     });
   }
-  submit_leaf_jobs(cluster, scenario);
+  for (int number = 0; number < scenario.failing_leaves; ++number)
+    schedule_failing_leaf(cluster, scenario.jobs + scenario.abandoned_jobs + 1 + number * kJobsOfFailingLeaf);
   const Ms faults_until = cluster.now() + kFaultPeriod;
   while (cluster.now() < faults_until && cluster.violations().empty()) {
-    inject_fault(cluster, scenario.power_loss);
+    if (scenario.faults) inject_fault(cluster, scenario.power_loss);
     const bool pause = cluster.chance() < 0.3;
     cluster.simulation().run_for(Millis(pause ? cluster.between(1000, 4000) : cluster.between(20, 500)));
   }
@@ -261,8 +268,9 @@
 // Guards against lost jobs: a leaf whose trial run lasted was never used again.
 TEST_CASE("jobs end on leaves that have failed for some time and run tasks that last") {
   Scenario scenario;
-  scenario.leaf_jobs = 60;
-  scenario.lasting_jobs = 10;
+  scenario.jobs = 20;
+  scenario.failing_leaves = 12;
+  scenario.faults = GENERATE(false, true);
   run_scenarios({1, 10}, scenario);
 }
 
