--- a/src/cluster/consensus/register_client.hpp
+++ b/src/cluster/consensus/register_client.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cluster/common/errors.hpp"
 #include "cluster/common/runtime.hpp"
@@ -35,6 +36,11 @@
   // left unchanged is also known to be chosen when `done` is called.
   virtual void update(const std::string& key, RegisterChange change, Millis timeout,
                       std::function<void(std::optional<RegisterValue>)> done) = 0;
+  // Reads the newest value from a majority: an `update` that leaves it unchanged.
+  void read(const std::string& key, Millis timeout, std::function<void(std::optional<RegisterValue>)> done) {
+    update(
+        key, [](const std::string&) { return std::nullopt; }, timeout, std::move(done));
+  }
 };
 
 }  // namespace winchhall::cluster
--- a/src/cluster/consensus/register_watcher.cpp
+++ b/src/cluster/consensus/register_watcher.cpp
@@ -72,12 +72,10 @@
 
 void RegisterWatcher::read_from_majority(const std::string& key) {
   if (!reads_in_progress_.insert(key).second) return;
-  const auto leave_unchanged = [](const std::string&) { return std::nullopt; };
-  client_.update(key, leave_unchanged, kRefreshReadTimeout,
-                 [this, key](const std::optional<RegisterValue>& value) {
-                   reads_in_progress_.erase(key);
-                   if (!value) to_read_.insert(key);
-                 });
+  client_.read(key, kRefreshReadTimeout, [this, key](const std::optional<RegisterValue>& value) {
+    reads_in_progress_.erase(key);
+    if (!value) to_read_.insert(key);
+  });
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/control/configuration_service.cpp
+++ b/src/cluster/control/configuration_service.cpp
@@ -48,10 +48,8 @@
       });
 }
 
-// A read is a register update that changes nothing: the value that it returns was chosen by a majority after
-// the call began.
+// The value that a read returns was chosen by a majority after the call began.
 void ConfigurationService::get(ReadCallback done) {
-  const RegisterChange leave_unchanged = [](const std::string&) { return std::nullopt; };
   const TimePoint deadline = runtime_.now() + kConfigurationQuorumTimeout;
   const auto on_register_read = [this, deadline,
                                  done = std::move(done)](const std::optional<RegisterValue>& chosen) {
@@ -66,7 +64,7 @@
       done(ConfigurationRead{ConfigurationReadKind::found, state.version(), state.json()});
     });
   };
-  registers_.update(kConfigurationRegister, leave_unchanged, kConfigurationQuorumTimeout, on_register_read);
+  registers_.read(kConfigurationRegister, kConfigurationQuorumTimeout, on_register_read);
 }
 
 bool ConfigurationService::handle(const wire::Envelope& request, const ReplyCallback& reply) {
--- a/src/cluster/control/configuration_snapshots.cpp
+++ b/src/cluster/control/configuration_snapshots.cpp
@@ -62,12 +62,10 @@
   const std::string key = key_of(id);
   std::optional<std::string> replica = local_.chosen(key);
   if (replica && is_content_of(id, *replica)) return done(std::move(replica));
-  const RegisterChange leave_unchanged = [](const std::string&) { return std::nullopt; };
-  registers_.update(key, leave_unchanged, timeout,
-                    [id, done = std::move(done)](const std::optional<RegisterValue>& chosen) {
-                      if (!chosen || !is_content_of(id, chosen->value)) return done(std::nullopt);
-                      done(chosen->value);
-                    });
+  registers_.read(key, timeout, [id, done = std::move(done)](const std::optional<RegisterValue>& chosen) {
+    if (!chosen || !is_content_of(id, chosen->value)) return done(std::nullopt);
+    done(chosen->value);
+  });
 }
 
 void ConfigurationSnapshots::drop_unneeded(const wire::ConfigurationRecord& record) {
