Answer 410 only after all services that a majority lists were asked

An agent asked the services that it knew: those of its configuration and those with a known leader. A service that was deleted, between two leaders, was in neither list of an agent that had just started, so it said "there is none" without having asked the service that had the job.

Change: before a cancel or query is answered "not found", the agent has a control node read from a majority which shards hold records, and how new the configuration is (MemberPing.wants_shards, ShardListReader, ServiceListReader, ServiceListFetcher). It asks every listed service, waits for a newer configuration, and also asks the queue's former services, which a late submission may still reach. Without a list or an answer of each, the request is in doubt. An acknowledged record is on a member of every quorum, so the list can't lack a service that holds the job, whichever control node reads it; a service whose records are gone is on no list any more. The configuration's register is read only after it has changed, since reads raise the ballot that changes of it need. Members of earlier versions answer the ping and name no shards; agents with control nodes of earlier versions search as before.

--- a/src/cluster/agent/control_watcher.hpp
+++ b/src/cluster/agent/control_watcher.hpp
@@ -30,6 +30,8 @@
   // Queries a control node other than `failed` for the leaders at once, unless such a query is in progress or
   // was started a moment ago. `failed` may be empty.
   void refresh(const Address& failed);
+  // Applies an update that a control node has sent in answer to a call other than the polls.
+  void on_update(const Address& peer, const wire::ConfigurationUpdate& update) { apply_update(peer, update); }
   // True if a control node with quorum contact has answered within the contact time-out.
   bool has_quorum_contact() const;
 
--- a/src/cluster/agent/edge_agent.cpp
+++ b/src/cluster/agent/edge_agent.cpp
@@ -28,7 +28,11 @@
       watcher_(runtime, view_, directory_, [this](const ViewChanges& changes) { on_change(changes); }),
       watch_server_(runtime, view_),
       budget_(runtime.now()),
-      relay_(LeaderCallContext{runtime, view_, watcher_, budget_}),
+      service_lists_(runtime, view_, directory_,
+                     [this](const Address& peer, const wire::ConfigurationUpdate& update) {
+                       watcher_.on_update(peer, update);
+                     }),
+      relay_(LeaderCallContext{runtime, view_, watcher_, budget_}, service_lists_),
       last_ingress_call_(runtime.now()) {}
 
 void EdgeAgent::start() {
--- a/src/cluster/agent/edge_agent.hpp
+++ b/src/cluster/agent/edge_agent.hpp
@@ -10,6 +10,7 @@
 #include "cluster/agent/control_watcher.hpp"
 #include "cluster/agent/job_relay.hpp"
 #include "cluster/agent/retry_budget.hpp"
+#include "cluster/agent/service_list_fetcher.hpp"
 #include "cluster/common/runtime.hpp"
 #include "cluster/common/settings.hpp"
 
@@ -57,6 +58,7 @@
   ControlWatcher watcher_;
   ConfigurationWatchServer watch_server_;
   RetryBudget budget_;
+  ServiceListFetcher service_lists_;
   JobRelay relay_;
   TimePoint last_ingress_call_;
   bool had_quorum_contact_ = false;  // at the last check
--- a/src/cluster/agent/job_relay.cpp
+++ b/src/cluster/agent/job_relay.cpp
@@ -35,7 +35,8 @@
 
 }  // namespace
 
-JobRelay::JobRelay(const LeaderCallContext& context) : context_(context), router_(context) {}
+JobRelay::JobRelay(const LeaderCallContext& context, ServiceListFetcher& service_lists)
+    : context_(context), router_(context, service_lists) {}
 
 void JobRelay::handle(const wire::JobRequest& request, const ReplyCallback& reply) {
   if (request.verb() == wire::JOB_SUBMIT && repeat_rejection(request, reply)) return;
--- a/src/cluster/agent/job_relay.hpp
+++ b/src/cluster/agent/job_relay.hpp
@@ -20,8 +20,8 @@
 // thread-safe.
 class JobRelay {
  public:
-  // What `context` refers to must outlive the relay.
-  explicit JobRelay(const LeaderCallContext& context);
+  // `service_lists` and what `context` refers to must outlive the relay.
+  JobRelay(const LeaderCallContext& context, ServiceListFetcher& service_lists);
 
   // Replies to every request by its deadline, or shortly after it.
   void handle(const wire::JobRequest& request, const ReplyCallback& reply);
--- a/src/cluster/agent/job_router.cpp
+++ b/src/cluster/agent/job_router.cpp
@@ -13,6 +13,12 @@
 constexpr Millis kMaxConfigurationWait{2000};
 constexpr std::uint32_t kConfigurationRetryAfterMs = 500;
 
+wire::JobReply reply_of(wire::JobOutcome outcome) {
+  wire::JobReply reply;
+  reply.set_outcome(outcome);
+  return reply;
+}
+
 wire::JobReply configuration_missing_reply(wire::JobVerb verb) {
   wire::JobReply reply;
   const bool rejected = verb == wire::JOB_SUBMIT;
@@ -23,7 +29,8 @@
 
 }  // namespace
 
-JobRouter::JobRouter(const LeaderCallContext& context) : context_(context) {}
+JobRouter::JobRouter(const LeaderCallContext& context, ServiceListFetcher& service_lists)
+    : context_(context), service_lists_(service_lists) {}
 
 void JobRouter::route(const wire::JobRequest& request, TimePoint deadline, const Done& done) {
   const bool may_wait = request.verb() != wire::JOB_COUNT;
@@ -73,9 +80,7 @@
     case wire::JOB_COUNT:
       return call_leader(request, deadline, done);
     default:
-      wire::JobReply invalid;
-      invalid.set_outcome(wire::JOB_INVALID);
-      return done(invalid);
+      return done(reply_of(wire::JOB_INVALID));
   }
 }
 
@@ -103,19 +108,40 @@
 void JobRouter::search_services(const wire::JobRequest& request, TimePoint deadline, const Done& done) {
   call_leader(request, deadline, [this, request, deadline, done](const wire::JobReply& reply) {
     if (reply.outcome() != wire::JOB_NOT_FOUND) return done(reply);
-    const auto others = all_other_services(request);
-    if (others.empty()) return done(reply);
-    call_leaders(others, request, deadline, done);
+    search_other_services(request, deadline, done);
+  });
+}
+
+void JobRouter::search_other_services(const wire::JobRequest& request, TimePoint deadline, const Done& done) {
+  service_lists_.fetch(deadline, [this, request, deadline, done](const ServiceListResult& listed) {
+    on_services_listed(request, deadline, done, listed);
   });
 }
 
+void JobRouter::on_services_listed(const wire::JobRequest& request, TimePoint deadline, const Done& done,
+                                   const ServiceListResult& listed) {
+  if (listed.kind == ServiceListKind::unavailable) return done(reply_of(wire::JOB_IN_DOUBT));
+  if (listed.list.configuration_version() > context_.view.version()) {
+    wire::JobRequest newer = request;
+    newer.set_configuration_version(listed.list.configuration_version());
+    return wait_for_configuration(newer, deadline, done);
+  }
+  const auto others = all_other_services(request, listed.list);
+  if (others.empty()) return done(reply_of(wire::JOB_NOT_FOUND));
+  call_leaders(others, request, deadline, done);
+}
+
 std::vector<std::string> JobRouter::previous_services(const wire::JobRequest& request) const {
   return context_.view.history().recent_other_services(request.terms().queue(), request.service(),
                                                        context_.runtime.now());
 }
 
-std::vector<std::string> JobRouter::all_other_services(const wire::JobRequest& request) const {
+std::vector<std::string> JobRouter::all_other_services(const wire::JobRequest& request,
+                                                       const wire::ServiceList& listed) const {
   std::set<std::string> services = context_.view.services();
+  services.insert(listed.services().begin(), listed.services().end());
+  // A late submission may still reach a service that the queue was routed to, also if it has no records yet.
+  for (const std::string& service : previous_services(request)) services.insert(service);
   services.erase(request.service());
   return {services.begin(), services.end()};
 }
--- a/src/cluster/agent/job_router.hpp
+++ b/src/cluster/agent/job_router.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cluster/agent/leader_call.hpp"
+#include "cluster/agent/service_list_fetcher.hpp"
 
 namespace winchhall::cluster {
 
@@ -16,7 +17,9 @@
 // - a submit first queries the services that the queue was routed to until recently: a job that one of them
 //   accepted must not be accepted by a second one;
 // - a query or a cancellation of a job that the queue's current service does not know goes to all other
-// services;
+// services that may know it. A majority of the control group lists these after the request has arrived: this
+// process alone may not know of a service that is deleted and between two leaders, or of a newer
+// configuration;
 // - a count goes only to the service that it names.
 //
 // The result is the leader's reply; JOB_IN_DOUBT if a service that may know the job gave no definite reply;
@@ -26,8 +29,8 @@
  public:
   using Done = LeaderCall::Done;
 
-  // What `context` refers to must outlive the router.
-  explicit JobRouter(const LeaderCallContext& context);
+  // `service_lists` and what `context` refers to must outlive the router.
+  JobRouter(const LeaderCallContext& context, ServiceListFetcher& service_lists);
 
   // Calls `done` exactly once, by `deadline`, possibly before this function returns.
   void route(const wire::JobRequest& request, TimePoint deadline, const Done& done);
@@ -50,18 +53,24 @@
   void give_up_waiting(std::list<WaitingRequest>::iterator waiting);
   void route_now(const wire::JobRequest& request, TimePoint deadline, const Done& done);
   void submit(const wire::JobRequest& request, TimePoint deadline, const Done& done);
+  // Finds the job of a query or cancellation. JOB_NOT_FOUND only if every service that may know it says so.
   void search_services(const wire::JobRequest& request, TimePoint deadline, const Done& done);
+  void search_other_services(const wire::JobRequest& request, TimePoint deadline, const Done& done);
+  void on_services_listed(const wire::JobRequest& request, TimePoint deadline, const Done& done,
+                          const ServiceListResult& listed);
   // Services other than the request's that its queue was routed to until recently. They may have been removed
   // from the configuration since: their leaders remain.
   std::vector<std::string> previous_services(const wire::JobRequest& request) const;
-  // Services other than the request's, also those that were removed from the configuration.
-  std::vector<std::string> all_other_services(const wire::JobRequest& request) const;
+  // Services other than the request's: those that this process knows, and the listed ones.
+  std::vector<std::string> all_other_services(const wire::JobRequest& request,
+                                              const wire::ServiceList& listed) const;
   // Sends the request to several services at once and aggregates their replies.
   void call_leaders(const std::vector<std::string>& services, const wire::JobRequest& request,
                     TimePoint deadline, const Done& done);
   void call_leader(wire::JobRequest request, TimePoint deadline, Done done);
 
   LeaderCallContext context_;
+  ServiceListFetcher& service_lists_;
   std::list<std::shared_ptr<LeaderCall>> calls_;  // in progress
   std::list<WaitingRequest> waiting_;             // in order of arrival
 };
--- a/src/cluster/consensus/control_group.cpp
+++ b/src/cluster/consensus/control_group.cpp
@@ -211,6 +211,11 @@
   for (const std::string& shard : added) on_shard_added_(shard);
 }
 
+void ControlGroup::list_shards(ShardListReader::Done done) {
+  GroupContext& group = *this;
+  std::make_shared<ShardListReader>(group, std::move(done))->start();
+}
+
 std::optional<wire::ShardLeader> ControlGroup::lease_in_force(const std::string& shard) const {
   return leases_.lease_in_force(shard);
 }
--- a/src/cluster/consensus/control_group.hpp
+++ b/src/cluster/consensus/control_group.hpp
@@ -23,6 +23,7 @@
 #include "cluster/consensus/member_rpc_client.hpp"
 #include "cluster/consensus/peer_table.hpp"
 #include "cluster/consensus/register_service.hpp"
+#include "cluster/consensus/shard_list_reader.hpp"
 #include "cluster/consensus/state_transfer_manager.hpp"
 #include "cluster/store/store.hpp"
 
@@ -81,6 +82,9 @@
     on_shard_added_ = std::move(on_added);
   }
 
+  // Reads from a majority which shards hold records. `done` is not called if the group is destroyed before.
+  void list_shards(ShardListReader::Done done);
+
   // Newest durable member record; epoch 0: none yet.
   const wire::MemberRecord& members() const { return membership_.record(); }
   // Holders of the shards' leases as far as known here, granted by a majority.
--- a/src/cluster/consensus/member_pinger.cpp
+++ b/src/cluster/consensus/member_pinger.cpp
@@ -31,7 +31,14 @@
 
 void MemberPinger::handle(const wire::MemberPing& ping, const ReplyCallback& reply) {
   wire::Envelope answer;
-  *answer.mutable_member_ping() = make_ping();
+  wire::MemberPing& answering_ping = *answer.mutable_member_ping();
+  answering_ping = make_ping();
+  if (ping.wants_shards()) {
+    *answering_ping.mutable_accepted_configuration() =
+        acceptor_.registers().accepted_ballot(kConfigurationRegisterKey);
+    for (std::string& shard : acceptor_.shards().shards_with_records())
+      answering_ping.add_shards(std::move(shard));
+  }
   reply(std::move(answer));
   on_ping_received(ping);
   ping_sender_without_contact(ping.from());
--- a/src/cluster/consensus/member_pinger.hpp
+++ b/src/cluster/consensus/member_pinger.hpp
@@ -30,7 +30,8 @@
 
   // Pings every other member and learner of the newest member record once.
   void ping_members();
-  // Answers another node's ping. A sender without recent contact is pinged immediately, so that a
+  // Answers a ping; one that wants the shards with the names of those that hold records here, and with the
+  // ballot of the accepted configuration. A sender without recent contact is pinged immediately, so that a
   // restarted member counts as reachable before the next interval.
   void handle(const wire::MemberPing& ping, const ReplyCallback& reply);
 
--- a/src/cluster/consensus/register_acceptor.cpp
+++ b/src/cluster/consensus/register_acceptor.cpp
@@ -112,6 +112,11 @@
   return known->second;
 }
 
+wire::Ballot RegisterAcceptor::accepted_ballot(const std::string& key) const {
+  const auto state = states_.find(key);
+  return state == states_.end() ? wire::Ballot() : state->second.accepted();
+}
+
 wire::Ballot RegisterAcceptor::unresolved_ballot(const std::string& key) const {
   const auto state = states_.find(key);
   const bool unresolved =
--- a/src/cluster/consensus/register_acceptor.hpp
+++ b/src/cluster/consensus/register_acceptor.hpp
@@ -40,6 +40,8 @@
 
   // The newest value known to be chosen, if any.
   std::optional<RegisterValue> chosen(const std::string& key) const;
+  // Ballot of the newest value that was accepted here; counter 0: none.
+  wire::Ballot accepted_ballot(const std::string& key) const;
   // Ballot of a value that was accepted here but is not known to be chosen; counter 0: there is none.
   wire::Ballot unresolved_ballot(const std::string& key) const;
 
--- a/src/cluster/consensus/shard_acceptor.cpp
+++ b/src/cluster/consensus/shard_acceptor.cpp
@@ -74,7 +74,14 @@
 }
 
 void ShardAcceptor::load_record(const std::string& shard, const wire::ShardRecord& record) {
-  shards_[shard].replica.records[record.key()] = record;
+  put_record(shards_[shard], record);
+}
+
+void ShardAcceptor::put_record(Shard& shard, const wire::ShardRecord& record) {
+  const auto [entry, added] = shard.replica.records.try_emplace(record.key());
+  if (!added && !entry->second.deleted()) --shard.live_records;
+  if (!record.deleted()) ++shard.live_records;
+  entry->second = record;
 }
 
 void ShardAcceptor::assume_leases() {
@@ -210,11 +217,11 @@
 }
 
 void ShardAcceptor::apply(const wire::ShardWrite& request, StoreBatch& batch) {
-  ShardRecords& records = shards_[request.shard()].replica.records;
+  Shard& shard = shards_[request.shard()];
   for (const wire::ShardRecord& record : request.records()) {
-    const auto [entry, added] = records.try_emplace(record.key(), record);
-    if (!added && !is_older(entry->second, record)) continue;
-    entry->second = record;
+    const auto known = shard.replica.records.find(record.key());
+    if (known != shard.replica.records.end() && !is_older(known->second, record)) continue;
+    put_record(shard, record);
     batch.push_back(stored_record(request.shard(), record));
   }
 }
@@ -265,6 +272,14 @@
   return found == shards_.end() ? 0 : found->second.replica.state.epoch();
 }
 
+std::vector<std::string> ShardAcceptor::shards_with_records() const {
+  std::vector<std::string> names;
+  for (const auto& [name, shard] : shards_) {
+    if (shard.live_records > 0) names.push_back(name);
+  }
+  return names;
+}
+
 std::map<std::string, const ShardReplica*> ShardAcceptor::replicas() const {
   std::map<std::string, const ShardReplica*> replicas;
   for (const auto& [name, shard] : shards_) replicas[name] = &shard.replica;
@@ -272,7 +287,8 @@
 }
 
 void ShardAcceptor::replace(const std::string& name, ShardReplica replica, StoreBatch& batch) {
-  ShardReplica& current = shards_[name].replica;
+  Shard& shard = shards_[name];
+  ShardReplica& current = shard.replica;
   for (const auto& [key, record] : current.records) {
     if (!replica.records.contains(key)) batch.push_back({record_store_key(name, key), std::nullopt});
   }
@@ -283,6 +299,9 @@
   }
   batch.push_back(stored_state(name, replica.state));
   current = std::move(replica);
+  const auto is_live = [](const auto& entry) { return !entry.second.deleted(); };
+  shard.live_records =
+      static_cast<std::size_t>(std::count_if(current.records.begin(), current.records.end(), is_live));
 }
 
 }  // namespace winchhall::cluster
--- a/src/cluster/consensus/shard_acceptor.hpp
+++ b/src/cluster/consensus/shard_acceptor.hpp
@@ -47,6 +47,9 @@
   // Highest epoch promised for a shard; 0: none.
   std::uint64_t promised_epoch(const std::string& shard) const;
 
+  // Names of the shards of which this replica holds at least one record that isn't deleted.
+  std::vector<std::string> shards_with_records() const;
+
   // All replicas by shard, for a state transfer to a newcomer. The pointers are valid until the next change.
   std::map<std::string, const ShardReplica*> replicas() const;
   // Replaces a replica; the changes are appended to `batch`.
@@ -63,6 +66,7 @@
   };
   struct Shard {
     ShardReplica replica;
+    std::size_t live_records = 0;     // records of the replica that aren't deleted
     std::uint64_t durable_epoch = 0;  // highest promised epoch that is durable
     Lease lease;
   };
@@ -74,6 +78,8 @@
   // Promises an epoch to the holder and session that `to` names.
   void promise(const std::string& name, const wire::ShardState& to, StoreBatch& batch);
   void grant(const wire::LeaseRequest& request, wire::LeaseReply answer, const ReplyCallback& reply);
+  // Adds a record to the replica, or replaces an older version of it.
+  static void put_record(Shard& shard, const wire::ShardRecord& record);
   void apply(const wire::ShardWrite& request, StoreBatch& batch);
   // Raises the base to this epoch, as the replica is now equal to its holder's state.
   void establish(const std::string& name, std::uint64_t epoch, StoreBatch& batch);
--- a/src/cluster/control/configuration_service.cpp
+++ b/src/cluster/control/configuration_service.cpp
@@ -19,7 +19,9 @@
       follower_(runtime, snapshots_, [this] { on_version_advanced(); }),
       proposer_(runtime, registers, snapshots_, follower_, dependencies.members_read_snapshots),
       transfers_(follower_.state().items()),
-      watchers_(runtime, follower_.state(), group_state_of(dependencies)) {}
+      watchers_(runtime, follower_.state(), group_state_of(dependencies)),
+      service_list_(registers, dependencies.list_shards,
+                    [this](const RegisterValue& value) { on_register_value(value); }) {}
 
 void ConfigurationService::put(const std::optional<std::string>& base, std::string body,
                                ChangeCallback done) {
@@ -69,7 +71,7 @@
 
 bool ConfigurationService::handle(const wire::Envelope& request, const ReplyCallback& reply) {
   if (request.has_configuration_watch()) {
-    watchers_.watch(request.configuration_watch(), reply);
+    watch(request.configuration_watch(), reply);
     return true;
   }
   if (request.has_configuration_fetch()) {
@@ -79,6 +81,16 @@
   return false;
 }
 
+void ConfigurationService::watch(const wire::ConfigurationWatch& request, const ReplyCallback& reply) {
+  if (!request.wants_services() || !service_list_.is_available()) return watchers_.watch(request, reply);
+  service_list_.read([this, request, reply](const wire::ServiceList& services) {
+    watchers_.watch(request, [services, reply](wire::Envelope answer) {
+      *answer.mutable_configuration_update()->mutable_services() = services;
+      reply(std::move(answer));
+    });
+  });
+}
+
 void ConfigurationService::on_version_advanced() {
   if (listener_) listener_(*newest());
   watchers_.answer_due_watchers();
--- a/src/cluster/control/configuration_service.hpp
+++ b/src/cluster/control/configuration_service.hpp
@@ -15,6 +15,7 @@
 #include "cluster/control/configuration_register.hpp"
 #include "cluster/control/configuration_snapshots.hpp"
 #include "cluster/control/configuration_watchers.hpp"
+#include "cluster/control/service_list_reader.hpp"
 #include "cluster/delivery/configuration_transfer_server.hpp"
 
 namespace winchhall::cluster {
@@ -42,6 +43,8 @@
   // Returns true once every member of the control group can read records that name snapshots.
   std::function<bool()> members_read_snapshots = [] { return true; };
   LocalRegisterReplicas local_registers = {};
+  // Empty: watchers that want the services are answered as by a version that doesn't know them.
+  ServiceListReader::ShardLister list_shards = {};
 };
 
 // The configuration service of one control node. Every control node runs one, and each of them serves
@@ -79,7 +82,8 @@
   // Notifies the watchers whose leaders or members are out of date. Without this call, a change is detected
   // within 50 ms.
   void on_leaders_changed() { watchers_.answer_due_watchers(); }
-  // Handles ConfigurationWatch and ConfigurationFetch requests. Returns false for requests of other kinds.
+  // Handles ConfigurationWatch and ConfigurationFetch requests. A watch that wants the services is answered
+  // once they are read from a majority. Returns false for requests of other kinds.
   bool handle(const wire::Envelope& request, const ReplyCallback& reply);
   // Answers all watchers. Called once, during a graceful shutdown.
   void stop() { watchers_.answer_all(); }
@@ -94,6 +98,7 @@
  private:
   void change(ConfigurationChangeKind kind, const std::optional<std::string>& base, std::string body,
               ChangeCallback done);
+  void watch(const wire::ConfigurationWatch& request, const ReplyCallback& reply);
   void on_version_advanced();
 
   Runtime& runtime_;
@@ -103,6 +108,7 @@
   ConfigurationProposer proposer_;
   ConfigurationTransferServer transfers_;
   ConfigurationWatchers watchers_;
+  ServiceListReader service_list_;
   ConfigurationListener listener_;
 };
 
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -29,6 +29,7 @@
   dependencies.local_registers.chosen = [&group](const std::string& key) {
     return group.locally_known_value(key);
   };
+  dependencies.list_shards = [&group](ShardListReader::Done done) { group.list_shards(std::move(done)); };
   dependencies.local_registers.drop = [&group](const std::function<bool(const std::string&)>& unneeded) {
     group.drop_registers(unneeded);
   };
--- a/tests/cluster/agent/agent_fixture.hpp
+++ b/tests/cluster/agent/agent_fixture.hpp
@@ -69,9 +69,15 @@
     answer_polls();
   }
 
+  // Every answer with a list of the services comes this much later.
+  void delay_lists(Millis delay) { list_delay_ = delay; }
+
   JobHandler on_job;
   std::vector<wire::JobRequest> jobs;
   unsigned watches = 0;
+  // For watches that want it; none: the node is of an earlier version.
+  std::optional<wire::ServiceList> service_list;
+  unsigned lists_read = 0;
 
  private:
   struct Poll {
@@ -90,6 +96,7 @@
 
   void serve_watch(const wire::ConfigurationWatch& watch, const ReplyCallback& reply) {
     ++watches;
+    if (watch.wants_services() && service_list) return answer_with_services(watch, reply);
     if (has_newer(watch)) return answer(watch, reply);
     polls_.push_back({watch, reply, nullptr});
     const auto poll = std::prev(polls_.end());
@@ -111,6 +118,16 @@
     reply(std::move(envelope));
   }
 
+  void answer_with_services(const wire::ConfigurationWatch& watch, const ReplyCallback& reply) {
+    ++lists_read;
+    const auto reply_with_list = [reply, list = *service_list](wire::Envelope envelope) {
+      *envelope.mutable_configuration_update()->mutable_services() = list;
+      reply(std::move(envelope));
+    };
+    delayed_answers_.push_back(
+        runtime_.after(list_delay_, [this, watch, reply_with_list] { answer(watch, reply_with_list); }));
+  }
+
   void answer_polls() {
     std::list<Poll> polls;
     polls.swap(polls_);
@@ -127,6 +144,7 @@
   FakeRuntime& runtime_;
   wire::ConfigurationUpdate update_;
   std::list<Poll> polls_;
+  Millis list_delay_{0};
   std::vector<std::unique_ptr<Timer>> delayed_answers_;
 };
 
--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -67,6 +67,9 @@
   std::set<std::string> accepted_by;                // services that know the job
   std::map<std::string, std::uint64_t> tombstones;  // versions below which services reject the job
   unsigned unled_submits = 0;                       // so many submits more reach no leader
+  std::set<std::string> led{"first", "second"};     // services with a known leader
+  // Shards that a majority lists; none: the control node is of a version that doesn't list them.
+  std::optional<std::set<std::string>> listed_shards;
   // The last one is in use. The others are kept, since calls of theirs are in flight.
   std::vector<std::unique_ptr<EdgeAgent>> agents;
 
@@ -105,9 +108,9 @@
     return wire::JOB_OK;
   }
 
-  static std::vector<wire::ShardLeader> leaders() {
+  std::vector<wire::ShardLeader> leaders() const {
     std::vector<wire::ShardLeader> leaders;
-    for (const std::string service : {"first", "second"}) {
+    for (const std::string& service : led) {
       wire::ShardLeader& leader = leaders.emplace_back();
       leader.set_shard("service/" + service);
       leader.set_epoch(1);
@@ -117,13 +120,22 @@
   }
 
   void start_control() {
-    ConfigurationDependencies dependencies{&MovedQueueFixture::leaders,
+    ConfigurationDependencies dependencies{[this] { return leaders(); },
                                            [] { return std::vector<wire::Member>(); }, [] { return true; }};
+    if (listed_shards)
+      dependencies.list_shards = [this](const ShardListReader::Done& done) { list_shards(done); };
     dependencies.members_read_snapshots = [this] { return members_read_snapshots; };
     configuration = std::make_unique<ConfigurationService>(runtime, registers, dependencies);
     configuration->on_register_value(registers.value());
     registers.run_all();
   }
+  void list_shards(const ShardListReader::Done& done) {
+    ShardList list;
+    list.shards = *listed_shards;
+    list.accepted_configuration = registers.value().ballot;
+    done(std::move(list));
+    registers.run_all();
+  }
   void start_agent(const char* seed = kControlSeed) {
     NodeSettings settings;
     settings.zone = "near";
@@ -270,6 +282,36 @@
   CHECK(call(wire::JOB_QUERY, "second", 5) == wire::JOB_NOT_FOUND);
 }
 
+// Guards against cancels that are answered 410 while the jobs run on: an agent that had just started knew
+// only the configured services and those with a leader.
+TEST_CASE_METHOD(AcceptedJobFixture, "a job of a removed service that has no leader is not called unknown") {
+  const wire::JobVerb verb = GENERATE(wire::JOB_CANCEL, wire::JOB_QUERY);
+  listed_shards = {"service/first"};
+  accept_job();
+  patch(1, move_queue_and_remove_service(5));
+  led = {"second"};
+  runtime.run_for(Millis(70000));  // so that the queue's former route isn't known any more
+  restart_all();
+  CHECK(call(verb, "second", 5, Millis(2900)) == wire::JOB_IN_DOUBT);
+  led = {"first", "second"};
+  CHECK(call(verb, "second", 5) == wire::JOB_OK);
+}
+
+// Guards against a start after a 410: a late submission reached a former service that had no jobs yet, and
+// that had not been asked.
+TEST_CASE_METHOD(MovedQueueFixture, "a former service without jobs has to say that it knows none") {
+  listed_shards.emplace();
+  start_control();
+  put(0, configuration_json(1, kBeforeMove));
+  patch(1, move_queue_and_remove_service(5));
+  led = {"second"};
+  restart_all();
+  CHECK(call(wire::JOB_CANCEL, "second", 5, Millis(2900)) == wire::JOB_IN_DOUBT);
+  led = {"first", "second"};
+  CHECK(call(wire::JOB_CANCEL, "second", 5) == wire::JOB_NOT_FOUND);
+  CHECK(tombstones["first"] == kCancelled);
+}
+
 // Guards against a second run: an agent that had just started submitted before it knew the configuration.
 TEST_CASE_METHOD(AcceptedJobFixture, "a submit waits for the configuration that its ingress has") {
   const std::uint64_t ingress_version = GENERATE(0, 5);
