Have operators' calls take the services from a majority

An operator could be told that there is no such job.

Change: GET /v1/services lists all services that may hold jobs, read from a majority; the commands use it, and the status with nodes of earlier versions. A service that a node doesn't know is answered 404 only if a majority doesn't list it, else 503.

--- a/src/cluster/cli/control_responses.cpp
+++ b/src/cluster/cli/control_responses.cpp
@@ -108,6 +108,15 @@
   return status;
 }
 
+leaf::result<std::vector<std::string>> read_services(const ControlResponse& response) {
+  BOOST_LEAF_AUTO(body, parse_body(response));
+  std::vector<std::string> services;
+  for (const json::value& item : JsonObjectView(body).list("services")) {
+    if (item.is_string()) services.emplace_back(item.as_string().c_str());
+  }
+  return services;
+}
+
 leaf::result<std::vector<JobInfo>> read_jobs(const ControlResponse& response) {
   BOOST_LEAF_AUTO(body, parse_body(response));
   std::vector<JobInfo> jobs;
--- a/src/cluster/cli/control_responses.hpp
+++ b/src/cluster/cli/control_responses.hpp
@@ -78,6 +78,7 @@
 
 // Each parses the body of a response. Errors: ControlUnavailable if the body is not a JSON object.
 leaf::result<StatusResponse> read_status(const ControlResponse& response);
+leaf::result<std::vector<std::string>> read_services(const ControlResponse& response);
 leaf::result<std::vector<JobInfo>> read_jobs(const ControlResponse& response);
 leaf::result<std::vector<NodeInfo>> read_nodes(const ControlResponse& response);
 // Version in the body of a complete configuration or of the response to a change. Errors: as above.
--- a/src/cluster/cli/leader_calls.cpp
+++ b/src/cluster/cli/leader_calls.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+constexpr unsigned kHttpNotFound = 404;
 constexpr std::string_view kReservedPathCharacters = " /?&#%";
 
 bool is_valid_path_text(const std::string& text) {
@@ -35,6 +36,14 @@
     BOOST_LEAF_CHECK(check_path_text("service", line.service));
     return std::vector<std::string>{line.service};
   }
+  ControlRequest request;
+  request.target = "/v1/services";
+  BOOST_LEAF_AUTO(response, client.call(request));
+  if (response.status != kHttpNotFound) {
+    BOOST_LEAF_AUTO(success, require_success(response, "services"));
+    return read_services(success);
+  }
+  // A control node of an earlier version lists the services that it knows itself.
   BOOST_LEAF_AUTO(status, fetch_status(client));
   std::vector<std::string> services;
   for (const ServiceInfo& service : status.services) services.push_back(service.service);
--- a/src/cluster/cli/leader_calls.hpp
+++ b/src/cluster/cli/leader_calls.hpp
@@ -12,8 +12,8 @@
 // The status of the control group as one node sees it. Errors: ControlUnavailable.
 leaf::result<StatusResponse> fetch_status(ControlClient& client);
 
-// The service that the command line names, or else all services that the control group knows. Errors:
-// InvalidInput, ControlUnavailable.
+// The service that the command line names, or else all services that may hold jobs, as a majority of the
+// control group knows them. Errors: InvalidInput, ControlUnavailable.
 leaf::result<std::vector<std::string>> resolve_services(const CommandLine& line, ControlClient& client);
 
 // Checks that `text` can be a segment of a request's path without escaping. `field`: name for the error.
--- a/src/cluster/control/configuration_service.cpp
+++ b/src/cluster/control/configuration_service.cpp
@@ -69,6 +69,23 @@
   registers_.read(kConfigurationRegister, kConfigurationQuorumTimeout, on_register_read);
 }
 
+void ConfigurationService::list_services(const ServicesCallback& done) {
+  if (!service_list_.is_available()) return done(std::nullopt);
+  const TimePoint deadline = runtime_.now() + kConfigurationQuorumTimeout;
+  service_list_.read([this, deadline, done](const wire::ServiceList& list) {
+    if (!list.complete()) return done(std::nullopt);
+    const auto remaining = std::chrono::duration_cast<Millis>(deadline - runtime_.now());
+    follower_.when_version_reached(list.configuration_version(), remaining, [this, list, done](bool reached) {
+      if (!reached) return done(std::nullopt);
+      std::set<std::string> services(list.services().begin(), list.services().end());
+      if (newest() != nullptr) {
+        for (const Service& service : newest()->services) services.insert(service.name);
+      }
+      done(services);
+    });
+  });
+}
+
 bool ConfigurationService::handle(const wire::Envelope& request, const ReplyCallback& reply) {
   if (request.has_configuration_watch()) {
     watch(request.configuration_watch(), reply);
--- a/src/cluster/control/configuration_service.hpp
+++ b/src/cluster/control/configuration_service.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,7 @@
  public:
   using ChangeCallback = ConfigurationProposer::ChangeCallback;
   using ReadCallback = std::function<void(ConfigurationRead)>;
+  using ServicesCallback = std::function<void(const std::optional<std::set<std::string>>&)>;
   using ConfigurationListener = std::function<void(const Configuration&)>;
 
   // `runtime` and `registers` must outlive the service.
@@ -75,6 +77,10 @@
   void patch(const std::optional<std::string>& base, std::string body, ChangeCallback done);
   // Reads the newest configuration from a majority. `done` is called as for `put`.
   void get(ReadCallback done);
+  // Reads the names of all services that may hold jobs: those of the newest configuration, and those with
+  // records, also of services that were deleted. `done` is called as for `put`, with none if no majority
+  // answered in time.
+  void list_services(const ServicesCallback& done);
 
   // Applies a value of the register "configuration" that is known to be chosen. A version that isn't newer is
   // ignored.
--- a/src/cluster/control/inspection_responses.cpp
+++ b/src/cluster/control/inspection_responses.cpp
@@ -193,6 +193,11 @@
   return serialized_response(200, {{"services", array_of(services, convert)}});
 }
 
+HttpResponse services_response(const std::set<std::string>& services) {
+  const auto convert = [](const std::string& service) { return json::string(service); };
+  return serialized_response(200, {{"services", array_of(services, convert)}});
+}
+
 HttpResponse job_not_found_response(const std::string& id) {
   return error_response(404, {"jobs", "id", id, "a job of a service led by this node"});
 }
--- a/src/cluster/control/inspection_responses.hpp
+++ b/src/cluster/control/inspection_responses.hpp
@@ -2,6 +2,9 @@
 // part of the API.
 #pragma once
 
+#include <set>
+#include <string>
+
 #include "cluster/control/node_inspection.hpp"
 #include "cluster/http/error_response.hpp"
 #include "cluster/http/server.hpp"
@@ -24,6 +27,8 @@
 HttpResponse job_response(const ServiceJob& job);
 // 200 {"services":[{"service","nodes":[...]}]}
 HttpResponse nodes_response(const std::vector<ServiceLeaves>& services);
+// 200 {"services":["NAME",...]}: every service that may hold jobs.
+HttpResponse services_response(const std::set<std::string>& services);
 // 404: no service that this node leads has a job with this id.
 HttpResponse job_not_found_response(const std::string& id);
 // 200 {"id"} if the job was canceled, 404 if it was not found, 503 if the outcome is unknown.
--- a/src/cluster/control/operator_api.cpp
+++ b/src/cluster/control/operator_api.cpp
@@ -56,6 +56,8 @@
       return reply(status_response(inspection_.status()));
     case OperatorCallKind::list_jobs:
       return reply(jobs_response(inspection_.jobs(call.service, call.limit)));
+    case OperatorCallKind::list_services:
+      return list_services(reply);
     case OperatorCallKind::list_nodes:
       return reply(nodes_response(inspection_.leaves(call.service)));
     case OperatorCallKind::show_job:
@@ -87,8 +89,14 @@
   reply(job ? job_response(*job) : job_not_found_response(call.id));
 }
 
+void OperatorApi::list_services(const HttpReplyCallback& reply) {
+  configuration_.list_services([reply](const std::optional<std::set<std::string>>& services) {
+    reply(services ? services_response(*services) : no_quorum_contact_response());
+  });
+}
+
 bool OperatorApi::respond_if_led_elsewhere(const HttpRequest& request, const std::string& service,
-                                           const HttpReplyCallback& reply) const {
+                                           const HttpReplyCallback& reply) {
   const Leadership leadership = inspection_.leadership(service);
   switch (leadership.kind) {
     case LeadershipKind::this_node:
@@ -102,8 +110,16 @@
     case LeadershipKind::no_such_service:
       break;
   }
-  reply(error_response(kNotFound, {"request", "service", service, "a service of the configuration"}));
+  respond_to_unknown_service(service, reply);
   return true;
 }
 
+void OperatorApi::respond_to_unknown_service(const std::string& service, const HttpReplyCallback& reply) {
+  configuration_.list_services([service, reply](const std::optional<std::set<std::string>>& services) {
+    if (!services) return reply(no_quorum_contact_response());
+    if (services->contains(service)) return reply(json_response(kUnavailable, "{}"));
+    reply(error_response(kNotFound, {"request", "service", service, "a service of the configuration"}));
+  });
+}
+
 }  // namespace winchhall::cluster
--- a/src/cluster/control/operator_api.hpp
+++ b/src/cluster/control/operator_api.hpp
@@ -1,12 +1,13 @@
 // The HTTP API of a control node for operators:
 //
 //   POST /v1/Config.Put, POST /v1/Config.Patch, GET /v1/Config.Get
-//   GET  /v1/status
+//   GET  /v1/status, GET /v1/services
 //   GET  /v1/jobs, GET /v1/jobs/ID, POST /v1/jobs/ID/cancel, GET /v1/nodes
 //
 // The calls of the last line take the parameter `service=NAME`. With it they cover this service only, and
-// respond 307 to the node that leads it, 503 if no leader is known, or 404 if there is no such service.
-// Without it they cover all services that this node leads. `limit=N` bounds the jobs listed for each service.
+// respond 307 to the node that leads it, 503 if no leader is known, or 404 if a majority knows no such
+// service. `services` names every service that may hold jobs, or responds 503 without a majority. Without it
+// they cover all services that this node leads. `limit=N` bounds the jobs listed for each service.
 #pragma once
 
 #include "cluster/control/configuration_service.hpp"
@@ -38,10 +39,13 @@
   void handle_configuration(OperatorCallKind kind, const HttpRequest& request,
                             const HttpReplyCallback& reply);
   void show_job(const OperatorCall& call, const HttpReplyCallback& reply) const;
+  void list_services(const HttpReplyCallback& reply);
   // Responds with a redirect or an error and returns true if this node doesn't lead the service; otherwise
   // returns false.
   bool respond_if_led_elsewhere(const HttpRequest& request, const std::string& service,
-                                const HttpReplyCallback& reply) const;
+                                const HttpReplyCallback& reply);
+  // Responds for a service that this node doesn't know: other nodes may know it.
+  void respond_to_unknown_service(const std::string& service, const HttpReplyCallback& reply);
 
   ConfigurationService& configuration_;
   NodeInspection& inspection_;
--- a/src/cluster/control/operator_call.cpp
+++ b/src/cluster/control/operator_call.cpp
@@ -22,7 +22,8 @@
     {"/v1/Config.Patch", http::verb::post, OperatorCallKind::configuration_patch},
     {"/v1/status", http::verb::get, OperatorCallKind::status},
     {"/v1/jobs", http::verb::get, OperatorCallKind::list_jobs},
-    {"/v1/nodes", http::verb::get, OperatorCallKind::list_nodes}};
+    {"/v1/nodes", http::verb::get, OperatorCallKind::list_nodes},
+    {"/v1/services", http::verb::get, OperatorCallKind::list_services}};
 
 constexpr std::string_view kJobPrefix = "/v1/jobs/";
 constexpr std::string_view kCancelSuffix = "/cancel";
--- a/src/cluster/control/operator_call.hpp
+++ b/src/cluster/control/operator_call.hpp
@@ -18,7 +18,8 @@
   list_jobs,
   show_job,
   cancel_job,
-  list_nodes
+  list_nodes,
+  list_services
 };
 
 // Number of jobs listed for each service: the default without `limit`, and the maximum for any `limit`.
--- a/tests/cluster/cli/commands_test.cpp
+++ b/tests/cluster/cli/commands_test.cpp
@@ -106,6 +106,8 @@
     R"({"services":[{"service":"core","total":1,"jobs":[{"id":"00000000000000a1","queue":"q","state":"running",)"
     R"("priority":1,"runs":3}]}]})";
 
+const char* const kServices = R"({"services":["core"]})";
+
 // A settings file that names control nodes.
 std::string settings_text(const std::string& seeds) {
   return "node_name = \"edge-1\"\nip = \"127.0.0.1\"\ninternal_ports = [7380,7395]\nseeds = [" + seeds +
@@ -113,6 +115,7 @@
 }
 
 HttpResponse status_then(const HttpRequest& request, unsigned status, const std::string& body) {
+  if (request.target() == "/v1/services") return json_response(200, kServices);
   return request.target() == "/v1/status" ? json_response(200, kStatus) : json_response(status, body);
 }
 
@@ -227,10 +230,37 @@
   CHECK(run(line_of({"jobs", "show", "a/1"}, {node.address()})).code == kExitInvalid);
 }
 
+// Guards against a job that operators are told doesn't exist: the services were taken from the status of one
+// control node, which may have just started.
+TEST_CASE("a job is searched at all services that a majority lists") {
+  FakeControlNode node([](const HttpRequest& request) {
+    if (request.target() == "/v1/services") return json_response(200, R"({"services":["core","deleted"]})");
+    const bool known = request.target() == "/v1/jobs/a1?service=deleted";
+    return known ? json_response(200, R"({"id":"a1"})") : status_then(request, 404, "{}");
+  });
+  CHECK(run(line_of({"jobs", "show", "a1"}, {node.address()})).output == "{\"id\":\"a1\"}\n");
+}
+
+TEST_CASE("a job that can't be searched at all services is not called unknown") {
+  FakeControlNode node([](const HttpRequest& request) {
+    return request.target() == "/v1/services" ? json_response(503, "{}") : status_then(request, 404, "{}");
+  });
+  CHECK(run(line_of({"jobs", "show", "a1"}, {node.address()})).code == kExitUnavailable);
+}
+
+TEST_CASE("with a control node of an earlier version a job is searched at the services of its status") {
+  FakeControlNode node([](const HttpRequest& request) {
+    if (request.target() == "/v1/services") return json_response(404, "{}");
+    const bool known = request.target() == "/v1/jobs/a1?service=core";
+    return known ? json_response(200, R"({"id":"a1"})") : status_then(request, 404, "{}");
+  });
+  CHECK(run(line_of({"jobs", "show", "a1"}, {node.address()})).output == "{\"id\":\"a1\"}\n");
+}
+
 TEST_CASE("a redirect to the leader is followed") {
   FakeControlNode leader([](const HttpRequest&) { return json_response(200, R"({"id":"a1"})"); });
   FakeControlNode other([&leader](const HttpRequest& request) {
-    if (request.target() == "/v1/status") return json_response(200, kStatus);
+    if (request.target() == "/v1/services") return json_response(200, kServices);
     HttpResponse response = json_response(307, "{}");
     response.set(boost::beast::http::field::location,
                  "http://" + leader.address() + std::string(request.target()));
--- a/tests/cluster/control/operator_api_test.cpp
+++ b/tests/cluster/control/operator_api_test.cpp
@@ -81,13 +81,19 @@
 struct OperatorApiFixture {
   testing::FakeRuntime runtime;
   configuration_test::SharedRegisters registers;
-  ConfigurationService configuration{
-      runtime, registers,
-      ConfigurationDependencies{[] { return std::vector<wire::ShardLeader>(); },
-                                [] { return std::vector<wire::Member>(); }, [] { return true; }}};
+  std::optional<ShardList> shards =
+      ShardList{{"service/deleted", "service/core"}, {}};  // as a majority lists
+  ConfigurationService configuration{runtime, registers, dependencies()};
   FakeNodeInspection node;
   OperatorApi api{configuration, node};
 
+  ConfigurationDependencies dependencies() {
+    ConfigurationDependencies dependencies{[] { return std::vector<wire::ShardLeader>(); },
+                                           [] { return std::vector<wire::Member>(); }, [] { return true; }};
+    dependencies.list_shards = [this](const ShardListReader::Done& done) { done(shards); };
+    return dependencies;
+  }
+
   HttpResponse send(http::verb method, const std::string& target) {
     HttpRequest request;
     request.method(method);
@@ -183,6 +189,25 @@
   CHECK(node.canceled.empty());
 }
 
+// Guards against a job that operators are told doesn't exist: a node that had just started knew fewer
+// services than the others.
+TEST_CASE_METHOD(OperatorApiFixture, "a service that only other nodes know is not called unknown") {
+  CHECK(send(http::verb::get, "/v1/jobs/00000000000000a1?service=deleted").result_int() == 503);
+  CHECK(send(http::verb::post, "/v1/jobs/00000000000000a1/cancel?service=deleted").result_int() == 503);
+  CHECK(send(http::verb::get, "/v1/nodes?service=none").result_int() == 404);
+  shards.reset();
+  CHECK(send(http::verb::get, "/v1/nodes?service=none").result_int() == 503);
+}
+
+TEST_CASE_METHOD(OperatorApiFixture, "all services that may hold jobs are listed by a majority") {
+  configuration.put("0", configuration_test::small_configuration(5), [](const ConfigurationOutcome&) {});
+  registers.run_all();
+  const json::value listed = get("/v1/services");
+  CHECK(listed.at("services") == json::array{"core", "deleted", "fraud"});
+  shards.reset();
+  CHECK(send(http::verb::get, "/v1/services").result_int() == 503);
+}
+
 TEST_CASE_METHOD(OperatorApiFixture, "unknown paths give 404, wrong methods 405") {
   CHECK(send(http::verb::get, "/v1/nothing").result_int() == 404);
   CHECK(send(http::verb::get, "/v1/jobs/").result_int() == 404);
