Soak: kill the leader of a deleted service together with an edge

Cause: no kind of fault in the soak made an edge start between two leaders of a deleted service, and clients queried too seldom to meet that moment.

Change: for the middle half of a run the operator keeps a service deleted, and its leader is killed every 1.5 to 3 s together with an edge, which starts again about when the lease has expired; three observers at each edge query accepted jobs. A 410 for an accepted job is a fault, as before.

--- a/testbed/cluster/fault_soak.cpp
+++ b/testbed/cluster/fault_soak.cpp
@@ -67,7 +67,7 @@
     ProcessFaults processes(cluster_, random_());
     const unsigned groups = std::max(options_.workers / 2, 1u);
     SoakClients clients(front_addresses(), control_addresses(), kClients, groups, random_());
-    inject_faults(processes);
+    inject_faults(processes, clients);
     heal(processes, clients);
     if (options_.seed % kSeedsWithLostDisks == 0) lose_disks(processes, clients);
     await_jobs(processes, clients.accepted_jobs());
@@ -156,10 +156,21 @@
 
   // ---------------------------------------------------------------- faults
 
-  void inject_faults(ProcessFaults& processes) {
-    const Clock::time_point end = Clock::now() + options_.duration;
+  // For the middle half a service is deleted, whose leader is killed again and again together with an edge.
+  void inject_faults(ProcessFaults& processes, SoakClients& clients) {
+    const Clock::time_point begin = Clock::now();
+    const Clock::time_point end = begin + options_.duration;
+    const Clock::time_point deletion = begin + options_.duration / 4;
+    const Clock::time_point deletion_end = begin + options_.duration * 3 / 4;
+    Clock::time_point next_leader_kill = deletion + random_time(1000, 3000);
     Clock::time_point next = Clock::now() + random_time(1000, 3000);
     while (Clock::now() < end) {
+      const bool archive_deleted = Clock::now() >= deletion && Clock::now() < deletion_end;
+      clients.keep_archive_deleted(archive_deleted);
+      if (archive_deleted && Clock::now() >= next_leader_kill) {
+        processes.kill_leader_and_edge(kArchiveService);
+        next_leader_kill = Clock::now() + random_time(1500, 3000);
+      }
       if (Clock::now() >= next) {
         const std::uint64_t kind = random_() % 8;
         if (kind <= 1) {
--- a/testbed/cluster/local_cluster.cpp
+++ b/testbed/cluster/local_cluster.cpp
@@ -5,12 +5,15 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/json.hpp>
 #include <cerrno>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
 #include <system_error>
 
+#include "testbed/cluster/http_call.hpp"
+
 namespace winchhall::testbed::cluster {
 
 namespace {
@@ -26,6 +29,19 @@
 constexpr unsigned kEdgeProcesses = 2;  // ingress and agent
 constexpr unsigned kFirstWorker = 30;
 constexpr const char* kSettingsVariable = "WINCHHALL_NODE_FILE";
+constexpr std::chrono::milliseconds kStatusTimeout{200};
+
+// Address of a service's leader in a control node's status; empty: none known.
+std::string leader_address_in(const boost::json::value& status, const std::string& service) {
+  const std::string shard = "service/" + service;
+  const boost::json::value* leaders =
+      status.is_object() ? status.as_object().if_contains("leaders") : nullptr;
+  if (leaders == nullptr || !leaders->is_array()) return {};
+  for (const boost::json::value& leader : leaders->as_array()) {
+    if (leader.at("shard").as_string() == shard) return leader.at("address").as_string().c_str();
+  }
+  return {};
+}
 
 std::string make_temporary_directory() {
   std::string pattern = (std::filesystem::temp_directory_path() / "winchhall-cluster-XXXXXX").string();
@@ -190,6 +206,26 @@
   return names;
 }
 
+std::string LocalCluster::leader_of(const std::string& service) const {
+  for (unsigned asked = 0; asked < control_nodes_; ++asked) {
+    HttpCall call;
+    call.address = control_address(asked);
+    call.target = "/v1/status";
+    call.timeout = kStatusTimeout;
+    const HttpCallResponse response = send_http_call(call);
+    if (response.status != kHttpOk) continue;
+    boost::json::error_code unreadable;
+    const boost::json::value status = boost::json::parse(response.body, unreadable);
+    if (unreadable) continue;
+    const std::string address = leader_address_in(status, service);
+    for (unsigned index = 0; index < control_nodes_; ++index) {
+      const std::string& ip = processes_.at(index).ip;
+      if (address.starts_with(ip + ":")) return processes_.at(index).name;
+    }
+  }
+  return {};
+}
+
 void LocalCluster::save_logs(const std::filesystem::path& directory) const {
   std::filesystem::create_directories(directory);
   for (const LocalProcess& process : processes_) {
--- a/testbed/cluster/local_cluster.hpp
+++ b/testbed/cluster/local_cluster.hpp
@@ -67,6 +67,9 @@
   // Copies the logs of all processes into a directory, which is created.
   void save_logs(const std::filesystem::path& directory) const;
 
+  // Name of the control node that leads a service, as the first one that answers knows it; empty: none known.
+  std::string leader_of(const std::string& service) const;
+
   // Addresses of the HTTP servers.
   std::string control_address(unsigned index) const;
   std::string front_address(unsigned edge = 0) const;
--- a/testbed/cluster/process_faults.cpp
+++ b/testbed/cluster/process_faults.cpp
@@ -14,6 +14,9 @@
 // Until this time after its start, a process may not have installed its signal handlers.
 constexpr milliseconds kMaxStartTime{1500};
 constexpr milliseconds kMaxShutdownTime{20000};
+// From a leader's end to the moment when its lease has expired and no other one is known.
+constexpr int kMinLeaseGapMs = 620;
+constexpr int kMaxLeaseGapMs = 820;
 constexpr Clock::time_point kNever = Clock::time_point::max();
 
 bool is_set(Clock::time_point time) { return time != Clock::time_point{}; }
@@ -108,6 +111,18 @@
   for (const std::string& name : random_edge()) kill(name);
 }
 
+void ProcessFaults::kill_leader_and_edge(const std::string& service) {
+  const std::string leader = cluster_.leader_of(service);
+  if (leader.empty() || !cluster_.is_running(leader)) return;
+  ++counts_["leader and edge"];
+  kill(leader);
+  const milliseconds restart_after = random_time(kMinLeaseGapMs, kMaxLeaseGapMs);
+  for (const std::string& name : random_edge()) {
+    kill(name);
+    states_[name].restart_after = restart_after;
+  }
+}
+
 void ProcessFaults::freeze_edge() {
   ++counts_["frozen edge"];
   const milliseconds duration = random_time(500, 5000);
@@ -141,7 +156,7 @@
   }
   if (const std::optional<int> status = cluster_.poll_end(name)) {
     check_end(name, state, *status, now);
-    state.restart_at = now + random_time(0, 3000);
+    state.restart_at = now + state.restart_after.value_or(random_time(0, 3000));
   }
   if (state.terminated && cluster_.is_running(name) && now >= state.end_by) {
     faults_.push_back(name + " does not end after SIGTERM");
--- a/testbed/cluster/process_faults.hpp
+++ b/testbed/cluster/process_faults.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
 
   // Injects one random fault.
   void inject();
+  // Kills the control node that leads `service`, and a random edge at the same moment. The edge is started
+  // again while a new leader is elected. No effect if no leader is known to run.
+  void kill_leader_and_edge(const std::string& service);
   // Resumes frozen processes, checks processes that have ended, and restarts them, each when it is due.
   void step();
   // Kills a control node and starts it again at once with an empty disk. The others must run and hold all
@@ -43,11 +47,12 @@
  private:
   struct ProcessState {
     Clock::time_point started;
-    bool killed = false;           // SIGKILL was sent since the start
-    bool terminated = false;       // SIGTERM was sent since the start
-    Clock::time_point end_by;      // if `terminated`: latest time of its end
-    Clock::time_point resume_at;   // unset: not frozen
-    Clock::time_point restart_at;  // unset: not ended
+    bool killed = false;                                     // SIGKILL was sent since the start
+    bool terminated = false;                                 // SIGTERM was sent since the start
+    Clock::time_point end_by;                                // if `terminated`: latest time of its end
+    Clock::time_point resume_at;                             // unset: not frozen
+    Clock::time_point restart_at;                            // unset: not ended
+    std::optional<std::chrono::milliseconds> restart_after;  // its end; unset: a random time
   };
 
   const std::string& random_process();
--- a/testbed/cluster/soak_clients.cpp
+++ b/testbed/cluster/soak_clients.cpp
@@ -9,7 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kHttpGone = 410;
-constexpr unsigned kSoakMaxRetries = 100;  // leaves that fail all that they start must not end the jobs
+constexpr std::size_t kObserversOfEdge = 3;  // one waits while another sees the moment after a restart
+constexpr unsigned kSoakMaxRetries = 100;    // leaves that fail all that they start must not end the jobs
 constexpr milliseconds kClientRetryInterval{50};
 constexpr milliseconds kPausePollInterval{20};
 constexpr std::chrono::seconds kMaxCompletionTime{60};  // of a change, after all faults have ended
@@ -62,6 +63,10 @@
       control_addresses_(std::move(control_addresses)),
       groups_(groups) {
   threads_.emplace_back([this, seed] { run_operator(seed); });
+  for (std::size_t number = 0; number < kObserversOfEdge * front_addresses_.size(); ++number) {
+    const std::size_t edge = number % front_addresses_.size();
+    threads_.emplace_back([this, edge, seed, number] { run_observer(edge, seed + number); });
+  }
   for (unsigned number = 1; number <= clients; ++number)
     threads_.emplace_back([this, number, seed] { run_client(number, seed + number); });
 }
@@ -139,6 +144,18 @@
   if (!lasting.empty()) cancel(edges, lasting);
 }
 
+void SoakClients::run_observer(std::size_t edge, std::uint64_t seed) {
+  constexpr milliseconds kInterval{20};
+  std::mt19937_64 random(seed);
+  const std::vector<std::string> addresses{front_addresses_[edge]};
+  EdgeConnections connection(addresses, 0);
+  while (!stopping_) {
+    std::this_thread::sleep_for(kInterval);
+    const std::vector<std::string> accepted = accepted_jobs();
+    if (!accepted.empty()) query(connection, accepted[random() % accepted.size()]);
+  }
+}
+
 bool SoakClients::submit(EdgeConnections& edges, const std::string& job, const std::string& body) {
   while (!stopping_) {
     if (edges.send("POST", job, body).status == kHttpOk) {
@@ -211,6 +228,8 @@
 }
 
 bool SoakClients::make_change(std::mt19937_64& random) {
+  if (archive_stays_deleted_)
+    return archive_exists_ ? retire_archive() : acknowledge(add_route(acknowledged_version()));
   switch (random() % 6) {
     case 0:
     case 1:
@@ -231,8 +250,9 @@
 }
 
 bool SoakClients::retire_archive() {
-  return acknowledge(route_queue_to(acknowledged_version(), kRecordsService, kSoakMaxRetries)) &&
-         remove_archive();
+  if (!acknowledge(route_queue_to(acknowledged_version(), kRecordsService, kSoakMaxRetries))) return false;
+  queue_service_ = kRecordsService;
+  return remove_archive();
 }
 
 bool SoakClients::move_queue(std::mt19937_64& random) {
--- a/testbed/cluster/soak_clients.hpp
+++ b/testbed/cluster/soak_clients.hpp
@@ -19,10 +19,10 @@
 // accepted jobs, over one connection to each edge that it keeps until it fails. After a failed call, and at
 // times without one, it changes the edge. Now and then it gives up on a submission after less than a second,
 // and cancels the job at another edge. One client also submits a job whose task lasts, which it cancels at
-// the end. Every few seconds the operator adds a route, moves the queue to another service, either at once or
-// by its removal and addition, moves it there and back within a second, or deletes the service that no route
-// leads to; it repeats each call until it is acknowledged. All run on threads of their own; public members
-// are thread-safe.
+// the end. Several observers query accepted jobs at each edge, many times a second. Every few seconds the
+// operator adds a route, moves the queue to another service, either at once or by its removal and addition,
+// moves it there and back within a second, or deletes the service that no route leads to; it repeats each
+// call until it is acknowledged. All run on threads of their own; public members are thread-safe.
 class SoakClients {
  public:
   // Starts all threads. `clients`: number of clients.
@@ -32,12 +32,15 @@
   // Stops and waits for all threads.
   ~SoakClients();
 
+  // While on, the operator routes the queue to the service "records", deletes the other one, and only adds
+  // routes afterwards.
+  void keep_archive_deleted(bool on) { archive_stays_deleted_ = on; }
   // Ends the submission of jobs and changes and waits for the threads: the operator completes the change that
   // it has begun, and clients the cancels. Idempotent.
   void stop();
   // IDs of the accepted jobs, in order of acceptance.
   std::vector<std::string> accepted_jobs() const;
-  // The cancels that were answered with 200 or 410.
+  // The cancels that were answered with 200 or 410. A job that was accepted is never answered with 410.
   std::vector<CancelledJob> cancelled_jobs() const;
   // Routes the queue to the service "records" and deletes the other one. To be called after `stop`. Returns
   // false if that is not acknowledged in time.
@@ -68,6 +71,7 @@
   };
 
   void run_client(unsigned number, std::uint64_t seed);
+  void run_observer(std::size_t edge, std::uint64_t seed);
   void run_operator(std::uint64_t seed);
   bool submit(EdgeConnections& edges, const std::string& job, const std::string& body);
   // Sends a job that was accepted once more. The response doesn't count.
@@ -90,6 +94,7 @@
   const std::vector<std::string> control_addresses_;
   const unsigned groups_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> archive_stays_deleted_{false};
   std::string queue_service_;    // present service of the queue; used by the operator's thread alone
   bool archive_exists_ = false;  // in the configuration; used by the operator's thread alone
   mutable std::mutex mutex_;     // guards the following ones
