Show that the tests notice the loss of each part of the search for a job

Change: nine mutations; tests with forgotten former routes, with a list that can't be read, and of ShardListReader with scripted members; twelve kills a seed in control_unknown_job_test. ScriptedGroup has a header of its own, which register_attempt_test shares.

--- a/tests/cluster/agent/moved_queue_test.cpp
+++ b/tests/cluster/agent/moved_queue_test.cpp
@@ -70,6 +70,7 @@
   std::set<std::string> led{"first", "second"};     // services with a known leader
   // Shards that a majority lists; none: the control node is of a version that doesn't list them.
   std::optional<std::set<std::string>> listed_shards;
+  bool has_majority = true;  // if false, no list is read
   // The last one is in use. The others are kept, since calls of theirs are in flight.
   std::vector<std::unique_ptr<EdgeAgent>> agents;
 
@@ -130,6 +131,7 @@
     registers.run_all();
   }
   void list_shards(const ShardListReader::Done& done) {
+    if (!has_majority) return done(std::nullopt);
     ShardList list;
     list.shards = *listed_shards;
     list.accepted_configuration = registers.value().ballot;
@@ -272,12 +274,16 @@
 TEST_CASE_METHOD(AcceptedJobFixture,
                  "a job of a service that is removed from the configuration stays known") {
   const bool restarted = GENERATE(false, true);
+  const Millis since_move = GENERATE(Millis(0), Millis(70000));  // the former route is known for 60 s
   accept_job();
   patch(1, move_queue_and_remove_service(5));
+  runtime.run_for(since_move);
   if (restarted) restart_all();
   CHECK(call(wire::JOB_QUERY, "second", 5) == wire::JOB_OK);
-  CHECK(call(wire::JOB_SUBMIT, "second", 5) == wire::JOB_OK);
-  CHECK(accepted_by == std::set<std::string>{"first"});
+  if (since_move == Millis(0)) {
+    CHECK(call(wire::JOB_SUBMIT, "second", 5) == wire::JOB_OK);
+    CHECK(accepted_by == std::set<std::string>{"first"});
+  }
   accepted_by.clear();
   CHECK(call(wire::JOB_QUERY, "second", 5) == wire::JOB_NOT_FOUND);
 }
@@ -290,11 +296,18 @@
   accept_job();
   patch(1, move_queue_and_remove_service(5));
   led = {"second"};
-  runtime.run_for(Millis(70000));  // so that the queue's former route isn't known any more
+  runtime.run_for(FormerRoutes::kRetention + Millis(1000));
+  patch(5, add_queue(7, "second"));  // drops the queue's former route
   restart_all();
-  CHECK(call(verb, "second", 5, Millis(2900)) == wire::JOB_IN_DOUBT);
-  led = {"first", "second"};
-  CHECK(call(verb, "second", 5) == wire::JOB_OK);
+  SECTION("in doubt until it has a leader") {
+    CHECK(call(verb, "second", 7, Millis(2900)) == wire::JOB_IN_DOUBT);
+    led = {"first", "second"};
+    CHECK(call(verb, "second", 7) == wire::JOB_OK);
+  }
+  SECTION("in doubt while the services can't be listed") {
+    has_majority = false;
+    CHECK(call(verb, "second", 7, Millis(2900)) == wire::JOB_IN_DOUBT);
+  }
 }
 
 // Guards against a start after a 410: a late submission reached a former service that had no jobs yet, and
--- a/tests/cluster/agent/service_list_test.cpp
+++ b/tests/cluster/agent/service_list_test.cpp
@@ -89,6 +89,7 @@
 }
 
 TEST_CASE_METHOD(ServiceListFixture, "without a list a job that nobody knows is in doubt") {
+  runtime.one_way = Millis(0);  // the other services could be asked in no time
   list_services(wire::ServiceList());
   const auto answer = job(wire::JOB_CANCEL);
   runtime.run_for(Millis(2700));
--- a/tests/cluster/consensus/register_attempt_test.cpp
+++ b/tests/cluster/consensus/register_attempt_test.cpp
@@ -4,12 +4,14 @@
 #include <catch2/catch.hpp>
 
 #include "cluster/consensus/ballot.hpp"
+#include "tests/cluster/consensus/scripted_group.hpp"
 #include "tests/cluster/support/sim_runtime.hpp"
 
 namespace winchhall::cluster {
 namespace {
 
-constexpr std::uint64_t kEpoch = 3;  // of the member record
+using testing::kScriptedEpoch;
+using testing::ScriptedGroup;
 
 wire::Ballot ballot(std::uint64_t counter, std::uint64_t proposer = 1) {
   wire::Ballot ballot;
@@ -18,49 +20,12 @@
   return ballot;
 }
 
-// A group whose members answer as specified by the test.
-class ScriptedGroup : public GroupContext {
- public:
-  explicit ScriptedGroup(Runtime& runtime) : runtime_(runtime) {
-    record_.set_epoch(kEpoch);
-    for (std::uint64_t id = 1; id <= 5; ++id) record_.add_members()->set_id(id);
-  }
-
-  Runtime& runtime() override { return runtime_; }
-  const wire::MemberRecord& record() const override { return record_; }
-  std::uint64_t self_id() const override { return 1; }
-  std::uint64_t next_unique_id() override { return 1; }
-  bool voting() const override { return true; }
-  bool has_quorum_contact() const override { return true; }
-  std::vector<std::uint64_t> reachable_voters() const override { return {}; }
-  void call(const wire::Member& member, wire::Envelope request, Millis,
-            std::function<void(CallResult)> done) override {
-    calls.push_back({member.id(), std::move(request), std::move(done)});
-  }
-  void defer(std::function<void()> action) override { action(); }
-  void on_member_epoch_observed(std::uint64_t, const wire::Member&) override {}
-  std::optional<wire::ShardLeader> lease_in_force(const std::string&) const override { return std::nullopt; }
-  std::size_t own_lease_count() const override { return 0; }
-  std::uint64_t promised_epoch(const std::string&) const override { return 0; }
-
-  struct Call {
-    std::uint64_t member = 0;
-    wire::Envelope request;
-    std::function<void(CallResult)> done;
-  };
-  std::vector<Call> calls;
-
- private:
-  Runtime& runtime_;
-  wire::MemberRecord record_;
-};
-
 wire::RegisterPromise promise_of(std::uint64_t acceptor, const wire::Ballot& accepted,
                                  const std::string& value) {
   wire::RegisterPromise promise;
   promise.set_promised(true);
   promise.set_voting(true);
-  promise.set_member_epoch(kEpoch);
+  promise.set_member_epoch(kScriptedEpoch);
   promise.set_acceptor(acceptor);
   *promise.mutable_accepted() = accepted;
   promise.set_value(value);
@@ -86,7 +51,7 @@
     wire::Envelope answer;
     answer.mutable_register_accepted()->set_accepted(true);
     answer.mutable_register_accepted()->set_voting(voting);
-    answer.mutable_register_accepted()->set_member_epoch(kEpoch);
+    answer.mutable_register_accepted()->set_member_epoch(kScriptedEpoch);
     answer.mutable_register_accepted()->set_acceptor(member);
     this->answer(member, std::move(answer));
   }
@@ -132,7 +97,7 @@
   wire::RegisterPromise not_voting = promise_of(1, ballot(0), "");
   not_voting.set_voting(false);
   wire::RegisterPromise other_epoch = promise_of(2, ballot(0), "");
-  other_epoch.set_member_epoch(kEpoch + 1);
+  other_epoch.set_member_epoch(kScriptedEpoch + 1);
   attempt.promise(1, not_voting);
   attempt.promise(2, other_epoch);
   attempt.promise(3, promise_of(3, ballot(4), "x"));
--- a/tests/cluster/consensus/shard_list_test.cpp
+++ b/tests/cluster/consensus/shard_list_test.cpp
@@ -4,12 +4,15 @@
 
 #include "cluster/consensus/ballot.hpp"
 #include "tests/cluster/consensus/lease_candidate.hpp"
+#include "tests/cluster/consensus/scripted_group.hpp"
 #include "tests/cluster/support/seed_range.hpp"
 
 namespace winchhall::cluster::sim {
 namespace {
 
 using test::SeedRange;
+using testing::kScriptedEpoch;
+using testing::ScriptedGroup;
 
 constexpr Millis kLimit{20000};
 
@@ -51,8 +54,69 @@
   return {};
 }
 
+// A read of a group whose members the test answers for.
+class ScriptedReadFixture {
+ public:
+  ScriptedReadFixture() : simulation_(1), group_(simulation_.add_node("10.0.0.1:7000", {})) {
+    std::make_shared<ShardListReader>(group_, [this](std::optional<ShardList> list) {
+      ended_ = true;
+      list_ = std::move(list);
+    })->start();
+  }
+
+  static wire::MemberPing answer_of(std::uint64_t member, const std::string& shard) {
+    wire::MemberPing answer;
+    answer.set_from(member);
+    answer.set_member_epoch(kScriptedEpoch);
+    answer.set_voting(true);
+    answer.add_shards(shard);
+    return answer;
+  }
+  void answer(std::uint64_t member, const wire::MemberPing& answer) {
+    wire::Envelope envelope;
+    *envelope.mutable_member_ping() = answer;
+    group_.calls.at(member - 1).done(CallResult{std::move(envelope), CallError::timed_out});
+  }
+  void fail(std::uint64_t member) {
+    group_.calls.at(member - 1).done(CallResult{std::nullopt, CallError::timed_out});
+  }
+  bool ended() const { return ended_; }
+  const std::optional<ShardList>& list() const { return list_; }
+
+ private:
+  Simulation simulation_;
+  ScriptedGroup group_;
+  bool ended_ = false;
+  std::optional<ShardList> list_;
+};
+
 }  // namespace
 
+TEST_CASE_METHOD(ScriptedReadFixture, "the list is the union of what a majority holds") {
+  answer(1, answer_of(1, "a"));
+  answer(4, answer_of(4, "b"));
+  CHECK_FALSE(ended());
+  answer(2, answer_of(2, "a"));
+  REQUIRE(list());
+  CHECK(list()->shards == std::set<std::string>{"a", "b"});
+}
+
+TEST_CASE_METHOD(ScriptedReadFixture, "answers that count for no quorum count for no list") {
+  answer(1, answer_of(1, "a"));
+  answer(2, answer_of(2, "a"));
+  wire::MemberPing useless = answer_of(3, "a");
+  SECTION("a member that doesn't vote") { useless.set_voting(false); }
+  SECTION("another member record") { useless.set_member_epoch(kScriptedEpoch + 1); }
+  SECTION("another machine at the member's address") { useless.set_from(6); }
+  answer(3, useless);
+  CHECK_FALSE(ended());
+  fail(4);
+  CHECK_FALSE(ended());
+  fail(5);
+  CHECK(ended());
+  CHECK_FALSE(list());
+}
+
 TEST_CASE("a shard is listed from its first acknowledged record on until it has none") {
   CandidateCluster cluster(1, 3);
   cluster.bootstrap();
--- a/tests/cluster/control/unknown_job_test.cpp
+++ b/tests/cluster/control/unknown_job_test.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cluster/agent/edge_agent.hpp"
+#include "cluster/config/former_routes.hpp"
 #include "cluster/control/control_node.hpp"
 #include "tests/cluster/support/configuration_fixture.hpp"
 #include "tests/cluster/support/consensus_fixture.hpp"
@@ -66,6 +67,13 @@
            R"({"version":)" + std::to_string(kMovedVersion) + R"(,"upsert":{"routes":[)" + route +
                R"(]},"delete":{"services":[")" + kFormerService + R"("]}})");
   }
+  // Makes a change that drops the former routes which are older than their retention.
+  void forget_former_routes() {
+    simulation_.run_for(FormerRoutes::kRetention + Millis(1000));
+    const std::string route = configuration_test::route_json("r-2", "two", kPresentService);
+    change("/v1/Config.Patch", kMovedVersion,
+           R"({"version":)" + std::to_string(kMovedVersion + 1) + R"(,"upsert":{"routes":[)" + route + "]}}");
+  }
   std::optional<std::size_t> leader_of(const std::string& service) const {
     for (std::size_t index = 0; index < kControlNodes; ++index) {
       const bool leads = simulation_.node(index).running() &&
@@ -173,13 +181,15 @@
 // Leader and edge are killed at the same moment, again and again. Meanwhile clients look the accepted jobs
 // up, and cancel one after another.
 void kill_leader_and_edge(std::uint64_t seed) {
-  constexpr std::size_t kRounds = 4;
+  constexpr std::size_t kRounds = 12;
   constexpr double kDiskLost = 0.25;
+  constexpr std::uint64_t kSeedsWithoutFormerRoutes = 8;  // one seed in so many
   CAPTURE(seed);
   EdgeCluster cluster(seed);
   Simulation& simulation = cluster.simulation();
   const std::vector<std::string> jobs = submit_jobs(cluster, kRounds);
   cluster.move_queue();
+  if (seed % kSeedsWithoutFormerRoutes == 0) cluster.forget_former_routes();
   for (std::size_t round = 0; round < kRounds; ++round) {
     CAPTURE(round);
     const std::optional<std::size_t> leader = cluster.leader_of(kFormerService);
@@ -188,7 +198,7 @@
     cluster.crash(kEdge);
     if (simulation.chance(kDiskLost)) simulation.node(*leader).lose_disk();
     cluster.start_in(*leader, Millis(simulation.random_between(200, 2500)));
-    cluster.start_in(kEdge, Millis(simulation.random_between(50, 800)));
+    cluster.start_in(kEdge, Millis(simulation.random_between(20, 800)));
     for (const std::string& job : jobs)
       CHECK(cluster.call(wire::JOB_QUERY, job, kPresentService, kMovedVersion) == wire::JOB_OK);
     CHECK(cluster.call(wire::JOB_CANCEL, jobs[round], kPresentService, kMovedVersion) == wire::JOB_OK);
